build: workspace, configuration documents, tickets and CoAP adapter

Cause: an empty tree; every part needs the same formats first. Conclusion: the programs can be built against these formats.

--- /dev/null
+++ b/coap/parser.go
@@ -0,0 +1,209 @@
+// Package coap translates between CoAP datagrams (RFC 7252) and the
+// protocol-neutral types on which decisions are made.
+package coap
+
+import (
+	"hash/maphash"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/packet"
+)
+
+// Limits of datagrams.
+const (
+	// MaxDatagramSize is the largest datagram that is read, in bytes.
+	MaxDatagramSize = 1472
+	// MaxOptions is the greatest number of options of a message.
+	MaxOptions = 32
+	// MaxTicketSize is the largest Echo option, in bytes (RFC 9175).
+	MaxTicketSize = 40
+)
+
+// OptionDeadline is the elective option that holds a request's deadline in
+// milliseconds, from the range for experiments.
+const OptionDeadline message.OptionID = 65024
+
+// Errors of a datagram that is no acceptable request.
+var (
+	ErrMalformed = eris.New("malformed message")
+	ErrOversized = eris.New("oversized message")
+	ErrNoRequest = eris.New("not a request")
+)
+
+// A Parser reads datagrams; it is reused between them and not safe for
+// concurrent use.
+type Parser struct {
+	message message.Message
+	// seed makes digests differ between processes but not between parsers of
+	// one process.
+	seed maphash.Seed
+	hash maphash.Hash
+}
+
+// processSeed is shared by all parsers of this process.
+var processSeed = maphash.MakeSeed()
+
+// NewParser returns a parser.
+func NewParser() *Parser {
+	p := &Parser{
+		message: message.Message{
+			Options: make(message.Options, 0, MaxOptions),
+		},
+		seed: processSeed,
+	}
+	p.hash.SetSeed(p.seed)
+	return p
+}
+
+// Request sets h from a caller's datagram; h aliases data. Caller and service
+// come from the socket on which the datagram arrived. The error is
+// ErrMalformed, ErrOversized or ErrNoRequest.
+func (p *Parser) Request(data []byte, service uint32, caller netip.AddrPort, h *packet.Header) error {
+	if err := p.decode(data); err != nil {
+		return err
+	}
+	m := &p.message
+	*h = packet.Header{
+		Service:     service,
+		Caller:      caller,
+		Token:       packet.TokenOf(m.Token),
+		Message:     uint16(m.MessageID),
+		Confirmable: m.Type == message.Confirmable,
+	}
+	if m.Code == codes.Empty {
+		return p.empty(h)
+	}
+	if m.Type != message.Confirmable && m.Type != message.NonConfirmable {
+		return ErrNoRequest
+	}
+	kind := p.kind()
+	if kind == packet.KindInvalid {
+		return ErrNoRequest
+	}
+	h.Kind = kind
+	p.options(h)
+	return nil
+}
+
+// Response sets r from an upstream's datagram; r aliases data. The error is
+// ErrMalformed or ErrOversized.
+func (p *Parser) Response(data []byte, r *Response) error {
+	if err := p.decode(data); err != nil {
+		return err
+	}
+	m := &p.message
+	*r = Response{
+		Type:    m.Type,
+		Code:    m.Code,
+		Message: uint16(m.MessageID),
+		Token:   packet.TokenOf(m.Token),
+		Payload: m.Payload,
+	}
+	for _, o := range m.Options {
+		switch o.ID {
+		case message.Observe:
+			r.Observed = true
+			r.Sequence = uintOf(o.Value)
+		case message.MaxAge:
+			r.MaxAge = time.Duration(uintOf(o.Value)) * time.Second
+		case message.Echo:
+			r.Ticket = o.Value
+		case message.Block2:
+			r.Blocked = true
+			r.Block = uintOf(o.Value)
+		default:
+		}
+	}
+	return nil
+}
+
+func (p *Parser) decode(data []byte) error {
+	if len(data) > MaxDatagramSize {
+		return ErrOversized
+	}
+	if _, err := coder.DefaultCoder.Decode(data, &p.message); err != nil {
+		return ErrMalformed
+	}
+	return nil
+}
+
+func (p *Parser) empty(h *packet.Header) error {
+	if p.message.Type != message.Confirmable {
+		return ErrNoRequest
+	}
+	h.Kind = packet.KindPing
+	return nil
+}
+
+func (p *Parser) kind() packet.Kind {
+	switch p.message.Code {
+	case codes.GET:
+		return p.getKind()
+	case codes.PUT, codes.DELETE, codes.FETCH, codes.IPATCH:
+		return packet.KindIdempotent
+	case codes.POST, codes.PATCH:
+		return packet.KindOnce
+	default:
+		return packet.KindInvalid
+	}
+}
+
+func (p *Parser) getKind() packet.Kind {
+	for _, o := range p.message.Options {
+		if o.ID != message.Observe {
+			continue
+		}
+		switch uintOf(o.Value) {
+		case 0:
+			return packet.KindWatchOpen
+		case 1:
+			return packet.KindWatchClose
+		default:
+			return packet.KindInvalid
+		}
+	}
+	return packet.KindIdempotent
+}
+
+// options sets what h takes from the message's options and content.
+func (p *Parser) options(h *packet.Header) {
+	p.hash.Reset()
+	_ = p.hash.WriteByte(byte(p.message.Code))
+	for _, o := range p.message.Options {
+		switch o.ID {
+		case message.Echo:
+			h.Ticket = o.Value
+			continue
+		case OptionDeadline:
+			h.Deadline = time.Duration(uintOf(o.Value)) * time.Millisecond
+			continue
+		default:
+		}
+		_ = p.hash.WriteByte(byte(o.ID >> 8))
+		_ = p.hash.WriteByte(byte(o.ID))
+		_ = p.hash.WriteByte(byte(len(o.Value)))
+		_, _ = p.hash.Write(o.Value)
+	}
+	_ = p.hash.WriteByte(payloadMarker)
+	_, _ = p.hash.Write(p.message.Payload)
+	h.Digest = p.hash.Sum64()
+}
+
+// payloadMarker separates options from payload, as on the wire.
+const payloadMarker = 0xff
+
+// uintOf returns the value of an option of format uint; bytes beyond the
+// fourth are not read.
+func uintOf(b []byte) uint32 {
+	var v uint32
+	for _, c := range b[:min(len(b), 4)] {
+		v = v<<8 | uint32(c)
+	}
+	return v
+}
--- /dev/null
+++ b/coap/writer.go
@@ -0,0 +1,142 @@
+package coap
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/packet"
+)
+
+// An Envelope is what a balancer sets anew on a message that it passes on.
+type Envelope struct {
+	Type    message.Type
+	Message uint16
+	Token   packet.Token
+	// Ticket is set as Echo; without one Echo is removed.
+	Ticket []byte
+	// Deadline is set where it is above zero, and removed otherwise.
+	Deadline time.Duration
+}
+
+// A Reply is an answer that a balancer makes by itself.
+type Reply struct {
+	Type    message.Type
+	Code    codes.Code
+	Message uint16
+	Token   packet.Token
+	// MaxAge is sent where it is above zero, rounded up to seconds.
+	MaxAge  time.Duration
+	Ticket  []byte
+	Payload string
+}
+
+// A Writer writes datagrams; it is reused between them and not safe for
+// concurrent use.
+type Writer struct {
+	parser  *Parser
+	options message.Options
+	buffer  []byte
+	numbers [8]byte
+}
+
+// NewWriter returns a writer.
+func NewWriter() *Writer {
+	return &Writer{
+		parser:  NewParser(),
+		options: make(message.Options, 0, MaxOptions+3),
+		buffer:  make([]byte, MaxDatagramSize+MaxTicketSize+64),
+	}
+}
+
+// Empty returns an empty message of a type, valid until the next call.
+func (w *Writer) Empty(t message.Type, id uint16) []byte {
+	b := w.buffer[:4]
+	b[0] = 1<<6 | byte(t)<<4
+	b[1] = byte(codes.Empty)
+	binary.BigEndian.PutUint16(b[2:], id)
+	return b
+}
+
+// Forward returns datagram as it is passed on with e, valid until the next
+// call. The error is ErrMalformed or ErrOversized.
+func (w *Writer) Forward(datagram []byte, e *Envelope) ([]byte, error) {
+	if err := w.parser.decode(datagram); err != nil {
+		return nil, err
+	}
+	m := w.parser.message
+	w.options = w.options[:0]
+	for _, o := range m.Options {
+		if o.ID != message.Echo && o.ID != OptionDeadline {
+			w.options = append(w.options, o)
+		}
+	}
+	if len(e.Ticket) > 0 {
+		w.insert(message.Echo, e.Ticket)
+	}
+	if e.Deadline > 0 {
+		w.insert(OptionDeadline, w.number(0, uint32(e.Deadline.Milliseconds())))
+	}
+	m.Options = w.options
+	m.Type = e.Type
+	m.MessageID = int32(e.Message)
+	m.Token = e.Token.Slice()
+	return w.encode(&m)
+}
+
+// Reply returns the datagram of r, valid until the next call.
+func (w *Writer) Reply(r *Reply) ([]byte, error) {
+	w.options = w.options[:0]
+	if r.MaxAge > 0 {
+		w.insert(message.MaxAge, w.number(0, uint32((r.MaxAge+time.Second-1)/time.Second)))
+	}
+	if len(r.Ticket) > 0 {
+		w.insert(message.Echo, r.Ticket)
+	}
+	m := message.Message{
+		Type:      r.Type,
+		Code:      r.Code,
+		MessageID: int32(r.Message),
+		Token:     r.Token.Slice(),
+		Options:   w.options,
+	}
+	if r.Payload != "" {
+		m.Payload = []byte(r.Payload)
+	}
+	return w.encode(&m)
+}
+
+func (w *Writer) encode(m *message.Message) ([]byte, error) {
+	n, err := coder.DefaultCoder.Encode(*m, w.buffer)
+	if err != nil {
+		return nil, eris.Wrap(ErrMalformed, err.Error())
+	}
+	return w.buffer[:n], nil
+}
+
+// insert adds an option in the order of option numbers.
+func (w *Writer) insert(id message.OptionID, value []byte) {
+	i := len(w.options)
+	for i > 0 && w.options[i-1].ID > id {
+		i--
+	}
+	w.options = slices.Insert(w.options, i, message.Option{
+		ID:    id,
+		Value: value,
+	})
+}
+
+// number returns v as the shortest option value, kept in slot 0 or 1.
+func (w *Writer) number(slot int, v uint32) []byte {
+	b := w.numbers[slot*4 : slot*4+4]
+	binary.BigEndian.PutUint32(b, v)
+	for len(b) > 0 && b[0] == 0 {
+		b = b[1:]
+	}
+	return b
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,128 @@
+// Package config holds the operators' numbered configuration: its documents,
+// the patches that lead from one version to the next, and the checks that
+// both must pass.
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// A Version numbers a configuration; each accepted patch adds one.
+type Version uint64
+
+// A Document is one whole configuration as published by the platform.
+type Document struct {
+	// Keys seal tickets: the first seals, all of them open.
+	Keys []Key `json:"keys"`
+	// Zones have distinct names.
+	Zones []Zone `json:"zones"`
+	// Services have distinct ids, names and addresses.
+	Services []Service `json:"services"`
+}
+
+// A Key is a secret shared by all balancers.
+type Key struct {
+	// ID is distinct among the keys of a document and not reused while a
+	// ticket sealed with an earlier key of the same id may be about.
+	ID uint8 `json:"id"`
+	// Secret has MinSecretSize to MaxSecretSize bytes.
+	Secret []byte `json:"secret"`
+}
+
+// A Zone is an availability zone.
+type Zone struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// State is ZoneIn or ZoneOut.
+	State ZoneState `json:"state"`
+}
+
+// A ZoneState tells whether a zone receives traffic.
+type ZoneState string
+
+// States of a zone.
+const (
+	ZoneIn  ZoneState = "in"
+	ZoneOut ZoneState = "out"
+)
+
+// A Service is what callers reach at one address.
+type Service struct {
+	// ID is not zero and never reused for another service.
+	ID   uint32 `json:"id"`
+	Name string `json:"name"`
+	// Address is where callers send their datagrams.
+	Address netip.AddrPort `json:"address"`
+	// Deadline bounds the execution of a request.
+	Deadline Duration `json:"deadline"`
+	// Refresh is the interval at which callers refresh their watches.
+	Refresh Duration `json:"refresh"`
+	// Upstreams have ids, names and addresses that are distinct in the whole
+	// document.
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// An Upstream is one host that serves a service.
+type Upstream struct {
+	// ID is not zero and never reused for another upstream.
+	ID   uint32 `json:"id"`
+	Name string `json:"name"`
+	// Zone names a zone of the document.
+	Zone    string         `json:"zone"`
+	Address netip.AddrPort `json:"address"`
+	// Share is the upstream's weight among those of its service, 1 to
+	// MaxShare.
+	Share uint32 `json:"share"`
+	// Slots is the greatest number of requests in flight.
+	Slots uint32 `json:"slots"`
+	// Connections is the greatest number of open watches.
+	Connections uint32 `json:"connections"`
+	// State is UpstreamActive or UpstreamDraining.
+	State UpstreamState `json:"state"`
+}
+
+// An UpstreamState tells whether an upstream receives new work.
+type UpstreamState string
+
+// States of an upstream.
+const (
+	UpstreamActive   UpstreamState = "active"
+	UpstreamDraining UpstreamState = "draining"
+)
+
+// A Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// MarshalText returns d as text.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText sets d from text as read by time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return eris.Wrapf(err, "duration %q", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Clone returns a deep copy of d.
+func (d *Document) Clone() *Document {
+	c := &Document{
+		Keys:     append([]Key(nil), d.Keys...),
+		Zones:    append([]Zone(nil), d.Zones...),
+		Services: append([]Service(nil), d.Services...),
+	}
+	for i := range c.Keys {
+		c.Keys[i].Secret = append([]byte(nil), c.Keys[i].Secret...)
+	}
+	for i := range c.Services {
+		c.Services[i].Upstreams = append([]Upstream(nil), c.Services[i].Upstreams...)
+	}
+	return c
+}
--- /dev/null
+++ b/filbertctl/main.go
@@ -0,0 +1,4 @@
+// Command filbertctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/filbertd/main.go
@@ -0,0 +1,4 @@
+// Command filbertd runs one balancer.
+package main
+
+func main() {}
--- /dev/null
+++ b/packet/header.go
@@ -0,0 +1,92 @@
+// Package packet defines the protocol-neutral view of a caller's datagram on
+// which routing decisions are made.
+package packet
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// A Kind classifies a caller's datagram by what the system may do with it.
+type Kind uint8
+
+// Kinds of datagram.
+const (
+	// KindInvalid is the zero value and is never forwarded.
+	KindInvalid Kind = iota
+	// KindIdempotent is a request that may be sent to an upstream repeatedly.
+	KindIdempotent
+	// KindOnce is a non-idempotent request: it is sent to at most one upstream
+	// at most once.
+	KindOnce
+	// KindWatchOpen opens or refreshes a long-lived flow.
+	KindWatchOpen
+	// KindWatchClose ends a long-lived flow.
+	KindWatchClose
+	// KindPing asks whether the balancer is there.
+	KindPing
+)
+
+// String returns k's name as used in logs and reports.
+func (k Kind) String() string {
+	switch k {
+	case KindInvalid:
+		return "invalid"
+	case KindIdempotent:
+		return "idempotent"
+	case KindOnce:
+		return "once"
+	case KindWatchOpen:
+		return "watch-open"
+	case KindWatchClose:
+		return "watch-close"
+	case KindPing:
+		return "ping"
+	default:
+		return fmt.Sprintf("kind(%d)", uint8(k))
+	}
+}
+
+// MaxTokenSize is the largest token of an exchange, in bytes (RFC 7252).
+const MaxTokenSize = 8
+
+// A Token names an exchange between a caller and the system.
+type Token struct {
+	// Size is at most MaxTokenSize; the bytes beyond it are zero.
+	Size  uint8
+	Bytes [MaxTokenSize]byte
+}
+
+// TokenOf returns the token with the bytes of b, cut at MaxTokenSize.
+func TokenOf(b []byte) Token {
+	var t Token
+	t.Size = uint8(copy(t.Bytes[:], b))
+	return t
+}
+
+// Slice returns t's bytes; it aliases t.
+func (t *Token) Slice() []byte {
+	return t.Bytes[:t.Size]
+}
+
+// A Header is what the system reads of a caller's datagram.
+type Header struct {
+	// Service is the id of the service on whose address the datagram arrived;
+	// it is never taken from the datagram's content.
+	Service uint32
+	Caller  netip.AddrPort
+	Kind    Kind
+	Token   Token
+	// Message is the caller's message id.
+	Message uint16
+	// Confirmable tells that the caller retransmits until it hears an answer.
+	Confirmable bool
+	// Ticket aliases the datagram and is empty where none was sent.
+	Ticket []byte
+	// Deadline is how long the caller waits; zero means the service's own.
+	Deadline time.Duration
+	// Digest identifies the request's content without its ticket, token and
+	// message id: retransmissions have equal digests.
+	Digest uint64
+}
--- /dev/null
+++ b/standin/caller/main.go
@@ -0,0 +1,4 @@
+// Command caller is a stand-in for callers.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/platform/main.go
@@ -0,0 +1,4 @@
+// Command platform is a stand-in for the platform's configuration service.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/upstream/main.go
@@ -0,0 +1,4 @@
+// Command upstream is a stand-in for upstreams.
+package main
+
+func main() {}
