feat: balancer core, keeper and daemon, first cut

Cause: no process serves a caller yet. Ruled out: an action list returned from the core; an Outlet interface needs no allocation and is driven as easily by tests.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,191 @@
+// Package balancer decides what one balancer does with each datagram: which
+// upstream a flow or request goes to, which balancer keeps that upstream, and
+// what is refused. It has no sockets, goroutines or clock of its own, so that
+// other programs can embed it.
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/placement"
+	"filbertworks.example/filbertworks/ticket"
+	"filbertworks.example/filbertworks/timer"
+	"filbertworks.example/filbertworks/verdict"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// Limits of routing.
+const (
+	// MaxAttempts is the greatest number of upstreams that a request is offered
+	// to.
+	MaxAttempts = 3
+	// MaxHops is the greatest number of balancers that a datagram passes after
+	// the one that received it.
+	MaxHops = 4
+)
+
+// An Outlet carries out a balancer's decisions; see keeper.Outlet.
+type Outlet interface {
+	keeper.Outlet
+	// Drop counts a datagram that is not answered.
+	Drop(h *packet.Header, reason verdict.Reason)
+	// Relay passes a caller's datagram on to another balancer.
+	Relay(to *member.Member, r *wire.Relay, datagram []byte)
+	// Routed tells of a decision, for logs.
+	Routed(d *Decision)
+}
+
+// A Decision is where a caller's datagram goes.
+type Decision struct {
+	Header *packet.Header
+	// Upstream is zero where the datagram was refused.
+	Upstream uint32
+	// Keeper is empty where the datagram was refused.
+	Keeper string
+	// Placed tells that the upstream was chosen anew rather than followed.
+	Placed bool
+	// Reason says why the datagram was refused or placed anew.
+	Reason verdict.Reason
+}
+
+// Options are what a balancer is made of.
+type Options struct {
+	Name        string
+	Zone        string
+	Incarnation uint64
+	Start       time.Time
+	Limits      keeper.Limits
+	// Rand makes the random choices of placement.
+	Rand   *rand.Rand
+	Outlet Outlet
+}
+
+// A Balancer routes datagrams under the configuration and member view in force.
+// It is not safe for concurrent use.
+type Balancer struct {
+	options Options
+	outlet  Outlet
+	timers  *timer.Queue
+	keeper  *keeper.Keeper
+	picker  *placement.Picker
+	// config is nil until the first configuration is in force.
+	config *config.Snapshot
+	sealer *ticket.Sealer
+	table  *member.Table
+	// opened is scratch space for the ticket of the datagram in hand.
+	opened ticket.Ticket
+}
+
+// New returns a balancer without a configuration: it drops every datagram until
+// Configure.
+func New(o Options) *Balancer {
+	b := &Balancer{
+		options: o,
+		outlet:  o.Outlet,
+		timers:  timer.NewQueue(),
+		table:   member.NewTable(nil),
+	}
+	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet)
+	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
+	return b
+}
+
+// Advance runs the timers due at now.
+func (b *Balancer) Advance(now time.Time) {
+	b.timers.Advance(now)
+}
+
+// Answer takes an upstream's message and reports whether it belongs to open
+// work.
+func (b *Balancer) Answer(now time.Time, upstream uint32, a *keeper.Answer, datagram []byte) bool {
+	return b.keeper.Answer(now, upstream, a, datagram)
+}
+
+// Caller takes a datagram that a caller sent to this balancer.
+func (b *Balancer) Caller(now time.Time, h *packet.Header, datagram []byte) {
+	b.route(now, h, &wire.Relay{
+		Caller:  h.Caller,
+		Service: h.Service,
+	}, datagram)
+}
+
+// Config returns the configuration in force, or nil.
+func (b *Balancer) Config() *config.Snapshot {
+	return b.config
+}
+
+// Configure puts a configuration in force, unless one of the same or a higher
+// version is, and reports whether it did.
+func (b *Balancer) Configure(now time.Time, c *config.Snapshot) bool {
+	if b.config != nil && c.Version <= b.config.Version {
+		return false
+	}
+	b.config = c
+	keys := make([]ticket.Key, 0, len(c.Document.Keys))
+	for _, k := range c.Document.Keys {
+		keys = append(keys, ticket.Key{
+			ID:     k.ID,
+			Secret: k.Secret,
+		})
+	}
+	b.sealer = ticket.NewSealer(keys...)
+	b.keeper.Configure(now, c)
+	return true
+}
+
+// Keeper returns the part that holds this balancer's own upstreams.
+func (b *Balancer) Keeper() *keeper.Keeper {
+	return b.keeper
+}
+
+// Members returns the member view in force.
+func (b *Balancer) Members() *member.Table {
+	return b.table
+}
+
+// Next returns the time of the next timer; ok is false where there is none.
+func (b *Balancer) Next() (at time.Time, ok bool) {
+	return b.timers.Next()
+}
+
+// Relayed takes a datagram that another balancer passed on; h was read from
+// the datagram, with caller and service from r.
+func (b *Balancer) Relayed(now time.Time, r *wire.Relay, h *packet.Header, datagram []byte) {
+	if r.Hops > MaxHops {
+		b.drop(h, verdict.ReasonNotKeeper)
+		return
+	}
+	b.route(now, h, r, datagram)
+}
+
+// SetMembers puts a member view in force.
+func (b *Balancer) SetMembers(t *member.Table) {
+	b.table = t
+}
+
+func (b *Balancer) drop(h *packet.Header, reason verdict.Reason) {
+	b.outlet.Drop(h, reason)
+	b.outlet.Routed(&Decision{
+		Header: h,
+		Reason: reason,
+	})
+}
+
+func (b *Balancer) refuse(h *packet.Header, v verdict.Verdict, reason verdict.Reason) {
+	b.outlet.Refuse(h, &keeper.Refusal{
+		Error: verdict.Error{
+			Verdict:    v,
+			Reason:     reason,
+			RetryAfter: keeper.RetryAfter,
+		},
+	})
+	b.outlet.Routed(&Decision{
+		Header: h,
+		Reason: reason,
+	})
+}
--- /dev/null
+++ b/balancer/route.go
@@ -0,0 +1,235 @@
+package balancer
+
+import (
+	"net/netip"
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/placement"
+	"filbertworks.example/filbertworks/ticket"
+	"filbertworks.example/filbertworks/verdict"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// route sends a caller's datagram to the keeper of its upstream, which may be
+// this balancer.
+func (b *Balancer) route(now time.Time, h *packet.Header, r *wire.Relay, datagram []byte) {
+	if b.config == nil {
+		b.drop(h, verdict.ReasonUnknown)
+		return
+	}
+	s := b.config.Service(h.Service)
+	if s == nil {
+		b.drop(h, verdict.ReasonUnknown)
+		return
+	}
+	t, reason := b.open(h)
+	if reason != verdict.ReasonNone {
+		b.refuse(h, verdict.MayHaveRun, reason)
+		return
+	}
+	if h.Kind == packet.KindOnce && t != nil {
+		b.routeOnce(now, h, t, s, r, datagram)
+		return
+	}
+	u, placed, reason := b.upstreamFor(h, t, s, r)
+	if u == nil {
+		b.refuse(h, verdict.NotRun, reason)
+		return
+	}
+	d := &Decision{
+		Header:   h,
+		Upstream: u.ID,
+		Placed:   placed,
+		Reason:   reason,
+	}
+	b.offer(now, d, t, s, u, r, datagram)
+}
+
+// open returns the ticket of h, nil where it has none, or why it is refused.
+func (b *Balancer) open(h *packet.Header) (*ticket.Ticket, verdict.Reason) {
+	if len(h.Ticket) == 0 {
+		return nil, verdict.ReasonNone
+	}
+	t, err := b.sealer.Open(h.Ticket, h.Caller.Addr())
+	if err != nil || t.Service != h.Service {
+		return nil, verdict.ReasonInvalidTicket
+	}
+	b.opened = t
+	return &b.opened, verdict.ReasonNone
+}
+
+// routeOnce sends a non-idempotent request to the one process that may execute
+// it. Where that process is not known, the request may have run there.
+func (b *Balancer) routeOnce(now time.Time, h *packet.Header, t *ticket.Ticket, s *config.Service, r *wire.Relay, datagram []byte) {
+	d := &Decision{
+		Header:   h,
+		Upstream: t.Upstream,
+	}
+	if t.Incarnation == b.options.Incarnation {
+		d.Keeper = b.options.Name
+		b.outlet.Routed(d)
+		b.keep(now, h, t, s, datagram)
+		return
+	}
+	m, ok := b.table.ByIncarnation(t.Incarnation)
+	if !ok {
+		b.refuse(h, verdict.MayHaveRun, verdict.ReasonKeeperGone)
+		return
+	}
+	d.Keeper = m.Name
+	b.outlet.Routed(d)
+	b.relay(&m, r, t.Upstream, datagram)
+}
+
+// keep has this balancer's keeper execute a request whose ticket names it.
+func (b *Balancer) keep(now time.Time, h *packet.Header, t *ticket.Ticket, s *config.Service, datagram []byte) {
+	p := b.config.Upstream(t.Upstream)
+	if p.Upstream == nil || p.Service != s {
+		p = config.Placement{
+			Service:  s,
+			Upstream: nil,
+		}
+	}
+	b.keeper.Request(now, &keeper.Request{
+		Header:   h,
+		Ticket:   t,
+		Service:  s,
+		Upstream: b.usable(p.Upstream),
+		Datagram: datagram,
+	})
+}
+
+// usable returns u if it may be sent new work, or nil.
+func (b *Balancer) usable(u *config.Upstream) *config.Upstream {
+	if u == nil || u.State != config.UpstreamActive || !b.config.ZoneIn(u.Zone) {
+		return nil
+	}
+	return u
+}
+
+// upstreamFor returns the upstream that h belongs to, and whether it was chosen
+// anew; nil where none can take it, with the reason.
+func (b *Balancer) upstreamFor(h *packet.Header, t *ticket.Ticket, s *config.Service, r *wire.Relay) (*config.Upstream, bool, verdict.Reason) {
+	if r.Upstream != 0 {
+		if u := b.followable(r.Upstream, s); u != nil {
+			return u, false, verdict.ReasonNone
+		}
+	} else if t != nil {
+		if u := b.followable(t.Upstream, s); u != nil {
+			return u, false, verdict.ReasonNone
+		}
+	}
+	u := b.picker.Pick(b.config, s, placement.Query{
+		Flow:     flowOf(h),
+		Watch:    h.Kind == packet.KindWatchOpen || h.Kind == packet.KindWatchClose,
+		Excluded: r.Excluded[:min(int(r.Attempts), len(r.Excluded))],
+	})
+	if u == nil {
+		return nil, false, verdict.ReasonNoUpstream
+	}
+	return u, true, verdict.ReasonNone
+}
+
+// followable returns the upstream of an id if an open flow of service s may go
+// on there; upstreams that drain keep their flows.
+func (b *Balancer) followable(id uint32, s *config.Service) *config.Upstream {
+	p := b.config.Upstream(id)
+	if p.Upstream == nil || p.Service != s || !b.config.ZoneIn(p.Upstream.Zone) {
+		return nil
+	}
+	return p.Upstream
+}
+
+// offer hands a datagram to the keeper of u, and to those of other upstreams
+// while they refuse it.
+func (b *Balancer) offer(now time.Time, d *Decision, t *ticket.Ticket, s *config.Service, u *config.Upstream, r *wire.Relay, datagram []byte) {
+	for {
+		m, ok := b.table.Keeper(u.ID, u.Zone)
+		if !ok {
+			b.refuse(d.Header, verdict.NotRun, verdict.ReasonNoUpstream)
+			return
+		}
+		d.Upstream = u.ID
+		d.Keeper = m.Name
+		b.outlet.Routed(d)
+		if m.Incarnation != b.options.Incarnation && r.Hops < MaxHops {
+			b.relay(&m, r, u.ID, datagram)
+			return
+		}
+		reason := b.keeper.Request(now, &keeper.Request{
+			Header:   d.Header,
+			Ticket:   t,
+			Service:  s,
+			Upstream: u,
+			Datagram: datagram,
+		})
+		if reason == verdict.ReasonNone {
+			return
+		}
+		next := b.next(d.Header, s, u, r)
+		if next == nil {
+			b.refuse(d.Header, verdict.NotRun, reason)
+			return
+		}
+		u, t = next, nil
+		d.Placed = true
+		d.Reason = reason
+	}
+}
+
+// next returns another upstream after u refused a datagram, or nil.
+func (b *Balancer) next(h *packet.Header, s *config.Service, u *config.Upstream, r *wire.Relay) *config.Upstream {
+	if int(r.Attempts) < len(r.Excluded) {
+		r.Excluded[r.Attempts] = u.ID
+	}
+	r.Attempts++
+	if r.Attempts >= MaxAttempts {
+		return nil
+	}
+	r.Upstream = 0
+	next, _, _ := b.upstreamFor(h, nil, s, r)
+	return next
+}
+
+func (b *Balancer) relay(m *member.Member, r *wire.Relay, upstream uint32, datagram []byte) {
+	r.Hops++
+	r.Upstream = upstream
+	r.Version = b.config.Version
+	b.outlet.Relay(m, r, datagram)
+}
+
+// sealing seals with the keys in force.
+type sealing Balancer
+
+// Seal seals t for a caller.
+func (s *sealing) Seal(out []byte, t ticket.Ticket, caller netip.Addr) {
+	s.sealer.Seal(out, t, caller)
+}
+
+// loads tells of the loads that this balancer knows.
+type loads Balancer
+
+// Load returns the load of an upstream that this balancer keeps itself.
+func (l *loads) Load(uint32) (placement.Load, bool) {
+	return placement.Load{}, false
+}
+
+// flowOf returns a hash that is equal for all datagrams of a flow whose caller
+// keeps its address and token.
+func flowOf(h *packet.Header) uint64 {
+	const prime = 0x100000001b3
+	sum := uint64(0xcbf29ce484222325)
+	ip := h.Caller.Addr().As16()
+	for _, c := range ip {
+		sum = (sum ^ uint64(c)) * prime
+	}
+	sum = (sum ^ uint64(h.Caller.Port())) * prime
+	for _, c := range h.Token.Bytes {
+		sum = (sum ^ uint64(c)) * prime
+	}
+	return sum
+}
--- a/coap/writer.go
+++ b/coap/writer.go
@@ -140,3 +140,23 @@
 	}
 	return b
 }
+
+// CloseWatch returns the request that closes the watch of a token at an
+// upstream, valid until the next call.
+func (w *Writer) CloseWatch(id uint16, token packet.Token) []byte {
+	m := message.Message{
+		Type:      message.NonConfirmable,
+		Code:      codes.GET,
+		MessageID: int32(id),
+		Token:     token.Slice(),
+		Options: message.Options{{
+			ID:    message.Observe,
+			Value: []byte{1},
+		}},
+	}
+	b, err := w.encode(&m)
+	if err != nil {
+		return nil
+	}
+	return b
+}
--- a/config/publication.go
+++ b/config/publication.go
@@ -1,5 +1,7 @@
 package config
 
+import "github.com/rotisserie/eris"
+
 // Paths of the platform's configuration service.
 const (
 	// PathSnapshot serves a Publication with the whole document.
@@ -24,3 +26,29 @@
 	// Patches have consecutive bases, the last being Version-1.
 	Patches []Patch `json:"patches,omitempty"`
 }
+
+// Follow returns the snapshot that p makes of current, which may be nil where p
+// has a document. It returns current where p holds nothing newer. The error is
+// ErrBase where p's patches don't follow current.
+func (p *Publication) Follow(current *Snapshot) (*Snapshot, error) {
+	if current != nil && p.Version <= current.Version {
+		return current, nil
+	}
+	if p.Document != nil {
+		return NewSnapshot(p.Version, p.Document)
+	}
+	if current == nil {
+		return nil, eris.Wrap(ErrBase, "patches without a document to start from")
+	}
+	next := current
+	for i := range p.Patches {
+		var err error
+		if next, err = next.Apply(&p.Patches[i]); err != nil {
+			return nil, err
+		}
+	}
+	if next.Version != p.Version {
+		return nil, eris.Wrapf(ErrBase, "patches lead to version %d, want %d", next.Version, p.Version)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/filbertd/internal/daemon/daemon.go
@@ -0,0 +1,198 @@
+// Package daemon runs one balancer: it joins sockets, timers, the platform and
+// peers to the decisions of package balancer.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
+
+	"filbertworks.example/filbertworks/balancer"
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/ring"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// Platform is the read-only service that publishes the configuration.
+type Platform interface {
+	Snapshot(ctx context.Context) (*config.Publication, error)
+	VMs(ctx context.Context) ([]config.VM, error)
+	// Watch returns nil where nothing newer came within wait.
+	Watch(ctx context.Context, after config.Version, wait time.Duration) (*config.Publication, error)
+}
+
+// Options are what a daemon is made of.
+type Options struct {
+	Name string
+	Zone string
+	// CallerIP replaces the services' own address for listening where it is
+	// valid.
+	CallerIP   netip.Addr
+	UpstreamIP netip.Addr
+	Relay      netip.AddrPort
+	Control    netip.AddrPort
+	Admin      netip.AddrPort
+	Limits     keeper.Limits
+	// Queue is the capacity of the ring of datagrams.
+	Queue    int
+	Platform Platform
+	Log      *logrus.Entry
+	Meter    metric.Meter
+}
+
+// A Daemon is one running balancer.
+type Daemon struct {
+	options     Options
+	incarnation uint64
+	log         *logrus.Entry
+	events      *ring.Ring[event]
+	// calls run in the loop's goroutine.
+	calls     chan func(now time.Time)
+	counters  *counters
+	journal   *journal
+	relay     *net.UDPConn
+	listeners *listeners
+	paths     *pathSet
+	parser    *coap.Parser
+	outlet    *outlet
+	balancer  *balancer.Balancer
+	tracker   *member.Tracker
+	// installed is when the configuration in force came into force here.
+	installed time.Time
+	drainOnce sync.Once
+	// draining is closed when a graceful leave begins.
+	draining chan struct{}
+}
+
+// New returns a daemon that listens for its peers.
+func New(o Options) (*Daemon, error) {
+	relay, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.Relay))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for peers on %v", o.Relay)
+	}
+	d := &Daemon{
+		options:     o,
+		incarnation: randomIncarnation(),
+		log:         o.Log,
+		events:      ring.New[event](o.Queue),
+		calls:       make(chan func(time.Time)),
+		counters:    &counters{},
+		journal:     newJournal(o.Log),
+		relay:       relay,
+		parser:      coap.NewParser(),
+		draining:    make(chan struct{}),
+	}
+	d.listeners = newListeners(o.CallerIP, d.events, o.Log)
+	d.paths = newPathSet(o.UpstreamIP, d.events)
+	d.tracker = member.NewTracker(member.Member{
+		Name:        o.Name,
+		Zone:        o.Zone,
+		Incarnation: d.incarnation,
+		Relay:       o.Relay,
+		Control:     o.Control,
+		Admin:       o.Admin,
+	})
+	d.outlet = &outlet{
+		writer:    coap.NewWriter(),
+		listeners: d.listeners,
+		paths:     d.paths,
+		relay:     relay,
+		counters:  d.counters,
+		journal:   d.journal,
+	}
+	d.balancer = balancer.New(balancer.Options{
+		Name:        o.Name,
+		Zone:        o.Zone,
+		Incarnation: d.incarnation,
+		Start:       time.Now(),
+		Limits:      o.Limits,
+		Rand:        mathrand.New(mathrand.NewPCG(d.incarnation, 0)),
+		Outlet:      d.outlet,
+	})
+	d.outlet.balancer = d.balancer
+	if err := d.counters.observe(o.Meter); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Run serves until ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var duties sync.WaitGroup
+	duties.Go(func() { d.journal.run(ctx.Done()) })
+	duties.Go(func() { d.followConfig(ctx) })
+	duties.Go(func() { d.followVMs(ctx) })
+	duties.Go(func() { d.heartbeat(ctx) })
+	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
+	d.loop(ctx)
+	_ = d.relay.Close()
+	d.listeners.close()
+	d.paths.close()
+	duties.Wait()
+	return nil
+}
+
+// call runs f in the loop's goroutine and waits for it; it reports whether the
+// loop still ran.
+func (d *Daemon) call(ctx context.Context, f func(now time.Time)) bool {
+	done := make(chan struct{})
+	g := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case d.calls <- g:
+	case <-ctx.Done():
+		return false
+	}
+	<-done
+	return true
+}
+
+// heartbeat tells all peers that this process lives.
+func (d *Daemon) heartbeat(ctx context.Context) {
+	ticker := time.NewTicker(member.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.call(ctx, d.sendHeartbeats)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) sendHeartbeats(time.Time) {
+	h := &wire.Heartbeat{Incarnation: d.incarnation}
+	if c := d.balancer.Config(); c != nil {
+		h.Version = c.Version
+	}
+	b := wire.AppendHeartbeat(nil, h)
+	for _, a := range d.tracker.Peers() {
+		if _, err := d.relay.WriteToUDPAddrPort(b, a); err != nil {
+			d.counters.add("heartbeat", "send")
+		}
+	}
+}
+
+func randomIncarnation() uint64 {
+	var b [8]byte
+	// Read never fails on the supported systems.
+	_, _ = rand.Read(b[:])
+	return max(1, binary.BigEndian.Uint64(b[:]))
+}
--- /dev/null
+++ b/filbertd/internal/daemon/loop.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// tick is the longest time between two looks at the timers.
+const tick = 50 * time.Millisecond
+
+// loop takes events one after the other until ctx ends; it owns the balancer.
+func (d *Daemon) loop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-d.events.C():
+			d.handle(time.Now(), &e)
+			e.buffer.release()
+		case f := <-d.calls:
+			f(time.Now())
+		case now := <-ticker.C:
+			d.advance(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) advance(now time.Time) {
+	d.balancer.Advance(now)
+	d.balancer.SetMembers(d.tracker.Table(now))
+}
+
+func (d *Daemon) handle(now time.Time, e *event) {
+	switch e.source {
+	case sourceCaller:
+		d.fromCaller(now, e)
+	case sourcePeer:
+		d.fromPeer(now, e)
+	case sourceUpstream:
+		d.fromUpstream(now, e)
+	}
+}
+
+func (d *Daemon) fromCaller(now time.Time, e *event) {
+	var h packet.Header
+	if err := d.parser.Request(e.buffer.data(), e.id, e.from, &h); err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	if h.Kind == packet.KindPing {
+		d.outlet.toCaller(e.id, e.from, d.outlet.writer.Empty(message.Reset, h.Message))
+		return
+	}
+	d.balancer.Caller(now, &h, e.buffer.data())
+}
+
+func (d *Daemon) fromPeer(now time.Time, e *event) {
+	if wire.IsHeartbeat(e.buffer.data()) {
+		d.hear(now, e.from, e.buffer.data())
+		return
+	}
+	if _, ok := d.balancer.Members().ByRelay(e.from); !ok {
+		d.counters.add("drop", "unknown-peer")
+		return
+	}
+	var r wire.Relay
+	datagram, err := wire.ParseRelay(e.buffer.data(), &r)
+	if err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	var h packet.Header
+	if err := d.parser.Request(datagram, r.Service, r.Caller, &h); err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	d.balancer.Relayed(now, &r, &h, datagram)
+}
+
+func (d *Daemon) fromUpstream(now time.Time, e *event) {
+	var r coap.Response
+	if err := d.parser.Response(e.buffer.data(), &r); err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	if r.Reset() || r.Acknowledgement() {
+		return
+	}
+	known := d.balancer.Answer(now, e.id, &keeper.Answer{
+		Token:        r.Token,
+		Shed:         r.Shed(),
+		Observed:     r.Observed,
+		Acknowledged: r.Type == message.Acknowledgement,
+	}, e.buffer.data())
+	switch {
+	case !known && r.Type != message.Acknowledgement:
+		d.counters.add("drop", "unknown-exchange")
+		d.send(e.path, d.outlet.writer.Empty(message.Reset, r.Message))
+	case r.Type == message.Confirmable:
+		d.send(e.path, d.outlet.writer.Empty(message.Acknowledgement, r.Message))
+	}
+}
+
+func (d *Daemon) hear(now time.Time, from netip.AddrPort, data []byte) {
+	var h wire.Heartbeat
+	if err := wire.ParseHeartbeat(data, &h); err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	if !d.tracker.Hear(now, from, h.Incarnation, h.Leaving) {
+		d.counters.add("drop", "unknown-peer")
+	}
+}
+
+// install puts a configuration in force.
+func (d *Daemon) install(now time.Time, c *config.Snapshot) {
+	if !d.balancer.Configure(now, c) {
+		return
+	}
+	d.installed = now
+	d.paths.configure(c)
+	d.listeners.configure(c)
+	d.log.Infof("config: version %d in force", c.Version)
+}
+
+func (d *Daemon) send(p *path, b []byte) {
+	if _, err := p.socket.Write(b); err != nil {
+		d.counters.add("send", "upstream")
+	}
+}
--- /dev/null
+++ b/filbertd/internal/daemon/outlet.go
@@ -0,0 +1,165 @@
+package daemon
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"filbertworks.example/filbertworks/balancer"
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/verdict"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// An outlet turns a balancer's decisions into datagrams. It belongs to the
+// loop's goroutine.
+type outlet struct {
+	balancer  *balancer.Balancer
+	writer    *coap.Writer
+	listeners *listeners
+	paths     *pathSet
+	relay     *net.UDPConn
+	counters  *counters
+	journal   *journal
+	frame     []byte
+}
+
+// Cancel closes a watch with Observe 1 and a request with a reset.
+func (o *outlet) Cancel(c *keeper.Cancel) {
+	o.counters.add("cancel", c.Kind.String())
+	if c.Kind == packet.KindWatchOpen {
+		o.toUpstream(c.Upstream, o.writer.CloseWatch(c.Message, c.Token))
+		return
+	}
+	o.toUpstream(c.Upstream, o.writer.Empty(message.Reset, c.Message))
+}
+
+// Deliver passes an upstream's message on to a caller.
+func (o *outlet) Deliver(d *keeper.Delivery, datagram []byte) {
+	t := message.NonConfirmable
+	if d.Acknowledge {
+		t = message.Acknowledgement
+	}
+	b, err := o.writer.Forward(datagram, &coap.Envelope{
+		Type:    t,
+		Message: d.Message,
+		Token:   d.Token,
+		Ticket:  d.Ticket,
+	})
+	if err != nil {
+		o.counters.add("deliver", "malformed")
+		return
+	}
+	o.counters.add("deliver", "")
+	o.toCaller(d.Service, d.Caller, b)
+}
+
+// Drop counts a datagram that is not answered.
+func (o *outlet) Drop(_ *packet.Header, reason verdict.Reason) {
+	o.counters.add("drop", string(reason))
+}
+
+// Forward passes a caller's datagram on to an upstream.
+func (o *outlet) Forward(f *keeper.Forward, datagram []byte) {
+	t := message.NonConfirmable
+	if f.Confirmable {
+		t = message.Confirmable
+	}
+	b, err := o.writer.Forward(datagram, &coap.Envelope{
+		Type:     t,
+		Message:  f.Message,
+		Token:    f.Token,
+		Deadline: f.Deadline,
+	})
+	if err != nil {
+		o.counters.add("forward", "malformed")
+		return
+	}
+	o.counters.add("forward", "")
+	o.toUpstream(f.Upstream, b)
+}
+
+// Refuse answers a caller without an upstream.
+func (o *outlet) Refuse(h *packet.Header, r *keeper.Refusal) {
+	o.counters.add("refuse", string(r.Reason))
+	reply := &coap.Reply{
+		Type:    message.NonConfirmable,
+		Code:    refusalCode(r),
+		Message: h.Message,
+		Token:   h.Token,
+		MaxAge:  r.RetryAfter,
+		Ticket:  r.Ticket,
+		Payload: r.Error.Error(),
+	}
+	if h.Confirmable {
+		reply.Type = message.Acknowledgement
+	}
+	b, err := o.writer.Reply(reply)
+	if err != nil {
+		o.counters.add("refuse", "malformed")
+		return
+	}
+	o.toCaller(h.Service, h.Caller, b)
+}
+
+// Relay passes a caller's datagram on to another balancer.
+func (o *outlet) Relay(to *member.Member, r *wire.Relay, datagram []byte) {
+	o.frame = wire.AppendRelay(o.frame[:0], r, datagram)
+	o.counters.add("relay", "")
+	if _, err := o.relay.WriteToUDPAddrPort(o.frame, to.Relay); err != nil {
+		o.counters.add("relay", "send")
+	}
+}
+
+// Routed logs a decision.
+func (o *outlet) Routed(d *balancer.Decision) {
+	o.journal.add(d)
+}
+
+func (o *outlet) toCaller(service uint32, caller netip.AddrPort, b []byte) {
+	socket := o.listeners.socket(service)
+	if socket == nil {
+		o.counters.add("send", "no-listener")
+		return
+	}
+	if _, err := socket.WriteToUDPAddrPort(b, caller); err != nil {
+		o.counters.add("send", "caller")
+	}
+}
+
+func (o *outlet) toUpstream(id uint32, b []byte) {
+	u := o.balancer.Config().Upstream(id).Upstream
+	if u == nil {
+		o.counters.add("send", "no-upstream")
+		return
+	}
+	p, err := o.paths.to(u)
+	if err != nil {
+		o.counters.add("send", "path")
+		return
+	}
+	if _, err := p.socket.Write(b); err != nil {
+		o.counters.add("send", "upstream")
+	}
+}
+
+// refusalCode returns the response code that tells a refusal's verdict.
+func refusalCode(r *keeper.Refusal) codes.Code {
+	switch {
+	case r.Verdict == verdict.Answered:
+		return codes.Valid
+	case len(r.Ticket) > 0:
+		return codes.Unauthorized
+	case r.Verdict == verdict.NotRun:
+		return codes.ServiceUnavailable
+	case r.Reason == verdict.ReasonInvalidTicket:
+		return codes.Forbidden
+	default:
+		return codes.GatewayTimeout
+	}
+}
--- a/filbertd/main.go
+++ b/filbertd/main.go
@@ -1,4 +1,12 @@
 // Command filbertd runs one balancer.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"filbertworks.example/filbertworks/filbertd/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/keeper/ledger.go
@@ -0,0 +1,113 @@
+package keeper
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/verdict"
+)
+
+// An entryState is how far the execution of a serial has come.
+type entryState uint8
+
+const (
+	// entrySent executions are at the upstream; the outcome is open.
+	entrySent entryState = iota
+	// entryAnswered executions have their answer stored.
+	entryAnswered
+	// entryRefused serials have not run and never will.
+	entryRefused
+	// entryUnknown executions passed their deadline without an answer.
+	entryUnknown
+)
+
+// An entry is what the ledger knows of one serial.
+type entry struct {
+	state entryState
+	// digest is that of the only request that the serial may execute.
+	digest uint64
+	// answer is the upstream's datagram, set in state entryAnswered.
+	answer []byte
+	// reason is set in state entryRefused.
+	reason verdict.Reason
+}
+
+// A ledger decides for each serial issued by this process whether it may be
+// executed. Invariant: for each serial at most one call of begin succeeds, and
+// none after any answer has stated that the serial has not run.
+type ledger struct {
+	entries map[uint64]*entry
+	limit   int
+	// issued is the last serial issued.
+	issued uint64
+	// floor is the greatest serial that may not begin any more.
+	floor uint64
+	// retention is how long an entry outlives the expiry of its ticket.
+	retention time.Duration
+}
+
+func newLedger(limit int, retention time.Duration) *ledger {
+	return &ledger{
+		entries:   make(map[uint64]*entry),
+		limit:     limit,
+		retention: retention,
+	}
+}
+
+// begin records that serial is about to be executed; it is called only after
+// judge returned nil and before the request is sent.
+func (l *ledger) begin(serial, digest uint64) {
+	l.entries[serial] = &entry{
+		state:  entrySent,
+		digest: digest,
+	}
+}
+
+// forget drops an entry whose retention is over.
+func (l *ledger) forget(serial uint64) {
+	delete(l.entries, serial)
+}
+
+// full reports whether no further serial can be recorded. All serials issued
+// so far that have not begun are then barred, since a refusal of one of them
+// could not be recorded.
+func (l *ledger) full() bool {
+	if len(l.entries) < l.limit {
+		return false
+	}
+	l.floor = l.issued
+	return true
+}
+
+// issue returns a new serial.
+func (l *ledger) issue() uint64 {
+	l.issued++
+	return l.issued
+}
+
+// judge returns nil if a serial without an entry may begin, or why not. expiry
+// and now count from the start of the process.
+func (l *ledger) judge(serial uint64, expiry, now time.Duration) *verdict.Error {
+	switch {
+	case now >= expiry+l.retention:
+		return &verdict.Error{
+			Verdict: verdict.MayHaveRun,
+			Reason:  verdict.ReasonExpired,
+		}
+	case now >= expiry, serial <= l.floor:
+		return &verdict.Error{
+			Verdict: verdict.NotRun,
+			Reason:  verdict.ReasonExpired,
+		}
+	default:
+		return nil
+	}
+}
+
+// refuse bars a serial that has not begun.
+func (l *ledger) refuse(serial, digest uint64, reason verdict.Reason) {
+	l.entries[serial] = &entry{
+		state:  entryRefused,
+		digest: digest,
+		reason: reason,
+	}
+}
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,170 @@
+// Package member holds a balancer's view of the other balancers and chooses
+// the keeper of each upstream from it.
+package member
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+// A State is what the view believes of a member.
+type State uint8
+
+// States of a member.
+const (
+	// Alive members receive relays and keep upstreams.
+	Alive State = iota
+	// Leaving members finish what they hold and are chosen for nothing new.
+	Leaving
+	// Dead members receive nothing.
+	Dead
+)
+
+// String returns s's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Leaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
+// A Member is one balancer.
+type Member struct {
+	// Name is distinct among members and not reused.
+	Name string
+	Zone string
+	// Incarnation is chosen at random by the process when it starts; zero
+	// where it has not been heard yet.
+	Incarnation uint64
+	Relay       netip.AddrPort
+	Control     netip.AddrPort
+	Admin       netip.AddrPort
+	State       State
+}
+
+// A Table is a set of members, indexed for look-up. It is not safe for
+// concurrent use.
+type Table struct {
+	// members are ordered by name.
+	members      []Member
+	incarnations map[uint64]int
+	relays       map[netip.AddrPort]int
+	// keepers caches the choices made from members.
+	keepers map[uint32]int
+}
+
+// NewTable returns a table of members.
+func NewTable(members []Member) *Table {
+	t := &Table{}
+	t.Replace(members)
+	return t
+}
+
+// ByIncarnation returns the member whose process has an incarnation.
+func (t *Table) ByIncarnation(incarnation uint64) (Member, bool) {
+	i, ok := t.incarnations[incarnation]
+	if !ok {
+		return Member{}, false
+	}
+	return t.members[i], true
+}
+
+// ByRelay returns the member at a relay address.
+func (t *Table) ByRelay(a netip.AddrPort) (Member, bool) {
+	i, ok := t.relays[a]
+	if !ok {
+		return Member{}, false
+	}
+	return t.members[i], true
+}
+
+// Keeper returns the member that keeps an upstream: the rendezvous choice
+// among the living members of the upstream's zone, or among all living members
+// where the zone has none.
+func (t *Table) Keeper(upstream uint32, zone string) (Member, bool) {
+	i, ok := t.keepers[upstream]
+	if !ok {
+		i = t.choose(upstream, zone)
+		t.keepers[upstream] = i
+	}
+	if i < 0 {
+		return Member{}, false
+	}
+	return t.members[i], true
+}
+
+// Members returns the members ordered by name; the caller does not change them.
+func (t *Table) Members() []Member {
+	return t.members
+}
+
+// Replace sets the members of t.
+func (t *Table) Replace(members []Member) {
+	t.members = slices.Clone(members)
+	slices.SortFunc(t.members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	t.incarnations = make(map[uint64]int, len(members))
+	t.relays = make(map[netip.AddrPort]int, len(members))
+	t.keepers = make(map[uint32]int)
+	for i, m := range t.members {
+		if m.State == Dead {
+			continue
+		}
+		if m.Incarnation != 0 {
+			t.incarnations[m.Incarnation] = i
+		}
+		t.relays[m.Relay] = i
+	}
+}
+
+func (t *Table) choose(upstream uint32, zone string) int {
+	if i := t.best(upstream, func(m *Member) bool { return m.Zone == zone }); i >= 0 {
+		return i
+	}
+	return t.best(upstream, func(*Member) bool { return true })
+}
+
+// best returns the index of the living, accepted member with the highest
+// score, or -1.
+func (t *Table) best(upstream uint32, accept func(*Member) bool) int {
+	best := -1
+	var high uint64
+	for i := range t.members {
+		m := &t.members[i]
+		if m.State != Alive || !accept(m) {
+			continue
+		}
+		if s := score(uint64(upstream), nameHash(m.Name)); best < 0 || s > high {
+			best, high = i, s
+		}
+	}
+	return best
+}
+
+// FromVM returns the member that a VM of the platform's list stands for.
+func FromVM(v *config.VM) Member {
+	m := Member{
+		Name:    v.Name,
+		Zone:    v.Zone,
+		Relay:   v.Relay,
+		Control: v.Control,
+		Admin:   v.Admin,
+	}
+	if v.State == config.VMLeaving {
+		m.State = Leaving
+	}
+	return m
+}
+
+func nameHash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
