--- /dev/null
+++ b/filbertd/internal/admin/server.go
@@ -0,0 +1,95 @@
+// Package admin serves a balancer's state and controls to operators over
+// HTTP.
+package admin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	httptransport "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/status"
+)
+
+// Limits of calls.
+const (
+	headerTimeout  = 2 * time.Second
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 10 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// A Source is the balancer whose state is served. Its methods are called from
+// several goroutines.
+type Source interface {
+	// Drain starts a graceful leave; further calls change nothing.
+	Drain()
+	// Explain tells where a datagram would go. An error with status.ErrQuery
+	// is the operator's.
+	Explain(q status.Query) (status.Explanation, error)
+	// Ready returns why the balancer can't serve callers, or nil.
+	Ready() error
+	// Status returns the state of now.
+	Status() status.Status
+}
+
+// A Server answers operators' calls.
+type Server struct {
+	server *http.Server
+}
+
+// New returns a server of source's state, with metrics served as they are.
+func New(source Source, metrics http.Handler) *Server {
+	mux := http.NewServeMux()
+	handle(mux, "GET "+status.PathHealth, http.StatusOK, decodeNothing, health)
+	handle(mux, "GET "+status.PathReady, http.StatusOK, decodeNothing, ready(source))
+	handle(mux, "GET "+status.PathStatus, http.StatusOK, decodeNothing, current(source))
+	handle(mux, "GET "+status.PathExplain, http.StatusOK, decodeQuery, explain(source))
+	handle(mux, "POST "+status.PathDrain, http.StatusAccepted, decodeNothing, drain(source))
+	mux.Handle("GET "+status.PathMetrics, metrics)
+	return &Server{
+		server: &http.Server{
+			Handler:           mux,
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       readTimeout,
+			WriteTimeout:      writeTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}
+}
+
+// Handler returns the handler of all paths.
+func (s *Server) Handler() http.Handler {
+	return s.server.Handler
+}
+
+// Serve answers calls on l until Shutdown, and then returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "admin: serve")
+}
+
+// Shutdown ends Serve once calls in progress have their answers, or with ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return eris.Wrap(s.server.Shutdown(ctx), "admin: shutdown")
+}
+
+// handle serves an endpoint at a pattern, with code for its successes.
+func handle(mux *http.ServeMux, pattern string, code int, decode httptransport.DecodeRequestFunc, e endpoint.Endpoint) {
+	mux.Handle(pattern, httptransport.NewServer(
+		e,
+		decode,
+		encode(code),
+		httptransport.ServerErrorEncoder(encodeError),
+	))
+}
--- /dev/null
+++ b/filbertd/internal/settings/lines.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// linesOf returns the line of each dotted key of a TOML file, counted from
+// one. A table's own line is that of its header or of its first dotted key.
+func linesOf(data []byte) map[string]int {
+	lines := make(map[string]int)
+	p := &unstable.Parser{}
+	p.Reset(data)
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			prefix = mark(lines, p, "", e)
+		case unstable.KeyValue:
+			markValue(lines, p, prefix, e)
+		default:
+		}
+	}
+	return lines
+}
+
+// mark notes the line of each part of a node's key and returns the whole key.
+func mark(lines map[string]int, p *unstable.Parser, prefix string, n *unstable.Node) string {
+	path := prefix
+	for it := n.Key(); it.Next(); {
+		part := it.Node()
+		path = join(path, string(part.Data))
+		if lines[path] == 0 {
+			lines[path] = p.Shape(part.Raw).Start.Line
+		}
+	}
+	return path
+}
+
+// markValue notes the lines of a key and of those of an inline table that it
+// holds.
+func markValue(lines map[string]int, p *unstable.Parser, prefix string, n *unstable.Node) {
+	path := mark(lines, p, prefix, n)
+	value := n.Value()
+	if value.Kind != unstable.InlineTable {
+		return
+	}
+	for it := value.Children(); it.Next(); {
+		markValue(lines, p, path, it.Node())
+	}
+}
+
+func join(parts ...string) string {
+	return strings.TrimPrefix(strings.Join(parts, "."), ".")
+}
