--- /dev/null
+++ b/standin/caller/internal/flow/directory.go
@@ -0,0 +1,124 @@
+package flow
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+const (
+	fetchTimeout = 2 * time.Second
+	maxFetchSize = 16 << 20
+)
+
+// A Directory tells the zones of upstreams; it is safe for concurrent use.
+type Directory struct {
+	// platform is a URL, or empty.
+	platform string
+
+	mu       sync.Mutex
+	document *config.Document
+	// zones are kept for upstreams that have been removed.
+	zones map[string]string
+}
+
+// NewDirectory returns the directory of a document; Moved asks the platform
+// for a newer one where its URL is given.
+func NewDirectory(document *config.Document, platform string) *Directory {
+	d := &Directory{
+		platform: platform,
+		zones:    make(map[string]string),
+	}
+	d.set(document)
+	return d
+}
+
+// Moved reports whether a watch may leave an upstream: its zone is out or it
+// was removed.
+func (d *Directory) Moved(ctx context.Context, upstream string) bool {
+	d.refresh(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.document.Services {
+		for _, u := range s.Upstreams {
+			if u.Name == upstream {
+				return d.out(u.Zone)
+			}
+		}
+	}
+	return true
+}
+
+// Zone returns the zone of an upstream, or NoZone.
+func (d *Directory) Zone(upstream string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if z, ok := d.zones[upstream]; ok {
+		return z
+	}
+	return NoZone
+}
+
+func (d *Directory) fetch(ctx context.Context) (*config.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.platform+config.PathSnapshot, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "fetch")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxFetchSize))
+	if err != nil {
+		return nil, eris.Wrap(err, "fetch")
+	}
+	var p config.Publication
+	if err := config.Decode(data, &p); err != nil {
+		return nil, err
+	}
+	if p.Document == nil {
+		return nil, eris.New("publication without a document")
+	}
+	return p.Document, nil
+}
+
+func (d *Directory) out(zone string) bool {
+	for _, z := range d.document.Zones {
+		if z.Name == zone {
+			return z.State == config.ZoneOut
+		}
+	}
+	return true
+}
+
+// refresh keeps the known document where the platform does not answer.
+func (d *Directory) refresh(ctx context.Context) {
+	if d.platform == "" {
+		return
+	}
+	document, err := d.fetch(ctx)
+	if err != nil {
+		return
+	}
+	d.set(document)
+}
+
+func (d *Directory) set(document *config.Document) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.document = document
+	for _, s := range document.Services {
+		for _, u := range s.Upstreams {
+			d.zones[u.Name] = u.Zone
+		}
+	}
+}
--- /dev/null
+++ b/standin/caller/internal/flow/request.go
@@ -0,0 +1,185 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/internal/standin"
+)
+
+// Bounds of a request.
+const (
+	// maxRetries is the number of new requests after a refusal.
+	maxRetries = 3
+	// maxChallenges is the number of 4.01 answers that a request follows.
+	maxChallenges = 3
+	// defaultMaxAge is waited after a refusal without Max-Age.
+	defaultMaxAge = time.Second
+)
+
+// A request is one hold or one block of a photo, as it is sent.
+type request struct {
+	code    codes.Code
+	path    string
+	options message.Options
+	payload []byte
+	// ticket is the newest that was given, or empty.
+	ticket []byte
+	// retry bounds the time in which refused requests are sent again.
+	retry context.Context
+	// once tells that a new request after a refusal needs a new ticket.
+	once bool
+}
+
+// do sends a request until it has an answer other than 4.01 and 5.03, and
+// counts what else it meets; the answer is nil where there is none.
+func (s *socket) do(ctx context.Context, r *request, t *Tally) *coap.Response {
+	for retries := 0; ; retries++ {
+		a := s.attempt(ctx, r, t)
+		if a == nil || !a.Shed() {
+			return a
+		}
+		t.Refused++
+		if retries == maxRetries || !wait(r.retry, a.MaxAge) {
+			return nil
+		}
+		if r.once {
+			r.ticket = nil
+		}
+	}
+}
+
+// attempt sends a request and follows its challenges.
+func (s *socket) attempt(ctx context.Context, r *request, t *Tally) *coap.Response {
+	token := s.token()
+	for range maxChallenges {
+		a, err := s.exchange(ctx, r.message(token))
+		if err != nil {
+			t.MayHaveRun++
+			return nil
+		}
+		if len(a.Ticket) > 0 {
+			r.ticket = a.Ticket
+		}
+		if a.Code != codes.Unauthorized {
+			return a
+		}
+	}
+	t.Refused++
+	return nil
+}
+
+func (r *request) message(token message.Token) *message.Message {
+	return &message.Message{
+		Code:    r.code,
+		Token:   token,
+		Options: slices.Concat(standin.Path(r.path), r.options, echo(r.ticket)),
+		Payload: r.payload,
+	}
+}
+
+// echo returns the option that sends a ticket back, if there is one.
+func echo(ticket []byte) message.Options {
+	if len(ticket) == 0 {
+		return nil
+	}
+	return message.Options{
+		{
+			ID:    message.Echo,
+			Value: ticket,
+		},
+	}
+}
+
+// hold places a hold of a unique id and returns the upstream that ran it, or
+// "".
+func (s *socket) hold(ctx, retry context.Context, id string, t *Tally) string {
+	t.Opened++
+	a := s.do(ctx, &request{
+		code:    codes.POST,
+		path:    "/holds",
+		payload: []byte(id),
+		retry:   retry,
+		once:    true,
+	}, t)
+	if a == nil || count(a, codes.Changed, t) {
+		return ""
+	}
+	upstream, ok := strings.CutPrefix(string(a.Payload), fmt.Sprintf("held %s by ", id))
+	if !ok {
+		t.Wrong++
+		return ""
+	}
+	t.Answered++
+	return upstream
+}
+
+// photo fetches a photo block by block and checks it.
+func (s *socket) photo(ctx, retry context.Context, service, number string, t *Tally) {
+	t.Opened++
+	r := &request{
+		code:  codes.GET,
+		path:  "/photos/" + number,
+		retry: retry,
+	}
+	var content []byte
+	for block := range uint32(standin.PhotoBlocks) {
+		r.options = message.Options{standin.Uint(message.Block2, block<<4|standin.PhotoBlockExponent)}
+		a := s.do(ctx, r, t)
+		if a == nil || count(a, codes.Content, t) {
+			return
+		}
+		if !a.Blocked || a.Block>>4 != block {
+			t.Wrong++
+			return
+		}
+		content = append(content, a.Payload...)
+		if a.Block&8 == 0 {
+			break
+		}
+	}
+	if !bytes.Equal(content, standin.Photo(service, number)) {
+		t.Wrong++
+		return
+	}
+	t.Answered++
+}
+
+// count counts an answer that is not of the wanted code, and reports whether
+// it is one.
+func count(a *coap.Response, wanted codes.Code, t *Tally) bool {
+	switch a.Code {
+	case wanted:
+		return false
+	case codes.GatewayTimeout, codes.Forbidden:
+		t.MayHaveRun++
+	case codes.BadRequest, codes.BadOption, codes.RequestEntityTooLarge:
+		t.Refused++
+	default:
+		t.Wrong++
+	}
+	return true
+}
+
+// wait waits for a refusal's Max-Age and reports whether ctx is still on.
+func wait(ctx context.Context, maxAge time.Duration) bool {
+	if maxAge == 0 {
+		maxAge = defaultMaxAge
+	}
+	timer := time.NewTimer(maxAge)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/standin/caller/main.go
+++ b/standin/caller/main.go
@@ -1,4 +1,12 @@
 // Command caller is a stand-in for callers.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"filbertworks.example/filbertworks/standin/caller/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/standin/platform/internal/cmd/cmd.go
@@ -0,0 +1,97 @@
+// Package cmd is the command line of the platform stand-in.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/standin/platform/internal/publish"
+)
+
+// shutdownTimeout bounds the wait for calls in progress.
+const shutdownTimeout = 2 * time.Second
+
+type options struct {
+	Listen string `long:"listen" default:"127.0.0.1:7300" description:"HTTP address"`
+	Config string `long:"config" required:"true" description:"file with the document of version 1"`
+	VMs    string `long:"vms" required:"true" description:"file with the list of VMs"`
+}
+
+// Main runs the program and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	log := logrus.New()
+	log.SetOutput(stderr)
+	var o options
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.ParseArgs(arguments); err != nil {
+		return report(err, stdout, log)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, &o, log); err != nil {
+		log.Errorf("platform: %v", err)
+		return 1
+	}
+	return 0
+}
+
+func report(err error, stdout io.Writer, log *logrus.Logger) int {
+	if flags.WroteHelp(err) {
+		_, _ = io.WriteString(stdout, err.Error()+"\n")
+		return 0
+	}
+	log.Errorf("platform: %v", err)
+	return 2
+}
+
+func run(ctx context.Context, o *options, log *logrus.Logger) error {
+	var document config.Document
+	if err := load(o.Config, &document); err != nil {
+		return err
+	}
+	var vms config.VMList
+	if err := load(o.VMs, &vms); err != nil {
+		return err
+	}
+	store, err := publish.NewStore(&document, vms)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Addr:              o.Listen,
+		Handler:           publish.NewHandler(store),
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	go func() {
+		<-ctx.Done()
+		timeout, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(timeout) != nil {
+			_ = server.Close()
+		}
+	}()
+	log.Infof("platform: listen on %s", o.Listen)
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "serve")
+	}
+	return nil
+}
+
+func load(file string, v any) error {
+	data, err := os.ReadFile(file) //nolint:gosec // The operator names the file on the command line.
+	if err != nil {
+		return eris.Wrap(err, "read")
+	}
+	return eris.Wrap(config.Decode(data, v), file)
+}
--- /dev/null
+++ b/standin/platform/internal/publish/handler.go
@@ -0,0 +1,204 @@
+package publish
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	transport "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+// Paths for tests.
+const (
+	PathCalls  = "/standin/calls"
+	PathFaults = "/standin/faults"
+	PathVMs    = "/standin/vms"
+)
+
+// Limits of calls.
+const (
+	maxBodySize = 1 << 20
+	maxWait     = 5 * time.Minute
+	defaultWait = 30 * time.Second
+)
+
+var errRequest = eris.New("bad request")
+
+// A watchRequest is the query of a watch.
+type watchRequest struct {
+	after config.Version
+	wait  time.Duration
+}
+
+// A faultsAnswer is the body of a refused patch.
+type faultsAnswer struct {
+	Faults []config.Fault `json:"faults,omitempty"`
+	Error  string         `json:"error,omitempty"`
+}
+
+// A baseAnswer is the body of a patch against another version.
+type baseAnswer struct {
+	Version config.Version `json:"version"`
+}
+
+// NewHandler returns the HTTP handler of a store.
+func NewHandler(s *Store) http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern string, e endpoint.Endpoint, d transport.DecodeRequestFunc) {
+		mux.Handle(pattern, transport.NewServer(e, d, encode, transport.ServerErrorEncoder(encodeError)))
+	}
+	platform := func(method, path string, e endpoint.Endpoint, d transport.DecodeRequestFunc) {
+		handle(method+" "+path, s.faulty(path, e), d)
+	}
+	platform(http.MethodGet, config.PathSnapshot, s.serveSnapshot, decodeNothing)
+	platform(http.MethodGet, config.PathWatch, s.serveWatch, decodeWatch)
+	platform(http.MethodGet, config.PathVMs, s.serveVMs, decodeNothing)
+	platform(http.MethodPost, config.PathPatch, s.servePatch, decodeJSON[config.Patch])
+	handle("GET "+PathCalls, s.serveCalls, decodeNothing)
+	handle("GET "+PathFaults, s.serveFaults, decodeNothing)
+	handle("POST "+PathFaults, s.serveSetFaults, decodeJSON[Faults])
+	handle("POST "+PathVMs, s.serveSetVMs, decodeJSON[config.VMList])
+	return mux
+}
+
+// faulty counts a call and puts the faults before its endpoint.
+func (s *Store) faulty(path string, next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		s.Count(path)
+		f := s.Faults()
+		if f.Down {
+			return nil, ErrDown
+		}
+		select {
+		case <-time.After(time.Duration(f.Delay)):
+		case <-ctx.Done():
+		}
+		return next(ctx, request)
+	}
+}
+
+func (s *Store) serveCalls(context.Context, any) (any, error) {
+	return s.Calls(), nil
+}
+
+func (s *Store) serveFaults(context.Context, any) (any, error) {
+	return s.Faults(), nil
+}
+
+func (s *Store) servePatch(_ context.Context, request any) (any, error) {
+	version, err := s.Apply(request.(*config.Patch))
+	if err != nil {
+		return nil, err
+	}
+	return config.Publication{
+		Version: version,
+	}, nil
+}
+
+func (s *Store) serveSetFaults(_ context.Context, request any) (any, error) {
+	s.SetFaults(*request.(*Faults))
+	return s.Faults(), nil
+}
+
+func (s *Store) serveSetVMs(_ context.Context, request any) (any, error) {
+	s.SetVMs(*request.(*config.VMList))
+	return s.VMs(), nil
+}
+
+func (s *Store) serveSnapshot(context.Context, any) (any, error) {
+	return s.Publication(), nil
+}
+
+func (s *Store) serveVMs(context.Context, any) (any, error) {
+	return s.VMs(), nil
+}
+
+func (s *Store) serveWatch(ctx context.Context, request any) (any, error) {
+	r := request.(watchRequest)
+	return s.Watch(ctx, r.after, r.wait)
+}
+
+func decodeJSON[T any](_ context.Context, r *http.Request) (any, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodySize))
+	if err != nil {
+		return nil, eris.Wrap(errRequest, err.Error())
+	}
+	v := new(T)
+	if err := config.Decode(data, v); err != nil {
+		return nil, eris.Wrap(errRequest, err.Error())
+	}
+	return v, nil
+}
+
+func decodeNothing(context.Context, *http.Request) (any, error) {
+	return nil, nil
+}
+
+func decodeWatch(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	request := watchRequest{
+		wait: defaultWait,
+	}
+	if v := q.Get("after"); v != "" {
+		after, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			return nil, eris.Wrapf(errRequest, "after=%q", v)
+		}
+		request.after = config.Version(after)
+	}
+	if v := q.Get("wait"); v != "" {
+		wait, err := time.ParseDuration(v)
+		if err != nil || wait < 0 {
+			return nil, eris.Wrapf(errRequest, "wait=%q", v)
+		}
+		request.wait = min(wait, maxWait)
+	}
+	return request, nil
+}
+
+func encode(_ context.Context, w http.ResponseWriter, response any) error {
+	if p, ok := response.(*config.Publication); ok && p == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return nil
+	}
+	return writeJSON(w, http.StatusOK, response)
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	var base *BaseError
+	var check *config.CheckError
+	answer := faultsAnswer{
+		Error: err.Error(),
+	}
+	status := http.StatusUnprocessableEntity
+	switch {
+	case errors.As(err, &base):
+		_ = writeJSON(w, http.StatusConflict, baseAnswer{
+			Version: base.Version,
+		})
+		return
+	case errors.As(err, &check):
+		answer = faultsAnswer{
+			Faults: check.Faults,
+		}
+	case errors.Is(err, ErrDown):
+		status = http.StatusServiceUnavailable
+	case errors.Is(err, errRequest):
+		status = http.StatusBadRequest
+	}
+	_ = writeJSON(w, status, answer)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	return json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/upstream/internal/host/registration.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"net/netip"
+
+	"filbertworks.example/filbertworks/packet"
+)
+
+// notifyBuckets is the number of parts of the notification interval over which
+// the watches are spread.
+const notifyBuckets = 20
+
+// A registrationKey identifies a watch by who asked for it.
+type registrationKey struct {
+	source netip.AddrPort
+	token  packet.Token
+}
+
+// A registration is an open watch.
+type registration struct {
+	key    registrationKey
+	bucket int
+	// sent is the number of notifications sent.
+	sent int
+	// message is the id of the last notification.
+	message uint16
+}
+
+// registrations are the open watches of a host.
+type registrations struct {
+	open map[registrationKey]*registration
+	next int
+}
+
+func newRegistrations() *registrations {
+	return &registrations{
+		open: make(map[registrationKey]*registration),
+	}
+}
+
+// add opens a watch or returns the one that is open; limit bounds their
+// number, and the result is nil beyond it.
+func (r *registrations) add(key registrationKey, limit int) *registration {
+	if g := r.open[key]; g != nil {
+		return g
+	}
+	if len(r.open) >= limit {
+		return nil
+	}
+	g := &registration{
+		key:    key,
+		bucket: r.next % notifyBuckets,
+	}
+	r.next++
+	r.open[key] = g
+	return g
+}
+
+// due calls send with each watch of a bucket.
+func (r *registrations) due(bucket int, send func(g *registration)) {
+	for _, g := range r.open {
+		if g.bucket == bucket {
+			send(g)
+		}
+	}
+}
+
+// reject closes the watch of source whose last notification has the message
+// id.
+func (r *registrations) reject(source netip.AddrPort, id uint16) {
+	for k, g := range r.open {
+		if k.source == source && g.sent > 0 && g.message == id {
+			delete(r.open, k)
+		}
+	}
+}
+
+func (r *registrations) remove(key registrationKey) {
+	delete(r.open, key)
+}
--- /dev/null
+++ b/standin/upstream/internal/host/request.go
@@ -0,0 +1,288 @@
+package host
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/internal/standin"
+	"filbertworks.example/filbertworks/packet"
+)
+
+// Paths of upstreams.
+const (
+	pathCalendar = "/calendar"
+	pathHealth   = "/health"
+	pathHolds    = "/holds"
+	pathLoad     = "/load"
+	pathPhotos   = "/photos/"
+)
+
+// Values of Observe in requests, and bits of its sequence numbers (RFC 7641).
+const (
+	observeOpen  = 0
+	observeClose = 1
+	observeMask  = 1<<24 - 1
+)
+
+// shedMaxAge is the Max-Age of a shed request, in seconds.
+const shedMaxAge = 1
+
+// receive handles one message from a balancer.
+func (h *Host) receive(now time.Time, source netip.AddrPort, m *message.Message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen || h.ignored[source] || h.capacity.paused(now) {
+		return
+	}
+	h.known[source] = true
+	switch {
+	case m.Code == codes.Empty:
+		h.receiveEmpty(source, m)
+	case m.Code >= codes.GET && m.Code <= codes.DELETE:
+		h.receiveRequest(now, source, m)
+	default:
+	}
+}
+
+func (h *Host) receiveEmpty(source netip.AddrPort, m *message.Message) {
+	switch m.Type {
+	case message.Confirmable:
+		h.send(source, &message.Message{
+			Type:      message.Reset,
+			Code:      codes.Empty,
+			MessageID: m.MessageID,
+		})
+	case message.Reset:
+		h.cancel(flightKey{
+			source: source,
+			id:     uint16(m.MessageID),
+		})
+		h.watches.reject(source, uint16(m.MessageID))
+	default:
+	}
+}
+
+// cancel ends a request in progress without an answer.
+func (h *Host) cancel(key flightKey) {
+	f := h.flights[key]
+	if f == nil {
+		return
+	}
+	f.canceled = true
+	f.timer.Stop()
+	delete(h.flights, key)
+	h.capacity.release()
+}
+
+func (h *Host) receiveRequest(now time.Time, source netip.AddrPort, m *message.Message) {
+	path := standin.PathOf(m)
+	switch {
+	case m.Code == codes.GET && path == pathHealth:
+		h.answer(source, m, codes.Content, h.healthPayload())
+		return
+	case m.Code == codes.GET && path == pathLoad:
+		h.answer(source, m, codes.Content, h.loadPayload())
+		return
+	}
+	h.counters.Requests++
+	if !h.serves(path) {
+		h.counters.WrongService++
+		h.answer(source, m, codes.NotFound, nil)
+		return
+	}
+	observe, observed := standin.UintOf(m, message.Observe)
+	switch {
+	case m.Code == codes.GET && path == pathCalendar && observed:
+		h.receiveWatch(now, source, m, observe)
+	case m.Code == codes.POST && path == pathHolds:
+		h.start(now, source, m, h.hold)
+	case m.Code == codes.GET && strings.HasPrefix(path, pathPhotos):
+		h.start(now, source, m, h.photo)
+	case m.Code == codes.GET && path == pathCalendar:
+		h.start(now, source, m, h.calendar)
+	default:
+		h.answer(source, m, codes.MethodNotAllowed, nil)
+	}
+}
+
+// serves reports whether the service has a path.
+func (h *Host) serves(path string) bool {
+	if standin.ServesPhotos(h.service) {
+		return strings.HasPrefix(path, pathPhotos)
+	}
+	return path == pathCalendar || path == pathHolds
+}
+
+func (h *Host) receiveWatch(now time.Time, source netip.AddrPort, m *message.Message, observe uint32) {
+	key := registrationKey{
+		source: source,
+		token:  packet.TokenOf(m.Token),
+	}
+	if observe == observeClose {
+		h.watches.remove(key)
+		h.answer(source, m, codes.Content, []byte(h.upstream.Name+" closed"))
+		return
+	}
+	if h.shed {
+		h.refuse(source, m)
+		return
+	}
+	g := h.watches.add(key, int(h.upstream.Connections))
+	if g == nil {
+		h.refuse(source, m)
+		return
+	}
+	h.counters.MaxConnections = max(h.counters.MaxConnections, len(h.watches.open))
+	reply := h.reply(m, codes.Content)
+	h.send(source, h.notification(now, g, reply.Type, uint16(reply.MessageID)))
+}
+
+// notification returns a watch's state as a message. Sequence numbers follow
+// the clock, so that they grow over all registrations of a watch.
+func (h *Host) notification(now time.Time, g *registration, t message.Type, id uint16) *message.Message {
+	sequence := uint32(now.UnixMilli()) & observeMask
+	return &message.Message{
+		Type:      t,
+		Code:      codes.Content,
+		MessageID: int32(id),
+		Token:     g.key.token.Slice(),
+		Options:   message.Options{standin.Uint(message.Observe, sequence)},
+		Payload:   fmt.Appendf(nil, "%s %d", h.upstream.Name, g.sent),
+	}
+}
+
+// start runs a request for its service time, or refuses it. An idempotent
+// request in progress is not started again by its retransmission.
+func (h *Host) start(now time.Time, source netip.AddrPort, m *message.Message, run func(m *message.Message) *message.Message) {
+	key := flightKey{
+		source: source,
+		id:     uint16(m.MessageID),
+	}
+	if h.flights[key] != nil && m.Type == message.Confirmable {
+		return
+	}
+	if h.shed {
+		h.refuse(source, m)
+		return
+	}
+	switch h.capacity.admit(now) {
+	case shed:
+		h.refuse(source, m)
+		return
+	case overloaded:
+		h.log.Warnf("%s: overloaded", h.upstream.Name)
+		h.counters.Overloaded++
+		h.forget()
+		return
+	default:
+	}
+	h.counters.MaxRequests = max(h.counters.MaxRequests, h.capacity.flying)
+	f := &flight{
+		key:    key,
+		answer: run(m),
+		epoch:  h.epoch,
+	}
+	if v, ok := standin.UintOf(m, coap.OptionDeadline); ok {
+		f.expiry = now.Add(time.Duration(v) * time.Millisecond)
+	}
+	h.flights[key] = f
+	f.timer = time.AfterFunc(h.duration(), func() { h.finish(f) })
+}
+
+// duration returns a service time, half to one and a half of the mean.
+func (h *Host) duration() time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(h.settings.Work))
+}
+
+// finish ends a request and answers it unless its deadline has passed.
+func (h *Host) finish(f *flight) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if f.canceled || f.epoch != h.epoch {
+		return
+	}
+	if h.flights[f.key] == f {
+		delete(h.flights, f.key)
+	}
+	h.capacity.complete()
+	if h.frozen || h.ignored[f.key.source] {
+		return
+	}
+	if !f.expiry.IsZero() && now.After(f.expiry) {
+		return
+	}
+	h.send(f.key.source, f.answer)
+}
+
+// answer sends an answer at once.
+func (h *Host) answer(to netip.AddrPort, request *message.Message, code codes.Code, payload []byte) {
+	m := h.reply(request, code)
+	m.Payload = payload
+	h.send(to, m)
+}
+
+// refuse answers that the request was not run.
+func (h *Host) refuse(to netip.AddrPort, request *message.Message) {
+	h.counters.Sheds++
+	m := h.reply(request, codes.ServiceUnavailable)
+	m.Options = message.Options{standin.Uint(message.MaxAge, shedMaxAge)}
+	m.Payload = []byte("shed")
+	h.send(to, m)
+}
+
+func (h *Host) calendar(m *message.Message) *message.Message {
+	a := h.keep(m, codes.Content)
+	a.Payload = []byte(h.upstream.Name + " 0")
+	return a
+}
+
+func (h *Host) hold(m *message.Message) *message.Message {
+	id := string(m.Payload)
+	h.counters.Runs++
+	if runs := h.ledger.Add(id, h.upstream.Name); len(runs) > 1 {
+		h.log.Errorf("%s: hold %q ran at %v", h.upstream.Name, id, runs)
+		h.counters.DoubleRuns++
+	}
+	a := h.keep(m, codes.Changed)
+	a.Payload = fmt.Appendf(nil, "held %s by %s", id, h.upstream.Name)
+	return a
+}
+
+func (h *Host) photo(m *message.Message) *message.Message {
+	number := strings.TrimPrefix(standin.PathOf(m), pathPhotos)
+	content := standin.Photo(h.service, number)
+	block, ok := standin.UintOf(m, message.Block2)
+	if !ok {
+		block = standin.PhotoBlockExponent
+	}
+	exponent := min(block&7, standin.PhotoBlockExponent+1)
+	size := 16 << exponent
+	start := int(block>>4) * size
+	if start >= len(content) {
+		return h.keep(m, codes.BadRequest)
+	}
+	end := min(start+size, len(content))
+	block = block&^0xf | exponent
+	if end < len(content) {
+		block |= 1 << 3
+	}
+	a := h.keep(m, codes.Content)
+	a.Options = message.Options{standin.Uint(message.Block2, block)}
+	a.Payload = content[start:end]
+	return a
+}
+
+// keep returns a reply that outlives the request's datagram.
+func (h *Host) keep(request *message.Message, code codes.Code) *message.Message {
+	m := h.reply(request, code)
+	m.Token = append(message.Token(nil), request.Token...)
+	return m
+}
--- a/standin/upstream/main.go
+++ b/standin/upstream/main.go
@@ -1,4 +1,12 @@
 // Command upstream is a stand-in for upstreams.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"filbertworks.example/filbertworks/standin/upstream/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
