feat: explain, readiness and a view that knows when it is settled

Ruled out: lost datagrams (no sheds, no timeouts, all refusals carried this reason in the first second). Change: a view counts as settled once each listed VM was heard or had time to be; until then a ticket of an unknown keeper is dropped, so that the caller's retransmission finds it, and the balancer is not ready. Explain tells a datagram's way without sending it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -77,6 +77,8 @@
 	config *config.Snapshot
 	sealer *ticket.Sealer
 	table  *member.Table
+	// settled tells that members not in table are gone.
+	settled bool
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
 }
@@ -163,9 +165,11 @@
 	b.route(now, h, r, datagram)
 }
 
-// SetMembers puts a member view in force.
-func (b *Balancer) SetMembers(t *member.Table) {
+// SetMembers puts a member view in force. settled tells that a process which is
+// not part of it is gone rather than not heard yet.
+func (b *Balancer) SetMembers(t *member.Table, settled bool) {
 	b.table = t
+	b.settled = settled
 }
 
 func (b *Balancer) drop(h *packet.Header, reason verdict.Reason) {
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -76,6 +76,12 @@
 		return
 	}
 	m, ok := b.table.ByIncarnation(t.Incarnation)
+	if !ok && !b.settled {
+		// The caller's retransmission reaches a balancer that knows the keeper,
+		// or this one once it does.
+		b.drop(h, verdict.ReasonUnsettled)
+		return
+	}
 	if !ok {
 		b.refuse(h, verdict.MayHaveRun, verdict.ReasonKeeperGone)
 		return
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -146,9 +146,9 @@
 	return nil
 }
 
-// call runs f in the loop's goroutine and waits for it; it reports whether the
-// loop still ran.
-func (d *Daemon) call(ctx context.Context, f func(now time.Time)) bool {
+// call runs f in the loop's goroutine and waits for it, unless ctx ends before
+// the loop takes it.
+func (d *Daemon) call(ctx context.Context, f func(now time.Time)) {
 	done := make(chan struct{})
 	g := func(now time.Time) {
 		f(now)
@@ -156,11 +156,9 @@
 	}
 	select {
 	case d.calls <- g:
+		<-done
 	case <-ctx.Done():
-		return false
 	}
-	<-done
-	return true
 }
 
 // heartbeat tells all peers that this process lives.
--- a/filbertd/internal/daemon/status.go
+++ b/filbertd/internal/daemon/status.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"filbertworks.example/filbertworks/balancer"
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/status"
+	"filbertworks.example/filbertworks/verdict"
 )
 
 // statusTimeout bounds the wait for the loop's answer to an operator.
@@ -30,11 +34,8 @@
 // Ready returns why the balancer can't serve callers, or nil.
 func (d *Daemon) Ready() error {
 	err := eris.New("the loop does not answer")
-	d.ask(func(time.Time) {
-		err = nil
-		if d.balancer.Config() == nil {
-			err = eris.New("no configuration yet")
-		}
+	d.ask(func(now time.Time) {
+		err = d.ready(now)
 	})
 	return err
 }
@@ -54,8 +55,9 @@
 }
 
 func (d *Daemon) counterList() []status.Counter {
-	var all []status.Counter
-	for _, n := range d.counters.list() {
+	counts := d.counters.list()
+	all := make([]status.Counter, 0, len(counts))
+	for _, n := range counts {
 		all = append(all, status.Counter{
 			Name:   n.name,
 			Reason: n.reason,
@@ -66,7 +68,49 @@
 }
 
 func (d *Daemon) explain(q status.Query) (status.Explanation, error) {
-	return status.Explanation{}, eris.Wrapf(status.ErrQuery, "no service %q", q.Service)
+	c := d.balancer.Config()
+	if c == nil {
+		return status.Explanation{}, eris.Wrap(status.ErrQuery, "no configuration yet")
+	}
+	i := slices.IndexFunc(c.Document.Services, func(s config.Service) bool { return s.Name == q.Service })
+	if i < 0 {
+		return status.Explanation{}, eris.Wrapf(status.ErrQuery, "no service %q", q.Service)
+	}
+	e := d.balancer.Explain(&packet.Header{
+		Service: c.Document.Services[i].ID,
+		Caller:  q.Caller,
+		Kind:    packet.KindWatchOpen,
+		Token:   packet.TokenOf(q.Token),
+		Ticket:  q.Ticket,
+	})
+	return status.Explanation{
+		Service:  q.Service,
+		Upstream: e.Upstream,
+		Keeper:   e.Keeper,
+		Decision: decisionOf(&e),
+		Why:      e.Steps,
+	}, nil
+}
+
+func decisionOf(e *balancer.Explanation) string {
+	switch {
+	case e.Reason != verdict.ReasonNone:
+		return "refuse"
+	case e.Local:
+		return "forward"
+	default:
+		return "relay"
+	}
+}
+
+func (d *Daemon) ready(now time.Time) error {
+	if d.balancer.Config() == nil {
+		return eris.New("no configuration yet")
+	}
+	if !d.tracker.Settled(now) {
+		return eris.New("not all listed VMs have been heard yet")
+	}
+	return nil
 }
 
 func (d *Daemon) status(now time.Time) status.Status {
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -21,6 +21,8 @@
 type Tracker struct {
 	self    Member
 	members map[netip.AddrPort]*tracked
+	// seeded tells that the platform's list has been read.
+	seeded bool
 }
 
 // tracked is what is known of one peer.
@@ -63,8 +65,23 @@
 	return peers
 }
 
+// Settled reports whether every listed peer has been heard or had the time to
+// be heard: before that, a peer that is not part of the view may well be alive.
+func (t *Tracker) Settled(now time.Time) bool {
+	if !t.seeded {
+		return false
+	}
+	for _, p := range t.members {
+		if p.member.Incarnation == 0 && now.Sub(p.heard) < DeadAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // Seed takes the platform's list.
 func (t *Tracker) Seed(now time.Time, vms []config.VM) {
+	t.seeded = true
 	listed := make(map[netip.AddrPort]bool, len(vms))
 	for i := range vms {
 		m := FromVM(&vms[i])
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -59,6 +59,7 @@
 	ReasonTicketUsed    Reason = "ticket-used"
 	ReasonTimeout       Reason = "timeout"
 	ReasonUnknown       Reason = "unknown-service"
+	ReasonUnsettled     Reason = "view-unsettled"
 	ReasonZoneOut       Reason = "zone-out"
 )
 
