--- /dev/null
+++ b/standin/caller/internal/flow/request_test.go
@@ -0,0 +1,161 @@
+package flow
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/internal/standin"
+)
+
+// A scripted balancer answers each distinct message by the next step; a nil
+// step is no answer.
+type scripted struct {
+	steps []*message.Message
+	// tickets are the Echo values received, one a distinct message.
+	tickets chan string
+}
+
+func (b *scripted) serve(conn *net.UDPConn) {
+	buffer := make([]byte, coap.MaxDatagramSize)
+	last := int32(-1)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		m, err := standin.Decode(buffer[:n])
+		if err != nil || m.MessageID == last || len(b.steps) == 0 {
+			continue
+		}
+		last = m.MessageID
+		ticket, _ := m.Options.GetBytes(message.Echo)
+		b.tickets <- string(ticket)
+		a := b.steps[0]
+		b.steps = b.steps[1:]
+		if a == nil {
+			continue
+		}
+		a.Type = message.Acknowledgement
+		a.MessageID = m.MessageID
+		a.Token = m.Token
+		data, err := standin.Encode(a)
+		if err != nil {
+			return
+		}
+		_, _ = conn.WriteToUDPAddrPort(data, from)
+	}
+}
+
+func step(code codes.Code, ticket, payload string) *message.Message {
+	return &message.Message{
+		Code:    code,
+		Options: echo([]byte(ticket)),
+		Payload: []byte(payload),
+	}
+}
+
+func TestHold(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		steps    []*message.Message
+		tickets  []string
+		want     Tally
+		upstream string
+	}{
+		{
+			name:    "challenge",
+			steps:   []*message.Message{step(codes.Unauthorized, "t1", ""), step(codes.Changed, "", "held h by u1")},
+			tickets: []string{"", "t1"},
+			want: Tally{
+				Answered: 1,
+			},
+			upstream: "u1",
+		},
+		{
+			name: "refused, then with a new ticket",
+			steps: []*message.Message{
+				step(codes.Unauthorized, "t1", ""), step(codes.ServiceUnavailable, "", "not-run: busy"),
+				step(codes.Unauthorized, "t2", ""), step(codes.Changed, "", "held h by u2"),
+			},
+			tickets: []string{"", "t1", "", "t2"},
+			want: Tally{
+				Answered: 1,
+				Refused:  1,
+			},
+			upstream: "u2",
+		},
+		{
+			name:    "unknown outcome is not retried",
+			steps:   []*message.Message{step(codes.GatewayTimeout, "", "")},
+			tickets: []string{""},
+			want: Tally{
+				MayHaveRun: 1,
+			},
+		},
+		{
+			name:    "no answer is not retried",
+			steps:   []*message.Message{nil},
+			tickets: []string{""},
+			want: Tally{
+				MayHaveRun: 1,
+			},
+		},
+		{
+			name:    "answer of another hold",
+			steps:   []*message.Message{step(codes.Changed, "", "held h2 by u1")},
+			tickets: []string{""},
+			want: Tally{
+				Wrong: 1,
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			conn, err := net.ListenUDP("udp", &net.UDPAddr{
+				IP: net.IPv4(127, 0, 0, 1),
+			})
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			b := &scripted{
+				steps:   tc.steps,
+				tickets: make(chan string, 16),
+			}
+			go b.serve(conn)
+			address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+			s, err := newSocket(netip.MustParseAddr("127.0.0.1"), []netip.AddrPort{address},
+				50*time.Millisecond, rand.New(rand.NewPCG(1, 1)))
+			require.NoError(t, err)
+			defer s.close()
+			var tally Tally
+			upstream := s.hold(context.Background(), context.Background(), "h", &tally)
+			tc.want.Opened = 1
+			require.Equal(t, tc.want, tally)
+			require.Equal(t, tc.upstream, upstream)
+			require.Len(t, b.tickets, len(tc.tickets))
+			for _, want := range tc.tickets {
+				require.Equal(t, want, <-b.tickets)
+			}
+		})
+	}
+}
+
+func TestTransmission(t *testing.T) {
+	start := time.Unix(0, 0)
+	tr := newTransmission(start, nil, 1, time.Second, 1)
+	var at []time.Duration
+	for now := start; !tr.failed(now); now = now.Add(100 * time.Millisecond) {
+		if tr.resend(now) {
+			at = append(at, now.Sub(start))
+		}
+	}
+	// Each wait doubles from 1.5 s.
+	require.Equal(t, []time.Duration{1500 * time.Millisecond, 4500 * time.Millisecond, 10500 * time.Millisecond, 22500 * time.Millisecond}, at)
+}
--- /dev/null
+++ b/standin/caller/internal/flow/watch_test.go
@@ -0,0 +1,154 @@
+package flow
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/coap"
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/packet"
+)
+
+// testDocument has upstreams a1 and a2 in a zone that is in, b1 in one that is
+// out.
+func testDocument() *config.Document {
+	return &config.Document{
+		Zones: []config.Zone{
+			{
+				Name:  "a",
+				State: config.ZoneIn,
+			},
+			{
+				Name:  "b",
+				State: config.ZoneOut,
+			},
+		},
+		Services: []config.Service{
+			{
+				Upstreams: []config.Upstream{
+					{
+						Name: "a1",
+						Zone: "a",
+					},
+					{
+						Name: "a2",
+						Zone: "a",
+					},
+					{
+						Name: "b1",
+						Zone: "b",
+					},
+				},
+			},
+		},
+	}
+}
+
+func testWatch() *watch {
+	return &watch{
+		refresh:   5 * time.Second,
+		random:    rand.New(rand.NewPCG(1, 1)),
+		directory: NewDirectory(testDocument(), ""),
+		token:     message.Token{1},
+	}
+}
+
+func notification(sequence uint32, payload string) *coap.Response {
+	return &coap.Response{
+		Type:     message.NonConfirmable,
+		Code:     codes.Content,
+		Token:    packet.TokenOf([]byte{1}),
+		Observed: true,
+		Sequence: sequence,
+		Payload:  []byte(payload),
+	}
+}
+
+func TestWatchNotifications(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		received []*coap.Response
+		want     Tally
+		upstream string
+	}{
+		{
+			name:     "same upstream",
+			received: []*coap.Response{notification(1, "a1 1"), notification(2, "a1 2")},
+			want: Tally{
+				Answered: 1,
+			},
+			upstream: "a1",
+		},
+		{
+			name:     "moved",
+			received: []*coap.Response{notification(1, "a1 1"), notification(2, "a2 2")},
+			want: Tally{
+				Answered: 1,
+				Broken:   1,
+			},
+			upstream: "a2",
+		},
+		{
+			name:     "moved out of a zone that is out",
+			received: []*coap.Response{notification(1, "b1 1"), notification(2, "a2 2")},
+			want: Tally{
+				Answered: 1,
+			},
+			upstream: "a2",
+		},
+		{
+			name:     "moved from a removed upstream",
+			received: []*coap.Response{notification(1, "a9 1"), notification(2, "a2 2")},
+			want: Tally{
+				Answered: 1,
+			},
+			upstream: "a2",
+		},
+		{
+			name:     "late notification",
+			received: []*coap.Response{notification(5, "a1 1"), notification(4, "a2 2")},
+			want: Tally{
+				Answered: 1,
+			},
+			upstream: "a1",
+		},
+		{
+			name:     "corrupt",
+			received: []*coap.Response{notification(1, "a1")},
+			want: Tally{
+				Wrong: 1,
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := testWatch()
+			now := time.Unix(0, 0)
+			for _, a := range tc.received {
+				now = now.Add(time.Second)
+				w.receive(context.Background(), now, a)
+			}
+			require.Equal(t, tc.want, w.tally)
+			require.Equal(t, tc.upstream, w.upstream)
+		})
+	}
+}
+
+func TestWatchSilence(t *testing.T) {
+	w := testWatch()
+	start := time.Unix(0, 0)
+	w.receive(context.Background(), start, notification(1, "a1 1"))
+	require.False(t, w.mute(start.Add(renewAfter)))
+	require.True(t, w.mute(start.Add(renewAfter+1)))
+	w.tickSilence(start.Add(brokenAfter))
+	require.Zero(t, w.tally.Broken)
+	for range 2 {
+		w.tickSilence(start.Add(brokenAfter + 1))
+		require.Equal(t, 1, w.tally.Broken)
+	}
+}
--- a/standin/platform/internal/publish/handler.go
+++ b/standin/platform/internal/publish/handler.go
@@ -53,10 +53,10 @@
 func NewHandler(s *Store) http.Handler {
 	mux := http.NewServeMux()
 	handle := func(pattern string, e endpoint.Endpoint, d transport.DecodeRequestFunc) {
-		mux.Handle(pattern, transport.NewServer(e, d, encode, transport.ServerErrorEncoder(encodeError)))
+		mux.Handle(pattern, newServer(e, d))
 	}
 	platform := func(method, path string, e endpoint.Endpoint, d transport.DecodeRequestFunc) {
-		handle(method+" "+path, s.faulty(path, e), d)
+		mux.Handle(method+" "+path, s.counted(path, newServer(s.faulty(e), d)))
 	}
 	platform(http.MethodGet, config.PathSnapshot, s.serveSnapshot, decodeNothing)
 	platform(http.MethodGet, config.PathWatch, s.serveWatch, decodeWatch)
@@ -69,10 +69,17 @@
 	return mux
 }
 
-// faulty counts a call and puts the faults before its endpoint.
-func (s *Store) faulty(path string, next endpoint.Endpoint) endpoint.Endpoint {
-	return func(ctx context.Context, request any) (any, error) {
+// counted counts every call of a path, malformed ones too.
+func (s *Store) counted(path string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.Count(path)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// faulty puts the faults before an endpoint.
+func (s *Store) faulty(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
 		f := s.Faults()
 		if f.Down {
 			return nil, ErrDown
@@ -126,6 +133,10 @@
 	return s.Watch(ctx, r.after, r.wait)
 }
 
+func newServer(e endpoint.Endpoint, d transport.DecodeRequestFunc) http.Handler {
+	return transport.NewServer(e, d, encode, transport.ServerErrorEncoder(encodeError))
+}
+
 func decodeJSON[T any](_ context.Context, r *http.Request) (any, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodySize))
 	if err != nil {
--- a/standin/upstream/internal/host/request.go
+++ b/standin/upstream/internal/host/request.go
@@ -92,15 +92,22 @@
 		return
 	}
 	h.counters.Requests++
+	observe, observed := standin.UintOf(m, message.Observe)
+	// The token alone names the watch to close, so that a path may be missing.
+	if m.Code == codes.GET && observed && observe == observeClose && path == "" {
+		h.closeWatch(source, m)
+		return
+	}
 	if !h.serves(path) {
 		h.counters.WrongService++
 		h.answer(source, m, codes.NotFound, nil)
 		return
 	}
-	observe, observed := standin.UintOf(m, message.Observe)
 	switch {
+	case m.Code == codes.GET && path == pathCalendar && observed && observe == observeClose:
+		h.closeWatch(source, m)
 	case m.Code == codes.GET && path == pathCalendar && observed:
-		h.receiveWatch(now, source, m, observe)
+		h.openWatch(now, source, m)
 	case m.Code == codes.POST && path == pathHolds:
 		h.start(now, source, m, h.hold)
 	case m.Code == codes.GET && strings.HasPrefix(path, pathPhotos):
@@ -120,16 +127,19 @@
 	return path == pathCalendar || path == pathHolds
 }
 
-func (h *Host) receiveWatch(now time.Time, source netip.AddrPort, m *message.Message, observe uint32) {
+func (h *Host) closeWatch(source netip.AddrPort, m *message.Message) {
+	h.watches.remove(registrationKey{
+		source: source,
+		token:  packet.TokenOf(m.Token),
+	})
+	h.answer(source, m, codes.Content, []byte(h.upstream.Name+" closed"))
+}
+
+func (h *Host) openWatch(now time.Time, source netip.AddrPort, m *message.Message) {
 	key := registrationKey{
 		source: source,
 		token:  packet.TokenOf(m.Token),
 	}
-	if observe == observeClose {
-		h.watches.remove(key)
-		h.answer(source, m, codes.Content, []byte(h.upstream.Name+" closed"))
-		return
-	}
 	if h.shed {
 		h.refuse(source, m)
 		return
