standin: split the upstream's request handling

Cause: one function had grown beyond the complexity limit of the linter. Change: probes, closes and GETs are handled by functions of their own. Ruled out: raising the limit.

--- a/standin/upstream/internal/host/request.go
+++ b/standin/upstream/internal/host/request.go
@@ -83,42 +83,61 @@
 
 func (h *Host) receiveRequest(now time.Time, source netip.AddrPort, m *message.Message) {
 	path := standin.PathOf(m)
-	switch {
-	case m.Code == codes.GET && path == pathHealth:
-		h.answer(source, m, codes.Content, h.healthPayload())
-		return
-	case m.Code == codes.GET && path == pathLoad:
-		h.answer(source, m, codes.Content, h.loadPayload())
+	if h.receiveProbe(source, m, path) {
 		return
 	}
 	h.counters.Requests++
-	observe, observed := standin.UintOf(m, message.Observe)
-	// The token alone names the watch to close, so that a path may be missing.
-	if m.Code == codes.GET && observed && observe == observeClose && path == "" {
+	switch {
+	case closes(m, path):
 		h.closeWatch(source, m)
-		return
-	}
-	if !h.serves(path) {
+	case !h.serves(path):
 		h.counters.WrongService++
 		h.answer(source, m, codes.NotFound, nil)
-		return
+	case m.Code == codes.GET:
+		h.receiveGet(now, source, m, path)
+	case m.Code == codes.POST && path == pathHolds:
+		h.start(now, source, m, h.hold)
+	default:
+		h.answer(source, m, codes.MethodNotAllowed, nil)
+	}
+}
+
+// receiveProbe answers a request for a report, and reports whether it was one.
+func (h *Host) receiveProbe(source netip.AddrPort, m *message.Message, path string) bool {
+	if m.Code != codes.GET {
+		return false
 	}
+	switch path {
+	case pathHealth:
+		h.answer(source, m, codes.Content, h.healthPayload())
+	case pathLoad:
+		h.answer(source, m, codes.Content, h.loadPayload())
+	default:
+		return false
+	}
+	return true
+}
+
+func (h *Host) receiveGet(now time.Time, source netip.AddrPort, m *message.Message, path string) {
 	switch {
-	case m.Code == codes.GET && path == pathCalendar && observed && observe == observeClose:
-		h.closeWatch(source, m)
-	case m.Code == codes.GET && path == pathCalendar && observed:
+	case path == pathCalendar && m.Options.HasOption(message.Observe):
 		h.openWatch(now, source, m)
-	case m.Code == codes.POST && path == pathHolds:
-		h.start(now, source, m, h.hold)
-	case m.Code == codes.GET && strings.HasPrefix(path, pathPhotos):
-		h.start(now, source, m, h.photo)
-	case m.Code == codes.GET && path == pathCalendar:
+	case path == pathCalendar:
 		h.start(now, source, m, h.calendar)
-	default:
+	case path == pathHolds:
 		h.answer(source, m, codes.MethodNotAllowed, nil)
+	default:
+		h.start(now, source, m, h.photo)
 	}
 }
 
+// closes reports whether a request closes a watch. The token alone names the
+// watch, so that the path may be missing.
+func closes(m *message.Message, path string) bool {
+	observe, ok := standin.UintOf(m, message.Observe)
+	return m.Code == codes.GET && ok && observe == observeClose && (path == "" || path == pathCalendar)
+}
+
 // serves reports whether the service has a path.
 func (h *Host) serves(path string) bool {
 	if standin.ServesPhotos(h.service) {
