--- /dev/null
+++ b/member/fleet_bench_test.go
@@ -0,0 +1,122 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+// Sizes of a heartbeat on the network, in bytes: the headers of IPv4 and UDP,
+// and what package wire writes for names of today's length.
+const (
+	datagramBytes = 28
+	headerBytes   = 22
+	recordBytes   = 71
+)
+
+func heartbeatBytes(h *Heartbeat) int {
+	return datagramBytes + headerBytes + recordBytes*(1+len(h.Records))
+}
+
+// BenchmarkFleet reports, for fleets of some sizes in four zones with 2 % loss,
+// what one member sends and how long news takes.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{9, 100, 500} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			var bytes, messages, death, version float64
+			for i := range b.N {
+				f := newFleet(uint64(i), 4, size)
+				f.loss = 0.02
+				f.size = heartbeatBytes
+				f.introduce()
+				f.run(10 * time.Second)
+				f.bytes, f.messages = 0, 0
+				f.run(10 * time.Second)
+				bytes += float64(f.bytes) / 10 / float64(size)
+				messages += float64(f.messages) / 10 / float64(size)
+				version += f.spreadVersion().Seconds()
+				gone := f.processes[i%size]
+				gone.down = true
+				death += f.until(time.Minute, func() bool { return f.buried(gone) }).Seconds()
+			}
+			n := float64(b.N)
+			b.ReportMetric(bytes/n, "B/s/member")
+			b.ReportMetric(messages/n, "msg/s/member")
+			b.ReportMetric(death/n, "s/death")
+			b.ReportMetric(version/n, "s/version")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// introduce makes all processes known to each other, as a call of a peer does.
+func (f *fleet) introduce() {
+	for _, p := range f.processes {
+		for _, o := range f.processes {
+			p.tracker.Merge(f.now, &o.tracker.self)
+		}
+		clear(p.tracker.news)
+	}
+}
+
+// buried reports whether all running processes take p for dead.
+func (f *fleet) buried(p *process) bool {
+	for _, o := range f.up() {
+		if o.tracker.members[p.self.Incarnation].record.State != Dead {
+			return false
+		}
+	}
+	return true
+}
+
+// spreadVersion puts a version in force at one process, and at every other one
+// as soon as someone that has it told it, and returns how long that took.
+func (f *fleet) spreadVersion() time.Duration {
+	const v = config.Version(7)
+	f.processes[0].tracker.Announce(v, 1)
+	return f.until(time.Minute, func() bool {
+		done := true
+		for _, p := range f.processes {
+			if p.tracker.self.Version == v {
+				continue
+			}
+			done = false
+			for _, m := range p.tracker.members {
+				if m.record.Version == v {
+					p.tracker.Announce(v, 1)
+					break
+				}
+			}
+		}
+		return done
+	})
+}
+
+// BenchmarkTick reports the processor time of one second of one member of a
+// quiet region: ticks and received heartbeats.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []int{9, 100, 500, 2000} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			f := newFleet(1, 4, size)
+			p := f.processes[0]
+			for _, o := range f.processes[1:] {
+				p.tracker.Merge(f.now, &o.tracker.self)
+			}
+			f.run(0)
+			now := f.now
+			peers := f.processes[1:min(13, size)]
+			b.ResetTimer()
+			for range b.N {
+				for range int(time.Second / step) {
+					now = now.Add(step)
+					p.tracker.Tick(now)
+				}
+				for _, o := range peers {
+					p.tracker.Hear(now, o.self.Relay, &Heartbeat{Sender: o.tracker.self})
+				}
+			}
+		})
+	}
+}
--- a/member/table.go
+++ b/member/table.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"filbertworks.example/filbertworks/config"
 )
@@ -48,6 +49,16 @@
 	Control     netip.AddrPort
 	Admin       netip.AddrPort
 	State       State
+	// Suspected tells that an observer has stopped hearing the member and the
+	// member has not answered that yet.
+	Suspected bool
+	// Joining members started less than JoinDelay ago: they keep upstreams only
+	// where nobody else of the zone can.
+	Joining bool
+	// Version is the configuration version that the member last told.
+	Version config.Version
+	// LastHeard is when the member was last heard directly; zero for never.
+	LastHeard time.Time
 }
 
 // A Table is a set of members, indexed for look-up. It is not safe for
@@ -106,6 +117,27 @@
 	return t.members
 }
 
+// Rank returns the position of a member among the living members of its zone in
+// the rendezvous order of a key, from zero; ok is false where it is not one of
+// them.
+func (t *Table) Rank(key uint64, name, zone string) (rank int, ok bool) {
+	own := score(key, nameHash(name))
+	for i := range t.members {
+		m := &t.members[i]
+		if m.State != Alive || m.Zone != zone {
+			continue
+		}
+		if m.Name == name {
+			ok = true
+			continue
+		}
+		if score(key, nameHash(m.Name)) > own {
+			rank++
+		}
+	}
+	return rank, ok
+}
+
 // Replace sets the members of t.
 func (t *Table) Replace(members []Member) {
 	t.members = slices.Clone(members)
@@ -125,10 +157,18 @@
 }
 
 func (t *Table) choose(upstream uint32, zone string) int {
-	if i := t.best(upstream, func(m *Member) bool { return m.Zone == zone }); i >= 0 {
-		return i
+	accepts := []func(m *Member) bool{
+		func(m *Member) bool { return m.Zone == zone && !m.Joining },
+		func(m *Member) bool { return m.Zone == zone },
+		func(m *Member) bool { return !m.Joining },
+		func(*Member) bool { return true },
+	}
+	for _, accept := range accepts {
+		if i := t.best(upstream, accept); i >= 0 {
+			return i
+		}
 	}
-	return t.best(upstream, func(*Member) bool { return true })
+	return -1
 }
 
 // best returns the index of the living, accepted member with the highest
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -1,7 +1,10 @@
 package member
 
 import (
+	"math/bits"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/config"
@@ -9,74 +12,197 @@
 
 // Times of membership.
 const (
-	// HeartbeatInterval is the time between two heartbeats to a peer.
+	// HeartbeatInterval is the time between two heartbeats to an observer.
 	HeartbeatInterval = 500 * time.Millisecond
-	// DeadAfter is how long a member may be unheard before it is taken for
-	// dead.
-	DeadAfter = 3 * time.Second
+	// SpreadInterval is the time between two messages with news.
+	SpreadInterval = 100 * time.Millisecond
+	// SuspectAfter is how long an observer waits for a member's heartbeat
+	// before it suspects the member.
+	SuspectAfter = 1500 * time.Millisecond
+	// ConfirmAfter is how long a suspicion stands unrefuted before the member
+	// is taken for dead.
+	ConfirmAfter = 1500 * time.Millisecond
+	// DeadAfter is the longest time from a member's last heartbeat until its
+	// observers take it for dead.
+	DeadAfter = SuspectAfter + HeartbeatInterval + ConfirmAfter
+	// JoinDelay is how long a process runs before others choose it as a keeper:
+	// by then they all know it.
+	JoinDelay = 2 * time.Second
+	// ForgetAfter is how long a dead member is remembered and tried.
+	ForgetAfter = 10 * time.Minute
+	// seedFresh is how long a listed VM is tried at each heartbeat; one that
+	// does not answer for longer is tried now and then.
+	seedFresh = time.Minute
 )
 
-// A Tracker keeps a member view from the platform's lagging list and from
-// heartbeats. It is not safe for concurrent use.
+// Sizes of messages.
+const (
+	// HomeObservers is the number of a member's observers in its own zone.
+	HomeObservers = 2
+	// AwayObservers is the number of its observers in each other zone.
+	AwayObservers = 1
+	// SpreadPeers is the number of peers that a message with news goes to.
+	SpreadPeers = 2
+	// MaxRecords is the greatest number of records of a heartbeat.
+	MaxRecords = 10
+	// spreadFactor times the logarithm of the number of members is how often a
+	// process passes one piece of news on.
+	spreadFactor = 3
+)
+
+// A Tracker keeps one process's view of the others. The platform's list seeds
+// it; heartbeats to a constant number of observers, and news that is passed on
+// at random, correct it. It is not safe for concurrent use.
 type Tracker struct {
-	self    Member
-	members map[netip.AddrPort]*tracked
-	// seeded tells that the platform's list has been read.
+	self    Record
+	digest  uint64
+	start   time.Time
+	members map[uint64]*tracked
+	// order holds the incarnations of members, in ascending order.
+	order []uint64
+	// seeds are the listed VMs, by relay address.
+	seeds  map[netip.AddrPort]*seed
 	seeded bool
+	// news holds what is still to be passed on, with the remaining number of
+	// times.
+	news map[uint64]int
+	// version counts the remaining announcements of a new version of this
+	// process's own.
+	announcements int
+	// replies are the peers that asked for a heartbeat.
+	replies []reply
+	// platform is when the platform last answered anyone; zero for never.
+	platform time.Time
+	// probe is the number that answers to this process's probes carry.
+	probe uint32
+	// doubt makes every message a probe.
+	doubt       bool
+	nextBeat    time.Time
+	nextSpread  time.Time
+	window      int
+	rand        *rand.Rand
+	// table is the view made last, nil where something changed since.
+	table       *Table
+	ringChanged bool
+	observers   []netip.AddrPort
 }
 
-// tracked is what is known of one peer.
+// tracked is what is known of one incarnation.
 type tracked struct {
-	member Member
-	// heard is the time of the last heartbeat, or of the first listing.
+	record Record
+	// heard is when it was last heard directly.
 	heard time.Time
+	// expected is when this process began to expect its heartbeats, as one of
+	// its observers; zero where it is none.
+	expected time.Time
+	// suspected is when the suspicion was first known here.
+	suspected time.Time
+	// died is when it was taken for dead.
+	died time.Time
+}
+
+// seed is a VM of the platform's list.
+type seed struct {
+	member Member
+	listed time.Time
+}
+
+// reply is a heartbeat that a peer asked for.
+type reply struct {
+	to   netip.AddrPort
+	echo uint32
 }
 
 // NewTracker returns a tracker for the process that self describes.
-func NewTracker(self Member) *Tracker {
+func NewTracker(now time.Time, self Member, r *rand.Rand) *Tracker {
 	return &Tracker{
-		self:    self,
-		members: make(map[netip.AddrPort]*tracked),
+		self: Record{
+			Name:        self.Name,
+			Zone:        self.Zone,
+			Incarnation: self.Incarnation,
+			Relay:       self.Relay,
+			Control:     self.Control,
+			Admin:       self.Admin,
+			Joining:     true,
+		},
+		start:       now,
+		members:     make(map[uint64]*tracked),
+		seeds:       make(map[netip.AddrPort]*seed),
+		news:        make(map[uint64]int),
+		probe:       r.Uint32() | 1,
+		rand:        r,
+		ringChanged: true,
 	}
 }
 
-// Hear takes a heartbeat of the peer at a relay address and reports whether
-// the peer is listed.
-func (t *Tracker) Hear(now time.Time, from netip.AddrPort, incarnation uint64, leaving bool) bool {
-	p := t.members[from]
-	if p == nil {
-		return false
+// Announce tells the version in force here to the others.
+func (t *Tracker) Announce(v config.Version, digest uint64) {
+	if v == t.self.Version {
+		return
 	}
-	p.heard = now
-	p.member.Incarnation = incarnation
-	p.member.State = Alive
-	if leaving {
-		p.member.State = Leaving
+	t.table = nil
+	t.self.Version = v
+	t.digest = digest
+	t.announcements = t.repeats()
+}
+
+// Known reports whether datagrams from a relay address are accepted.
+func (t *Tracker) Known(from netip.AddrPort) bool {
+	if t.seeds[from] != nil {
+		return true
 	}
-	return true
+	for _, p := range t.members {
+		if p.record.Relay == from {
+			return true
+		}
+	}
+	return false
 }
 
-// Peers returns the relay addresses of all listed peers.
-func (t *Tracker) Peers() []netip.AddrPort {
-	peers := make([]netip.AddrPort, 0, len(t.members))
-	for a := range t.members {
-		peers = append(peers, a)
+// Leave announces that this process leaves.
+func (t *Tracker) Leave() {
+	if t.self.State == Leaving {
+		return
 	}
-	return peers
+	t.self.State = Leaving
+	t.say()
 }
 
-// Settled reports whether every listed peer has been heard or had the time to
-// be heard: before that, a peer that is not part of the view may well be alive.
-func (t *Tracker) Settled(now time.Time) bool {
-	if !t.seeded {
-		return false
+// Members returns all processes of the view, this one first.
+func (t *Tracker) Members() []Member {
+	members := make([]Member, 0, len(t.order)+1)
+	members = append(members, memberOf(&t.self, time.Time{}))
+	for _, id := range t.order {
+		p := t.members[id]
+		members = append(members, memberOf(&p.record, p.heard))
 	}
-	for _, p := range t.members {
-		if p.member.Incarnation == 0 && now.Sub(p.heard) < DeadAfter {
-			return false
-		}
+	return members
+}
+
+// PlatformAge returns how long ago the platform last answered this process or
+// one that passed it on, and how long this process runs where it never did.
+func (t *Tracker) PlatformAge(now time.Time) time.Duration {
+	if t.platform.IsZero() {
+		return now.Sub(t.start)
 	}
-	return true
+	return now.Sub(t.platform)
+}
+
+// PlatformAnswered takes the time of an answer of the platform.
+func (t *Tracker) PlatformAnswered(at time.Time) {
+	if at.After(t.platform) {
+		t.platform = at
+	}
+}
+
+// Records returns the records of all processes, with this one's.
+func (t *Tracker) Records() []Record {
+	records := make([]Record, 0, len(t.order)+1)
+	records = append(records, t.self)
+	for _, id := range t.order {
+		records = append(records, t.members[id].record)
+	}
+	return records
 }
 
 // Seed takes the platform's list.
@@ -86,35 +212,129 @@
 	for i := range vms {
 		m := FromVM(&vms[i])
 		listed[m.Relay] = true
-		if m.Name == t.self.Name || t.members[m.Relay] != nil {
+		if m.Name == t.self.Name {
 			continue
 		}
-		t.members[m.Relay] = &tracked{
+		if s := t.seeds[m.Relay]; s != nil && s.member.Name == m.Name {
+			continue
+		}
+		t.seeds[m.Relay] = &seed{
 			member: m,
-			heard:  now,
+			listed: now,
 		}
 	}
-	for a, p := range t.members {
-		if !listed[a] && now.Sub(p.heard) >= DeadAfter {
-			delete(t.members, a)
+	for a := range t.seeds {
+		if !listed[a] {
+			delete(t.seeds, a)
 		}
 	}
 }
 
-// Table returns the view at now. A peer without a heartbeat yet is not part of
-// it.
-func (t *Tracker) Table(now time.Time) *Table {
-	members := make([]Member, 0, len(t.members)+1)
-	members = append(members, t.self)
-	for _, p := range t.members {
-		m := p.member
-		if m.Incarnation == 0 {
+// Settled reports whether every listed peer has been heard or had the time to
+// be heard: before that, a process that is not part of the view may well be
+// alive.
+func (t *Tracker) Settled(now time.Time) bool {
+	if !t.seeded {
+		return false
+	}
+	var heard map[netip.AddrPort]bool
+	for a, s := range t.seeds {
+		if now.Sub(s.listed) >= DeadAfter {
 			continue
 		}
-		if now.Sub(p.heard) >= DeadAfter {
-			m.State = Dead
+		if heard == nil {
+			heard = t.relays()
+		}
+		if !heard[a] {
+			return false
+		}
+	}
+	return true
+}
+
+// SetDoubt makes every heartbeat ask for an answer while doubt is set.
+func (t *Tracker) SetDoubt(doubt bool) {
+	t.doubt = doubt
+}
+
+// Table returns the view; it is the same one while nobody's state changes.
+func (t *Tracker) Table() *Table {
+	if t.table == nil {
+		t.table = NewTable(t.Members())
+	}
+	return t.table
+}
+
+// Wake tells that this process did not run from since until now: what it did
+// not hear meanwhile counts against nobody.
+func (t *Tracker) Wake(now, since time.Time) {
+	pause := now.Sub(since)
+	for _, p := range t.members {
+		if !p.expected.IsZero() {
+			p.expected = now
+		}
+		if p.record.Suspected {
+			p.suspected = p.suspected.Add(pause)
 		}
-		members = append(members, m)
 	}
-	return NewTable(members)
+	// Answers to earlier probes may be as old as the pause.
+	t.probe += 2
+	t.nextBeat = now
+}
+
+// say gives this process's record a new sequence number and spreads it.
+func (t *Tracker) say() {
+	t.self.Sequence++
+	t.announcements = t.repeats()
+	t.table = nil
+}
+
+func memberOf(r *Record, heard time.Time) Member {
+	return Member{
+		Name:        r.Name,
+		Zone:        r.Zone,
+		Incarnation: r.Incarnation,
+		Relay:       r.Relay,
+		Control:     r.Control,
+		Admin:       r.Admin,
+		State:       r.State,
+		Suspected:   r.Suspected,
+		Joining:     r.Joining,
+		Version:     r.Version,
+		LastHeard:   heard,
+	}
+}
+
+// relays returns the relay addresses of processes that are not dead.
+func (t *Tracker) relays() map[netip.AddrPort]bool {
+	relays := make(map[netip.AddrPort]bool, len(t.members))
+	for _, p := range t.members {
+		if p.record.State != Dead {
+			relays[p.record.Relay] = true
+		}
+	}
+	return relays
+}
+
+// repeats returns how often one piece of news is passed on.
+func (t *Tracker) repeats() int {
+	return spreadFactor * bits.Len(uint(len(t.members)+1))
+}
+
+func (t *Tracker) insert(id uint64, p *tracked) {
+	t.members[id] = p
+	i, _ := slices.BinarySearch(t.order, id)
+	t.order = slices.Insert(t.order, i, id)
+	t.ringChanged = true
+	t.table = nil
+}
+
+func (t *Tracker) remove(id uint64) {
+	delete(t.members, id)
+	delete(t.news, id)
+	if i, ok := slices.BinarySearch(t.order, id); ok {
+		t.order = slices.Delete(t.order, i, i+1)
+	}
+	t.ringChanged = true
+	t.table = nil
 }
--- /dev/null
+++ b/member/tracker_test.go
@@ -0,0 +1,168 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+// Targets of membership at today's size.
+const (
+	convergeTarget = 10 * time.Second
+	spreadTarget   = time.Second
+	deathTarget    = DeadAfter + spreadTarget
+)
+
+func TestViewsConvergeUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "zones"), rapid.IntRange(2, 9).Draw(t, "size"))
+		f.loss = rapid.Float64Range(0, 0.2).Draw(t, "loss")
+		f.double = rapid.Float64Range(0, 0.3).Draw(t, "double")
+		f.jitter = time.Duration(rapid.IntRange(0, 300).Draw(t, "jitter")) * time.Millisecond
+		require.Less(t, f.until(convergeTarget, f.converged), convergeTarget)
+		for range rapid.IntRange(1, 4).Draw(t, "faults") {
+			p := rapid.SampledFrom(f.processes).Draw(t, "process")
+			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			case 0:
+				p.down = true
+			case 1:
+				p.paused = true
+				since := f.now
+				f.run(time.Duration(rapid.IntRange(1, 8).Draw(t, "pause")) * time.Second)
+				p.paused = false
+				p.tracker.Wake(f.now, since)
+			case 2:
+				f.cut = func(from, to *process) bool { return from.self.Zone != to.self.Zone }
+				f.run(time.Duration(rapid.IntRange(1, 12).Draw(t, "cut")) * time.Second)
+				f.cut = nil
+			default:
+				f.cut = func(from, _ *process) bool { return from == p }
+				f.run(time.Duration(rapid.IntRange(1, 8).Draw(t, "silence")) * time.Second)
+				f.cut = nil
+			}
+		}
+		// No process that answers stays dead, and none that went stays alive.
+		f.loss = min(f.loss, 0.05)
+		f.until(3*convergeTarget, f.converged)
+		require.True(t, f.converged())
+	})
+}
+
+func TestDeathIsBelievedInTime(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, 4, 9)
+		f.loss = 0.02
+		f.run(5 * time.Second)
+		f.processes[seed%9].down = true
+		took := f.until(2*deathTarget, f.converged)
+		require.LessOrEqual(t, took, deathTarget, "seed %d", seed)
+	}
+}
+
+func TestNoFalseDeathUnderLossAndDelay(t *testing.T) {
+	f := newFleet(1, 3, 9)
+	f.loss = 0.05
+	f.jitter = 100 * time.Millisecond
+	require.Less(t, f.until(convergeTarget, f.converged), convergeTarget)
+	for range 600 {
+		f.run(time.Second)
+		require.True(t, f.converged(), "after %v", f.now.Sub(epoch))
+	}
+}
+
+func TestOneWayCutKillsNobody(t *testing.T) {
+	f := newFleet(2, 3, 9)
+	f.run(5 * time.Second)
+	deaf, mute := f.processes[0], f.processes[1]
+	f.cut = func(from, to *process) bool { return from == mute && to == deaf }
+	for range 60 {
+		f.run(time.Second)
+		require.True(t, f.converged())
+	}
+}
+
+func TestLeavingSpreads(t *testing.T) {
+	f := newFleet(3, 3, 9)
+	f.run(5 * time.Second)
+	leaver := f.processes[4]
+	leaver.tracker.Leave()
+	took := f.until(spreadTarget, func() bool {
+		for _, p := range f.processes {
+			if m, _ := p.tracker.Table().ByIncarnation(leaver.self.Incarnation); m.State != Leaving {
+				return false
+			}
+		}
+		return true
+	})
+	require.Less(t, took, spreadTarget)
+}
+
+func TestReplacementUnderTheSameAddress(t *testing.T) {
+	f := newFleet(4, 3, 9)
+	f.run(5 * time.Second)
+	old := f.processes[5]
+	old.down = true
+	fresh := f.start("lb-new", 5%3, 5)
+	fresh.tracker.Seed(f.now, f.list())
+	took := f.until(deathTarget, func() bool {
+		for _, p := range f.up() {
+			if p.believes(old) || !p.believes(fresh) {
+				return false
+			}
+		}
+		return true
+	})
+	require.Less(t, took, deathTarget)
+}
+
+func TestUnknownSendersAreIgnored(t *testing.T) {
+	f := newFleet(5, 1, 2)
+	stranger := f.start("stranger", 0, 77)
+	h := &Heartbeat{Sender: stranger.tracker.self}
+	hearing := f.processes[0].tracker.Hear(f.now, stranger.self.Relay, h)
+	require.False(t, hearing.Known)
+	require.False(t, f.processes[0].believes(stranger))
+}
+
+func TestSettled(t *testing.T) {
+	self := Member{
+		Name:        "self",
+		Incarnation: 1,
+	}
+	f := newFleet(6, 1, 1)
+	peer := f.processes[0].self
+	vms := []config.VM{{
+		Name:  peer.Name,
+		Zone:  peer.Zone,
+		Relay: peer.Relay,
+		State: config.VMLive,
+	}}
+	tracker := NewTracker(epoch, self, rand.New(rand.NewPCG(1, 1)))
+	require.False(t, tracker.Settled(epoch), "without a list")
+	tracker.Seed(epoch, vms)
+	require.False(t, tracker.Settled(epoch), "listed, not heard")
+	require.True(t, tracker.Settled(epoch.Add(DeadAfter)), "listed, had the time to be heard")
+	tracker.Hear(epoch, peer.Relay, &Heartbeat{Sender: f.processes[0].tracker.self})
+	require.True(t, tracker.Settled(epoch), "heard")
+}
+
+func TestFreshAnswersOnlyAfterWake(t *testing.T) {
+	f := newFleet(7, 1, 2)
+	f.run(3 * time.Second)
+	a, b := f.processes[0], f.processes[1]
+	a.tracker.SetDoubt(true)
+	probe := a.tracker.messages(f.now, a.tracker.observers)[0].Heartbeat
+	answer := func() Heartbeat {
+		b.tracker.Hear(f.now, a.self.Relay, &probe)
+		return b.tracker.Tick(f.now)[0].Heartbeat
+	}
+	before := answer()
+	require.True(t, a.tracker.Hear(f.now, b.self.Relay, &before).Fresh)
+	a.tracker.Wake(f.now.Add(5*time.Second), f.now)
+	require.False(t, a.tracker.Hear(f.now, b.self.Relay, &before).Fresh)
+}
--- a/wire/heartbeat.go
+++ b/wire/heartbeat.go
@@ -2,47 +2,56 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/rotisserie/eris"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/member"
 )
 
-// Layout of a heartbeat, as offsets in bytes; numbers are big-endian.
+// Layout of a heartbeat's header, as offsets in bytes; numbers are big-endian.
+// The header is followed by records, the first being the sender's own.
 const (
-	heartbeatOffsetFormat      = 0
-	heartbeatOffsetLeaving     = 1
-	heartbeatOffsetIncarnation = 2
-	heartbeatOffsetVersion     = 10
-	// HeartbeatSize is the size of a heartbeat, in bytes.
-	HeartbeatSize = 18
+	heartbeatOffsetFormat  = 0
+	heartbeatOffsetDigest  = 1
+	heartbeatOffsetAge     = 9
+	heartbeatOffsetProbe   = 13
+	heartbeatOffsetEcho    = 17
+	heartbeatOffsetRecords = 21
+	// HeartbeatHeaderSize is the size of a heartbeat's header, in bytes.
+	HeartbeatHeaderSize = 22
 )
 
 // heartbeatFormat is the number of this layout; it differs from relayFormat.
 const heartbeatFormat = 0xf2
 
+// Flags of a record, beside its state in the lowest bits.
+const (
+	recordStateMask = 0x03
+	recordSuspected = 0x04
+	recordJoining   = 0x08
+	recordFlags     = recordStateMask | recordSuspected | recordJoining
+)
+
 // ErrHeartbeat reports a datagram that is no heartbeat of this format.
 var ErrHeartbeat = eris.New("malformed heartbeat")
 
-// A Heartbeat tells peers that a process lives; it comes from the relay
-// address of its sender.
-type Heartbeat struct {
-	Incarnation uint64
-	Leaving     bool
-	// Version is the configuration in force at the sender.
-	Version config.Version
-}
-
-// AppendHeartbeat appends h to buf.
-func AppendHeartbeat(buf []byte, h *Heartbeat) []byte {
-	var b [HeartbeatSize]byte
+// AppendHeartbeat appends h to buf. Names longer than 255 bytes are cut.
+func AppendHeartbeat(buf []byte, h *member.Heartbeat) []byte {
+	var b [HeartbeatHeaderSize]byte
 	b[heartbeatOffsetFormat] = heartbeatFormat
-	if h.Leaving {
-		b[heartbeatOffsetLeaving] = 1
+	binary.BigEndian.PutUint64(b[heartbeatOffsetDigest:], h.Digest)
+	binary.BigEndian.PutUint32(b[heartbeatOffsetAge:], h.PlatformAge)
+	binary.BigEndian.PutUint32(b[heartbeatOffsetProbe:], h.Probe)
+	binary.BigEndian.PutUint32(b[heartbeatOffsetEcho:], h.Echo)
+	b[heartbeatOffsetRecords] = byte(len(h.Records))
+	buf = append(buf, b[:]...)
+	buf = appendRecord(buf, &h.Sender)
+	for i := range h.Records {
+		buf = appendRecord(buf, &h.Records[i])
 	}
-	binary.BigEndian.PutUint64(b[heartbeatOffsetIncarnation:], h.Incarnation)
-	binary.BigEndian.PutUint64(b[heartbeatOffsetVersion:], uint64(h.Version))
-	return append(buf, b[:]...)
+	return buf
 }
 
 // IsHeartbeat reports whether data is a heartbeat rather than a relay.
@@ -51,14 +60,144 @@
 }
 
 // ParseHeartbeat sets h from data. The error is ErrHeartbeat.
-func ParseHeartbeat(data []byte, h *Heartbeat) error {
-	if len(data) != HeartbeatSize || !IsHeartbeat(data) || data[heartbeatOffsetLeaving] > 1 {
+func ParseHeartbeat(data []byte, h *member.Heartbeat) error {
+	if len(data) < HeartbeatHeaderSize || !IsHeartbeat(data) || data[heartbeatOffsetRecords] > member.MaxRecords {
 		return ErrHeartbeat
 	}
-	*h = Heartbeat{
-		Leaving:     data[heartbeatOffsetLeaving] == 1,
-		Incarnation: binary.BigEndian.Uint64(data[heartbeatOffsetIncarnation:]),
-		Version:     config.Version(binary.BigEndian.Uint64(data[heartbeatOffsetVersion:])),
+	*h = member.Heartbeat{
+		Digest:      binary.BigEndian.Uint64(data[heartbeatOffsetDigest:]),
+		PlatformAge: binary.BigEndian.Uint32(data[heartbeatOffsetAge:]),
+		Probe:       binary.BigEndian.Uint32(data[heartbeatOffsetProbe:]),
+		Echo:        binary.BigEndian.Uint32(data[heartbeatOffsetEcho:]),
+		Records:     make([]member.Record, data[heartbeatOffsetRecords]),
+	}
+	c := &cursor{data: data[HeartbeatHeaderSize:]}
+	c.record(&h.Sender)
+	for i := range h.Records {
+		c.record(&h.Records[i])
+	}
+	if c.failed || len(c.data) > 0 {
+		return ErrHeartbeat
 	}
 	return nil
 }
+
+// ParseRecords returns the records that AppendRecords wrote to data. The error
+// is ErrHeartbeat.
+func ParseRecords(data []byte) ([]member.Record, error) {
+	c := &cursor{data: data}
+	var records []member.Record
+	for len(c.data) > 0 && !c.failed {
+		var r member.Record
+		c.record(&r)
+		records = append(records, r)
+	}
+	if c.failed {
+		return nil, ErrHeartbeat
+	}
+	return records, nil
+}
+
+// AppendRecords appends records to buf.
+func AppendRecords(buf []byte, records []member.Record) []byte {
+	for i := range records {
+		buf = appendRecord(buf, &records[i])
+	}
+	return buf
+}
+
+func appendRecord(buf []byte, r *member.Record) []byte {
+	flags := byte(r.State)
+	if r.Suspected {
+		flags |= recordSuspected
+	}
+	if r.Joining {
+		flags |= recordJoining
+	}
+	buf = append(buf, flags)
+	buf = binary.BigEndian.AppendUint64(buf, r.Incarnation)
+	buf = binary.BigEndian.AppendUint32(buf, r.Sequence)
+	buf = binary.BigEndian.AppendUint64(buf, uint64(r.Version))
+	buf = appendText(buf, r.Name)
+	buf = appendText(buf, r.Zone)
+	buf = appendAddress(buf, r.Relay)
+	buf = appendAddress(buf, r.Control)
+	return appendAddress(buf, r.Admin)
+}
+
+func appendText(buf []byte, s string) []byte {
+	s = s[:min(len(s), 255)]
+	return append(append(buf, byte(len(s))), s...)
+}
+
+func appendAddress(buf []byte, a netip.AddrPort) []byte {
+	ip := a.Addr().AsSlice()
+	buf = append(append(buf, byte(len(ip))), ip...)
+	return binary.BigEndian.AppendUint16(buf, a.Port())
+}
+
+// A cursor reads values one after the other; once it failed it gives zeros.
+type cursor struct {
+	data   []byte
+	failed bool
+}
+
+func (c *cursor) address() netip.AddrPort {
+	ip, ok := netip.AddrFromSlice(c.bytes(int(c.byte())))
+	port := c.bytes(2)
+	if !ok || port == nil {
+		// An address that is not set has no bytes and port zero.
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(ip.Unmap(), binary.BigEndian.Uint16(port))
+}
+
+func (c *cursor) byte() byte {
+	b := c.bytes(1)
+	if b == nil {
+		return 0
+	}
+	return b[0]
+}
+
+func (c *cursor) bytes(n int) []byte {
+	if c.failed || len(c.data) < n {
+		c.failed = true
+		return nil
+	}
+	b := c.data[:n]
+	c.data = c.data[n:]
+	return b
+}
+
+func (c *cursor) number(size int) uint64 {
+	var n uint64
+	for _, b := range c.bytes(size) {
+		n = n<<8 | uint64(b)
+	}
+	return n
+}
+
+func (c *cursor) record(r *member.Record) {
+	flags := c.byte()
+	*r = member.Record{
+		State:       member.State(flags & recordStateMask),
+		Suspected:   flags&recordSuspected != 0,
+		Joining:     flags&recordJoining != 0,
+		Incarnation: c.number(8),
+		Sequence:    uint32(c.number(4)),
+		Version:     config.Version(c.number(8)),
+		Name:        c.text(),
+		Zone:        c.text(),
+		Relay:       c.address(),
+		Control:     c.address(),
+		Admin:       c.address(),
+	}
+	if flags&^recordFlags != 0 || r.State > member.Dead {
+		c.failed = true
+	}
+}
+
+func (c *cursor) text() string {
+	return string(c.bytes(int(c.byte())))
+}
