standin: log why a watch counts as broken

Cause: the table of a failed run told how many watches broke, not why. Change: the caller logs each broken watch with its upstream and reason. Ruled out: more columns in the table. Conclusion: a failed run names its cause.

--- a/standin/caller/internal/flow/driver.go
+++ b/standin/caller/internal/flow/driver.go
@@ -163,6 +163,7 @@
 		refresh:    time.Duration(s.Refresh),
 		random:     random,
 		directory:  d.directory,
+		log:        d.log,
 	}
 	if err := w.run(load); err != nil {
 		d.log.Errorf("watch: %v", eris.Cause(err))
--- a/standin/caller/internal/flow/watch.go
+++ b/standin/caller/internal/flow/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/sirupsen/logrus"
 
 	"filbertworks.example/filbertworks/coap"
 	"filbertworks.example/filbertworks/internal/standin"
@@ -45,6 +46,7 @@
 	refresh    time.Duration
 	random     *rand.Rand
 	directory  *Directory
+	log        *logrus.Logger
 
 	socket *socket
 	token  message.Token
@@ -135,6 +137,7 @@
 		w.tally.MayHaveRun++
 		w.next = now.Add(defaultMaxAge)
 	default:
+		w.log.Errorf("watch: wrong answer %v", a.Code)
 		w.tally.Wrong++
 		w.next = now.Add(defaultMaxAge)
 	}
@@ -160,6 +163,7 @@
 		w.next = now.Add(w.interval())
 	}
 	if w.upstream != "" && w.upstream != upstream && !w.directory.Moved(ctx, w.upstream) {
+		w.log.Errorf("watch: broken, moved from %s to %s", w.upstream, upstream)
 		w.tally.Broken++
 	}
 	w.upstream = upstream
@@ -253,5 +257,6 @@
 		return
 	}
 	w.silent = true
+	w.log.Errorf("watch: broken, nothing heard from %s for %v", w.upstream, brokenAfter)
 	w.tally.Broken++
 }
--- a/standin/caller/internal/flow/watch_test.go
+++ b/standin/caller/internal/flow/watch_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"filbertworks.example/filbertworks/coap"
@@ -51,10 +53,13 @@
 }
 
 func testWatch() *watch {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
 	return &watch{
 		refresh:   5 * time.Second,
 		random:    rand.New(rand.NewPCG(1, 1)),
 		directory: NewDirectory(testDocument(), ""),
+		log:       log,
 		token:     message.Token{1},
 	}
 }
