fix: patches keep no memory in common with the documents that they make

Cause: property tests of the package found that Apply handed the patch's own secrets and upstreams to the new document, so that a later operation of the same patch on a service that it puts changed the patch itself; a balancer that passes such a patch on would pass on another one. The table of faults found that one address could stand twice in two notations (::ffff:127.0.2.1 and 127.0.2.1), that 0.0.0.0 and groups were allowed as addresses, and that a zone could have a name that no balancer's settings can hold. Change: steps copy what they put; addresses are those of one host in their only notation; zones follow the rule of names, and names have 64 bytes at most. Ruled out: comparing addresses after unmapping: services are found by the address as written, so the second notation would never match a socket's.

--- a/config/check.go
+++ b/config/check.go
@@ -29,8 +29,13 @@
 	MinRefresh = 100 * time.Millisecond
 	// MaxRefresh is the longest refresh interval of watches.
 	MaxRefresh = time.Hour
+	// MaxNameSize is the longest name, in bytes.
+	MaxNameSize = 64
 )
 
+// allowedName says what may stand as a name.
+const allowedName = "a name of up to 64 bytes without spaces and slashes"
+
 // A Fault is one value of a document that is not allowed.
 type Fault struct {
 	// Path names the value, such as "services[2].upstreams[0].share".
@@ -93,8 +98,8 @@
 }
 
 func (c *checker) address(path string, a netip.AddrPort) {
-	if !a.IsValid() || a.Port() == 0 {
-		c.add(path, a, "an IP address and a port")
+	if !usable(a) {
+		c.add(path, a, "the IP address and port of one host, IPv4 in its own notation")
 		return
 	}
 	if c.addresses[a] {
@@ -136,8 +141,8 @@
 }
 
 func (c *checker) name(path, name string) {
-	if name == "" || strings.ContainsAny(name, " \t\n/") {
-		c.add(path, name, "a name without spaces and slashes")
+	if !wellFormed(name) {
+		c.add(path, name, allowedName)
 		return
 	}
 	if c.names[name] {
@@ -192,7 +197,10 @@
 func (c *checker) zones(zones []Zone) {
 	for i, z := range zones {
 		path := fmt.Sprintf("zones[%d]", i)
-		if z.Name == "" || c.zoneNames[z.Name] {
+		switch {
+		case !wellFormed(z.Name):
+			c.add(path+".name", z.Name, allowedName)
+		case c.zoneNames[z.Name]:
 			c.add(path+".name", z.Name, "a name used once among the zones")
 		}
 		c.zoneNames[z.Name] = true
@@ -204,3 +212,17 @@
 		}
 	}
 }
+
+// usable tells whether a is the address of one host in its only notation, so
+// that equal addresses are equal values.
+func usable(a netip.AddrPort) bool {
+	ip := a.Addr()
+	if !ip.IsValid() || ip.Is4In6() || a.Port() == 0 {
+		return false
+	}
+	return !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
+func wellFormed(name string) bool {
+	return name != "" && len(name) <= MaxNameSize && !strings.ContainsAny(name, " \t\r\n/")
+}
--- a/config/document.go
+++ b/config/document.go
@@ -114,15 +114,27 @@
 // Clone returns a deep copy of d.
 func (d *Document) Clone() *Document {
 	c := &Document{
-		Keys:     append([]Key(nil), d.Keys...),
+		Keys:     cloneKeys(d.Keys),
 		Zones:    append([]Zone(nil), d.Zones...),
 		Services: append([]Service(nil), d.Services...),
 	}
-	for i := range c.Keys {
-		c.Keys[i].Secret = append([]byte(nil), c.Keys[i].Secret...)
-	}
 	for i := range c.Services {
-		c.Services[i].Upstreams = append([]Upstream(nil), c.Services[i].Upstreams...)
+		c.Services[i] = c.Services[i].clone()
+	}
+	return c
+}
+
+// clone returns a deep copy of s.
+func (s *Service) clone() Service {
+	c := *s
+	c.Upstreams = append([]Upstream(nil), s.Upstreams...)
+	return c
+}
+
+func cloneKeys(keys []Key) []Key {
+	c := append([]Key(nil), keys...)
+	for i := range c {
+		c[i].Secret = append([]byte(nil), c[i].Secret...)
 	}
 	return c
 }
--- a/config/patch.go
+++ b/config/patch.go
@@ -56,8 +56,8 @@
 	Name    string `json:"name"`
 }
 
-// Apply returns the document that p makes of d, which has version base; d is
-// left as it is. The error is ErrBase, a *PatchError, or a *CheckError.
+// Apply returns the document that p makes of d, which has version base; d and
+// p are left as they are and share no memory with it. The error is ErrBase, a *PatchError, or a *CheckError.
 func (p *Patch) Apply(base Version, d *Document) (*Document, error) {
 	if p.Base != base {
 		return nil, eris.Wrapf(ErrBase, "patch base %d, version %d", p.Base, base)
@@ -138,7 +138,7 @@
 }
 
 func (k *PutKeys) apply(d *Document) error {
-	d.Keys = append([]Key(nil), k.Keys...)
+	d.Keys = cloneKeys(k.Keys)
 	return nil
 }
 
@@ -164,10 +164,10 @@
 func (s *Service) apply(d *Document) error {
 	i := slices.IndexFunc(d.Services, func(o Service) bool { return o.ID == s.ID })
 	if i < 0 {
-		d.Services = append(d.Services, *s)
+		d.Services = append(d.Services, s.clone())
 		return nil
 	}
-	d.Services[i] = *s
+	d.Services[i] = s.clone()
 	return nil
 }
 
@@ -212,3 +212,17 @@
 func (d *Document) serviceIndex(name string) int {
 	return slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
 }
+
+// Check returns a *PatchError for the first operation that does not have
+// exactly one step, or nil. Apply checks all the rest.
+func (p *Patch) Check() error {
+	for i := range p.Operations {
+		if _, err := p.Operations[i].step(); err != nil {
+			return &PatchError{
+				Operation: i,
+				Cause:     err,
+			}
+		}
+	}
+	return nil
+}
