refactor: settings take the length of names from config

Cause: the limit of names stood in settings alone. Change: one constant in package config for both. Ruled out: nothing. Conclusion: a name that the configuration allows can be set on a VM.

--- a/filbertd/internal/settings/check.go
+++ b/filbertd/internal/settings/check.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"filbertworks.example/filbertworks/config"
 )
 
 // What may stand at a key.
@@ -65,12 +67,12 @@
 }
 
 func (c *checker) name(key, name string) {
-	allowed := fmt.Sprintf("a name of up to %d bytes without spaces and slashes", MaxNameSize)
+	allowed := fmt.Sprintf("a name of up to %d bytes without spaces and slashes", config.MaxNameSize)
 	if name == "" {
 		c.add(key, foundNothing, allowed)
 		return
 	}
-	if len(name) > MaxNameSize || strings.ContainsAny(name, " \t\r\n/") {
+	if len(name) > config.MaxNameSize || strings.ContainsAny(name, " \t\r\n/") {
 		c.add(key, quote(name), allowed)
 	}
 }
--- a/filbertd/internal/settings/settings.go
+++ b/filbertd/internal/settings/settings.go
@@ -40,8 +40,6 @@
 	MinQueue = 16
 	// MaxQueue is the greatest capacity of a ring, in entries.
 	MaxQueue = 1 << 20
-	// MaxNameSize is the longest name, in bytes.
-	MaxNameSize = 64
 )
 
 // Settings are what one balancer is told at its start.
