feat: filbertctl, the operators' command line

Cause: operators need to check, preview and submit patches, to see balancers' state, and to start and follow a drain. Change: subcommands status, config check/diff/show, patch check/submit, drain upstream/balancer, zone out/in and explain; previews with capacity by service and zone; waits bounded in time that name what is still missing; exit codes by kind of failure; JSON everywhere. Ruled out: counting an upstream as idle once its keeper says so: two balancers may take themselves for the keeper for a while, so all must show none. Ruled out: taking a balancer's silence as its leave: the network may be silent too, so only a refused connection or another incarnation counts.

--- /dev/null
+++ b/filbertctl/internal/cmd/drainbalancer.go
@@ -0,0 +1,82 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/filbertctl/internal/fleet"
+	"filbertworks.example/filbertworks/filbertctl/internal/remote"
+)
+
+// A drainBalancer makes a balancer leave and follows it until it has left.
+type drainBalancer struct {
+	Admin  addressFlag `long:"admin" value-name:"IP:PORT" required:"true" description:"The balancer's admin endpoint"`
+	NoWait bool        `long:"no-wait" description:"Return once the leave has started"`
+	waitOptions
+
+	config *Config
+}
+
+// A DrainResult is what became of a balancer.
+type DrainResult struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	// Left tells that the program has seen the balancer gone.
+	Left bool `json:"left"`
+}
+
+// Execute runs the subcommand.
+func (o *drainBalancer) Execute([]string) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	balancer := remote.NewBalancer(o.config.HTTP, o.Admin.AddrPort)
+	before, err := balancer.Status(o.config.Context)
+	if err != nil {
+		return eris.Wrap(err, "status before the leave")
+	}
+	if err := balancer.Drain(o.config.Context); err != nil {
+		return eris.Wrap(err, "start the leave")
+	}
+	r := DrainResult{
+		Name:        before.Name,
+		Incarnation: before.Incarnation,
+	}
+	if !o.NoWait {
+		if err := o.follow(before.Incarnation); err != nil {
+			return eris.Wrapf(err, "%s was told to leave", r.Name)
+		}
+		r.Left = true
+	}
+	return o.config.write(r, func(w io.Writer) {
+		if r.Left {
+			printf(w, "%s has left\n", r.Name)
+			return
+		}
+		printf(w, "%s is leaving\n", r.Name)
+	})
+}
+
+// follow waits until nothing, or another process, answers at the address.
+// Silence is no proof: it may be the network's.
+func (o *drainBalancer) follow(incarnation string) error {
+	targets := []fleet.Target{
+		{Admin: o.Admin.AddrPort},
+	}
+	return o.config.wait(&o.waitOptions, func(ctx context.Context) []string {
+		r := &fleet.Gather(ctx, o.config.HTTP, targets)[0]
+		switch {
+		case r.Refused:
+			return nil
+		case r.Status == nil:
+			return []string{r.Label() + " does not answer: " + r.Error}
+		case r.Status.Incarnation != incarnation:
+			return nil
+		default:
+			return []string{fmt.Sprintf("%s has %d flows and %d requests", r.Label(), r.Status.Flows, r.Status.Requests)}
+		}
+	})
+}
--- /dev/null
+++ b/filbertctl/internal/cmd/main.go
@@ -0,0 +1,214 @@
+// Package cmd is the operators' command line: one file for each subcommand.
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// version is set by the linker for releases.
+var version = ""
+
+// Main runs the program with the process's arguments and returns its exit
+// code.
+func Main(arguments []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return Run(arguments, NewConfig(ctx))
+}
+
+// Run runs the program with some wiring and returns its exit code.
+func Run(arguments []string, c *Config) int {
+	err := parse(arguments, c)
+	if err == nil {
+		return ExitOK
+	}
+	if flags.WroteHelp(err) {
+		_, _ = fmt.Fprintln(c.Stdout, err)
+		return ExitOK
+	}
+	code := exitCode(err)
+	report(c, err, code)
+	return code
+}
+
+// globals are the options that every subcommand takes.
+type globals struct {
+	JSON    bool `long:"json" description:"Write JSON"`
+	Version bool `long:"version" description:"Print the version and exit"`
+}
+
+// parse reads the arguments and runs the subcommand that they name.
+func parse(arguments []string, c *Config) error {
+	var g globals
+	parser := flags.NewNamedParser("filbertctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddGroup("Global options", "", &g); err != nil {
+		return err
+	}
+	if err := addCommands(parser, c); err != nil {
+		return err
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		c.json = g.JSON
+		switch {
+		case g.Version:
+			return c.printVersion()
+		case command == nil && len(rest) > 0:
+			return usageErrorf("unknown subcommand %q; see filbertctl --help", rest[0])
+		case command == nil:
+			return usageErrorf("a subcommand is needed; see filbertctl --help")
+		case len(rest) > 0:
+			return usageErrorf("unexpected argument %q", rest[0])
+		default:
+			return command.Execute(nil)
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	c.json = g.JSON
+	return err
+}
+
+// A subcommand is one entry of the command line's tree.
+type subcommand struct {
+	name  string
+	short string
+	// data has the options and the method that runs them; nil where there are
+	// only children.
+	data     flags.Commander
+	children []subcommand
+}
+
+func addCommands(parser *flags.Parser, c *Config) error {
+	for _, s := range subcommands(c) {
+		if err := addCommand(parser.Command, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addCommand(parent *flags.Command, s subcommand) error {
+	var data any = &struct{}{}
+	if s.data != nil {
+		data = s.data
+	}
+	command, err := parent.AddCommand(s.name, s.short, "", data)
+	if err != nil {
+		return err
+	}
+	for _, child := range s.children {
+		if err := addCommand(command, child); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func subcommands(c *Config) []subcommand {
+	return []subcommand{
+		{
+			name:  "config",
+			short: "Check, compare or show configurations",
+			children: []subcommand{
+				{name: "check", short: "Check a configuration", data: &configCheck{config: c}},
+				{name: "diff", short: "Compare two configurations", data: &configDiff{config: c}},
+				{name: "show", short: "Show the configuration in force", data: &configShow{config: c}},
+			},
+		},
+		{
+			name:  "drain",
+			short: "Take an upstream or a balancer out of service gracefully",
+			children: []subcommand{
+				{name: "balancer", short: "Make a balancer leave", data: &drainBalancer{config: c}},
+				{name: "upstream", short: "Drain an upstream", data: &drainUpstream{config: c}},
+			},
+		},
+		{name: "explain", short: "Tell where a datagram would go", data: &explain{config: c}},
+		{
+			name:  "patch",
+			short: "Check or submit patches",
+			children: []subcommand{
+				{name: "check", short: "Check a patch", data: &patchCheck{config: c}},
+				{name: "submit", short: "Submit a patch", data: &patchSubmit{config: c}},
+			},
+		},
+		{name: "status", short: "Show the state of balancers", data: &showStatus{config: c}},
+		{
+			name:  "zone",
+			short: "Take a zone out or back in",
+			children: []subcommand{
+				{name: "in", short: "Take a zone back in", data: &zoneIn{zoneOptions: zoneOptions{config: c}}},
+				{name: "out", short: "Take a zone out", data: &zoneOut{zoneOptions: zoneOptions{config: c}}},
+			},
+		},
+	}
+}
+
+func (c *Config) printVersion() error {
+	return c.write(struct {
+		Version string `json:"version"`
+	}{
+		Version: buildVersion(),
+	}, func(w io.Writer) {
+		printf(w, "filbertctl %s\n", buildVersion())
+	})
+}
+
+func buildVersion() string {
+	if version != "" {
+		return version
+	}
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "(devel)"
+}
+
+// report writes an error to the standard error stream.
+func report(c *Config, err error, code int) {
+	if !c.json {
+		printf(c.Stderr, "filbertctl: %v\n", err)
+		return
+	}
+	// Nobody is left to hear of a failure to report a failure.
+	_ = json.NewEncoder(c.Stderr).Encode(errorReport(err, code))
+}
+
+// An ErrorReport is an error in JSON form.
+type ErrorReport struct {
+	Error string `json:"error"`
+	// Code is the exit code.
+	Code int `json:"code"`
+	// Missing is set where the wait for a state has timed out.
+	Missing []string `json:"missing,omitempty"`
+}
+
+func errorReport(err error, code int) ErrorReport {
+	r := ErrorReport{
+		Error: err.Error(),
+		Code:  code,
+	}
+	var t *TimeoutError
+	if errors.As(err, &t) {
+		r.Missing = t.Missing
+	}
+	return r
+}
+
+// osFiles are the files of the operating system.
+type osFiles struct{}
+
+// ReadFile returns the content of a file.
+func (osFiles) ReadFile(name string) ([]byte, error) {
+	return os.ReadFile(name) //nolint:gosec // the operator names the file
+}
--- /dev/null
+++ b/filbertctl/internal/cmd/showstatus.go
@@ -0,0 +1,164 @@
+package cmd
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/filbertctl/internal/fleet"
+	"filbertworks.example/filbertworks/status"
+)
+
+// A showStatus shows the state of balancers.
+type showStatus struct {
+	Admin    []addressFlag `long:"admin" value-name:"IP:PORT" description:"A balancer's admin endpoint; may be repeated"`
+	Platform urlFlag       `long:"platform" value-name:"URL" description:"The platform, whose list of VMs names the balancers"`
+
+	config *Config
+}
+
+// A Balancers is the state of balancers in the order of the arguments or of
+// the platform's list.
+type Balancers struct {
+	Balancers []fleet.Report `json:"balancers"`
+}
+
+// Execute runs the subcommand.
+func (o *showStatus) Execute([]string) error {
+	targets, err := o.targets()
+	if err != nil {
+		return err
+	}
+	reports := fleet.Gather(o.config.Context, o.config.HTTP, targets)
+	err = o.config.write(Balancers{Balancers: reports}, func(w io.Writer) {
+		printBalancers(w, reports)
+		printUpstreams(w, reports)
+	})
+	if err != nil {
+		return err
+	}
+	return silent(reports)
+}
+
+func (o *showStatus) targets() ([]fleet.Target, error) {
+	if (len(o.Admin) == 0) == (o.Platform.Host == "") {
+		return nil, usageErrorf("either --admin or --platform is needed")
+	}
+	if len(o.Admin) == 0 {
+		vms, err := o.config.platform(o.Platform).VMs(o.config.Context)
+		return fleet.Targets(vms), err
+	}
+	targets := make([]fleet.Target, 0, len(o.Admin))
+	for _, a := range o.Admin {
+		targets = append(targets, fleet.Target{Admin: a.AddrPort})
+	}
+	return targets, nil
+}
+
+// silent returns an error where a balancer did not answer.
+func silent(reports []fleet.Report) error {
+	count := 0
+	for i := range reports {
+		if reports[i].Status == nil {
+			count++
+		}
+	}
+	if count == 0 {
+		return nil
+	}
+	return eris.Errorf("%d of %d balancers did not answer", count, len(reports))
+}
+
+func printBalancers(w io.Writer, reports []fleet.Report) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	printf(t, "BALANCER\tZONE\tSTATE\tVERSION\tAGE\tPLATFORM\tMEMBERS\tFLOWS\tREQUESTS\n")
+	for i := range reports {
+		r := &reports[i]
+		s := r.Status
+		if s == nil {
+			printf(t, "%s\t%s\tno answer\t-\t-\t-\t-\t-\t-\n", r.Label(), orNone(r.Zone))
+			continue
+		}
+		printf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\n",
+			r.Label(), s.Zone, stateOf(s), s.Version, age(s.VersionAge), age(s.PlatformAge), len(s.Members), s.Flows, s.Requests)
+	}
+	_ = t.Flush()
+}
+
+// A row is an upstream as one balancer sees it.
+type row struct {
+	service  string
+	upstream status.Upstream
+	// exact tells that the balancer is the upstream's keeper.
+	exact bool
+}
+
+// printUpstreams writes each upstream once, as its keeper sees it where the
+// keeper has answered.
+func printUpstreams(w io.Writer, reports []fleet.Report) {
+	rows := rowsOf(reports)
+	if len(rows) == 0 {
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	printf(t, "\nSERVICE\tUPSTREAM\tZONE\tSTATE\tKEEPER\tLIMIT\tREQUESTS\tQUEUED\tCONNECTIONS\tSHEDS\n")
+	for i := range rows {
+		u := &rows[i].upstream
+		printf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n",
+			rows[i].service, u.Name, u.Zone, u.State, orNone(u.Keeper), u.Limit, u.Requests, u.Queued, u.Connections, u.Sheds)
+	}
+	_ = t.Flush()
+}
+
+func rowsOf(reports []fleet.Report) []row {
+	best := make(map[string]row)
+	for i := range reports {
+		s := reports[i].Status
+		if s == nil {
+			continue
+		}
+		for _, v := range s.Services {
+			for _, u := range v.Upstreams {
+				r := row{
+					service:  v.Name,
+					upstream: u,
+					exact:    u.Keeper == s.Name,
+				}
+				if old, ok := best[u.Name]; !ok || (r.exact && !old.exact) {
+					best[u.Name] = r
+				}
+			}
+		}
+	}
+	rows := make([]row, 0, len(best))
+	for _, r := range best {
+		rows = append(rows, r)
+	}
+	slices.SortFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.upstream.Name, b.upstream.Name))
+	})
+	return rows
+}
+
+func age(d config.Duration) string {
+	return time.Duration(d).Round(time.Second).String()
+}
+
+func stateOf(s *status.Status) string {
+	if s.Leaving {
+		return "leaving"
+	}
+	return "serving"
+}
+
+func printJSON(w io.Writer, v any) {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
--- /dev/null
+++ b/filbertctl/internal/cmd/zone.go
@@ -0,0 +1,64 @@
+package cmd
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/filbertctl/internal/fleet"
+)
+
+// zoneOptions are those of the subcommands that set a zone's state.
+type zoneOptions struct {
+	submitOptions
+	Arguments struct {
+		Name string `positional-arg-name:"NAME" required:"true" description:"A zone"`
+	} `positional-args:"yes"`
+
+	config *Config
+}
+
+// set submits a patch that sets the zone's state.
+func (o *zoneOptions) set(state config.ZoneState) error {
+	p := o.config.platform(o.Platform)
+	base, err := p.Snapshot(o.config.Context)
+	if err != nil {
+		return err
+	}
+	zones := base.Document.Zones
+	i := slices.IndexFunc(zones, func(z config.Zone) bool { return z.Name == o.Arguments.Name })
+	if i < 0 {
+		return eris.Errorf("no zone %q in version %d", o.Arguments.Name, base.Version)
+	}
+	zone := zones[i]
+	patch := &config.Patch{
+		Base:       base.Version,
+		Operations: []config.Operation{},
+	}
+	if zone.State != state {
+		zone.State = state
+		patch.Operations = append(patch.Operations, config.Operation{PutZone: &zone})
+	}
+	return o.config.submit(&o.submitOptions, p, base, patch, zoneGoal(base.Document, zone))
+}
+
+// zoneGoal returns what is waited for: a zone taken out has no work left, and
+// its balancers may be cut off.
+func zoneGoal(d *config.Document, zone config.Zone) *fleet.Goal {
+	if zone.State == config.ZoneIn {
+		return &fleet.Goal{}
+	}
+	goal := &fleet.Goal{
+		Idle: make(map[string]bool),
+		Lost: zone.Name,
+	}
+	for i := range d.Services {
+		for _, u := range d.Services[i].Upstreams {
+			if u.Zone == zone.Name {
+				goal.Idle[u.Name] = true
+			}
+		}
+	}
+	return goal
+}
--- /dev/null
+++ b/filbertctl/internal/fleet/report.go
@@ -0,0 +1,91 @@
+// Package fleet asks many balancers for their state at once.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"syscall"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/filbertctl/internal/remote"
+	"filbertworks.example/filbertworks/status"
+)
+
+// maxCalls is the greatest number of calls at a time.
+const maxCalls = 16
+
+// A Target is a balancer to ask.
+type Target struct {
+	// Name and Zone are empty where only the address is known.
+	Name  string         `json:"name,omitempty"`
+	Zone  string         `json:"zone,omitempty"`
+	Admin netip.AddrPort `json:"admin"`
+	// Leaving tells that the platform lists the VM as leaving.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// A Report is a balancer's answer.
+type Report struct {
+	Target
+	// Status is nil where there was no answer.
+	Status *status.Status `json:"status,omitempty"`
+	// Error tells why there was none.
+	Error string `json:"error,omitempty"`
+	// Refused tells that nothing listens at the address.
+	Refused bool `json:"-"`
+}
+
+// Label returns the balancer's name, or its address where it has none.
+func (r *Report) Label() string {
+	if r.Status != nil && r.Status.Name != "" {
+		return r.Status.Name
+	}
+	if r.Name != "" {
+		return r.Name
+	}
+	return r.Admin.String()
+}
+
+// Targets returns the balancers of a list of VMs.
+func Targets(vms []config.VM) []Target {
+	targets := make([]Target, 0, len(vms))
+	for i := range vms {
+		targets = append(targets, Target{
+			Name:    vms[i].Name,
+			Zone:    vms[i].Zone,
+			Admin:   vms[i].Admin,
+			Leaving: vms[i].State == config.VMLeaving,
+		})
+	}
+	return targets
+}
+
+// Gather returns the report of each target, in their order.
+func Gather(ctx context.Context, doer remote.Doer, targets []Target) []Report {
+	reports := make([]Report, len(targets))
+	free := make(chan struct{}, maxCalls)
+	var group sync.WaitGroup
+	for i := range targets {
+		free <- struct{}{}
+		group.Go(func() {
+			reports[i] = ask(ctx, doer, targets[i])
+			<-free
+		})
+	}
+	group.Wait()
+	return reports
+}
+
+func ask(ctx context.Context, doer remote.Doer, t Target) Report {
+	r := Report{Target: t}
+	s, err := remote.NewBalancer(doer, t.Admin).Status(ctx)
+	if err != nil {
+		r.Error = err.Error()
+		r.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		return r
+	}
+	r.Status = s
+	return r
+}
--- a/filbertctl/main.go
+++ b/filbertctl/main.go
@@ -1,4 +1,12 @@
 // Command filbertctl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"filbertworks.example/filbertworks/filbertctl/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:]))
+}
