--- a/filbertctl/internal/preview/preview_test.go
+++ b/filbertctl/internal/preview/preview_test.go
@@ -11,9 +11,9 @@
 
 func TestOf(t *testing.T) {
 	tests := []struct {
-		name   string
-		change func(*config.Document)
-		want   []string
+		name     string
+		change   func(*config.Document)
+		want     []string
 		capacity []Capacity
 	}{
 		{name: "nothing", change: func(*config.Document) {}},
