test: promises proved on whole systems of real processes under faults

Cause: nothing showed the promises to hold under failure. Ruled out: proving them in cores alone; kills, pauses and restarts need processes. No simulator: the harness only starts, signals and asks.

--- a/filbertd/internal/daemon/journal.go
+++ b/filbertd/internal/daemon/journal.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/hex"
 	"net/netip"
 
 	"github.com/sirupsen/logrus"
@@ -76,7 +77,7 @@
 		"service":  r.service,
 		"caller":   r.caller,
 		"kind":     r.kind,
-		"token":    r.token.Bytes[:r.token.Size],
+		"token":    hex.EncodeToString(r.token.Slice()),
 		"upstream": r.upstream,
 		"keeper":   r.keeper,
 		"reason":   r.reason,
--- /dev/null
+++ b/internal/system/control.go
@@ -0,0 +1,166 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/status"
+)
+
+// ErrConflict reports a patch whose base is not the version in force.
+var ErrConflict = eris.New("patch conflicts with the version in force")
+
+// An UpstreamCount is what a stand-in upstream counted since its start.
+type UpstreamCount struct {
+	Requests     uint64 `json:"requests"`
+	Sheds        uint64 `json:"sheds"`
+	Runs         uint64 `json:"runs"`
+	DoubleRuns   uint64 `json:"doubleRuns"`
+	WrongService uint64 `json:"wrongService"`
+	MaxRequests  int    `json:"maxRequests"`
+	Connections  int    `json:"connections"`
+	Overloaded   uint64 `json:"overloaded"`
+}
+
+// Counts returns the upstreams' counts by name.
+func (s *System) Counts(ctx context.Context) (map[string]UpstreamCount, error) {
+	counts := make(map[string]UpstreamCount)
+	return counts, s.get(ctx, s.faults("/standin/counters"), &counts)
+}
+
+// FaultPlatform sets the platform's faults, such as {"down":true}.
+func (s *System) FaultPlatform(ctx context.Context, fault string) error {
+	_, err := s.post(ctx, s.platform("/standin/faults"), []byte(fault))
+	return err
+}
+
+// FaultUpstream sets faults of upstreams, such as {"upstream":"","cold":true}.
+func (s *System) FaultUpstream(ctx context.Context, fault string) error {
+	_, err := s.post(ctx, s.faults("/standin/faults"), []byte(fault))
+	return err
+}
+
+// Patch submits operations on version base. The error is ErrConflict where
+// another version is in force.
+func (s *System) Patch(ctx context.Context, base config.Version, operations ...config.Operation) error {
+	data, err := json.Marshal(config.Patch{
+		Base:       base,
+		Operations: operations,
+	})
+	if err != nil {
+		return eris.Wrap(err, "encode patch")
+	}
+	code, err := s.post(ctx, s.platform(config.PathPatch), data)
+	if code == http.StatusConflict {
+		return ErrConflict
+	}
+	return err
+}
+
+// Ready waits until every balancer is ready to serve callers.
+func (s *System) Ready(ctx context.Context) error {
+	for i := range s.vms {
+		if err := s.await(ctx, "http://"+s.vms[i].Admin.String()+status.PathReady); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Status returns the state of a balancer.
+func (s *System) Status(ctx context.Context, name string) (status.Status, error) {
+	for i := range s.vms {
+		if s.vms[i].Name == name {
+			var v status.Status
+			return v, s.get(ctx, "http://"+s.vms[i].Admin.String()+status.PathStatus, &v)
+		}
+	}
+	return status.Status{}, eris.Errorf("no balancer %s", name)
+}
+
+// Until waits until a condition holds, or fails after a time.
+func (s *System) Until(ctx context.Context, within time.Duration, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return eris.Errorf("%s: not within %v", what, within)
+		}
+	}
+	return nil
+}
+
+// await waits until a URL answers 200.
+func (s *System) await(ctx context.Context, url string) error {
+	return s.Until(ctx, readyTimeout, url, func() bool {
+		return s.get(ctx, url, nil) == nil
+	})
+}
+
+func (s *System) faults(path string) string {
+	return "http://" + s.address(0, 1, portFaults).String() + path
+}
+
+// get reads JSON from a URL into v, if v is not nil.
+func (s *System) get(ctx context.Context, url string, v any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	data, _, err := s.do(request)
+	if err != nil || v == nil {
+		return err
+	}
+	return eris.Wrapf(json.Unmarshal(data, v), "decode %s", url)
+}
+
+func (s *System) do(request *http.Request) (body []byte, code int, err error) {
+	response, err := s.client.Do(request)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "call")
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = io.ReadAll(response.Body)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "read answer")
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, response.StatusCode, eris.Errorf("%s: %s: %s", request.URL, response.Status, body)
+	}
+	return body, response.StatusCode, nil
+}
+
+func (s *System) platform(path string) string {
+	return "http://" + s.address(0, 1, portPlatform).String() + path
+}
+
+func (s *System) post(ctx context.Context, url string, body []byte) (code int, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, eris.Wrap(err, "request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	_, code, err = s.do(request)
+	return code, err
+}
+
+// publishVMs makes the platform list the balancers that run.
+func (s *System) publishVMs(ctx context.Context) error {
+	data, err := json.Marshal(config.VMList{VMs: s.vms})
+	if err != nil {
+		return eris.Wrap(err, "encode VMs")
+	}
+	_, err = s.post(ctx, s.platform("/standin/vms"), data)
+	return err
+}
--- /dev/null
+++ b/internal/system/load.go
@@ -0,0 +1,106 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// A Load is what the callers of a system do.
+type Load struct {
+	// Watches is the number of open calendars.
+	Watches int
+	// Holds and Photos are requests a second.
+	Holds    int
+	Photos   int
+	Duration time.Duration
+	Seed     uint64
+}
+
+// A Tally counts callers' flows and requests by what became of them.
+type Tally struct {
+	Opened     int `json:"opened"`
+	Answered   int `json:"answered"`
+	Refused    int `json:"refused"`
+	MayHaveRun int `json:"mayHaveRun"`
+	Broken     int `json:"broken"`
+	Wrong      int `json:"wrong"`
+}
+
+// A Row is the tally of one service and zone.
+type Row struct {
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Tally
+}
+
+// A Caller is a load in progress.
+type Caller struct {
+	command *exec.Cmd
+	output  bytes.Buffer
+	errors  bytes.Buffer
+}
+
+// Call starts a load on all balancers.
+func (s *System) Call(ctx context.Context, l Load) (*Caller, error) {
+	arguments := []string{
+		"--config", s.file("config.json"),
+		"--platform", s.platform(""),
+		"--watches", strconv.Itoa(l.Watches),
+		"--holds", strconv.Itoa(l.Holds),
+		"--photos", strconv.Itoa(l.Photos),
+		"--duration", l.Duration.String(),
+		"--seed", strconv.FormatUint(l.Seed, 10),
+		"--source", fmt.Sprintf("127.%d.128.0/17", s.layout.Subnet),
+		"--json",
+	}
+	arguments = slices.Concat(arguments, s.callerFlags())
+	c := &Caller{
+		command: exec.CommandContext(ctx, filepath.Join(s.layout.Programs, "caller"), arguments...), //nolint:gosec // the test names the program
+	}
+	c.command.Stdout = &c.output
+	c.command.Stderr = &c.errors
+	return c, eris.Wrap(c.command.Start(), "start caller")
+}
+
+// callerFlags returns the flags that name all balancers.
+func (s *System) callerFlags() []string {
+	all := make([]string, 0, 2*len(s.vms))
+	for i := range s.vms {
+		all = append(all, "--balancer", s.vms[i].Relay.Addr().String())
+	}
+	return all
+}
+
+// Wait waits for the end of the load and returns its tallies.
+func (c *Caller) Wait() ([]Row, error) {
+	// A failed run has a report too; the rows tell why.
+	_ = c.command.Wait()
+	var rows []Row
+	if err := json.Unmarshal(c.output.Bytes(), &rows); err != nil {
+		return nil, eris.Wrapf(err, "report %q, errors %q", c.output.String(), c.errors.String())
+	}
+	return rows, nil
+}
+
+// Total returns the sum of rows.
+func Total(rows []Row) Tally {
+	var t Tally
+	for i := range rows {
+		t.Opened += rows[i].Opened
+		t.Answered += rows[i].Answered
+		t.Refused += rows[i].Refused
+		t.MayHaveRun += rows[i].MayHaveRun
+		t.Broken += rows[i].Broken
+		t.Wrong += rows[i].Wrong
+	}
+	return t
+}
--- /dev/null
+++ b/internal/system/system.go
@@ -0,0 +1,310 @@
+// Package system runs whole systems of real processes on loopback for tests: a
+// stand-in platform, stand-in upstreams, balancers and stand-in callers.
+package system
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+// Ports of a system's processes.
+const (
+	portPlatform = 7300
+	portFaults   = 7310
+	portRelay    = 7400
+	portControl  = 7401
+	portAdmin    = 7402
+	portDesk     = 5683
+	portLookbook = 5684
+	portUpstream = 5683
+)
+
+// Times of a system.
+const (
+	// readyTimeout bounds the start of a process.
+	readyTimeout = 30 * time.Second
+	// callTimeout bounds a call to a process.
+	callTimeout = 5 * time.Second
+	// pollInterval is the pause between two looks at a condition.
+	pollInterval = 50 * time.Millisecond
+	// Deadline is the request deadline of the services.
+	Deadline = 2 * time.Second
+	// Refresh is the refresh interval of watches.
+	Refresh = 2 * time.Second
+)
+
+// Zones are the availability zones of a system.
+var Zones = []string{"tx-central-a", "tx-central-b", "tx-central-c"}
+
+// Names of the services of a system.
+const (
+	RentalDesk = "rental-desk"
+	Lookbook   = "lookbook"
+)
+
+// A Layout says what a system consists of.
+type Layout struct {
+	// Programs is the directory of the built programs.
+	Programs string
+	// Directory holds settings and logs.
+	Directory string
+	// Subnet makes addresses distinct from those of other systems: all lie in
+	// 127.Subnet.0.0/16.
+	Subnet uint8
+	// BalancersPerZone is at least one.
+	BalancersPerZone int
+	// DesksPerZone is the number of rental-desk upstreams of each zone.
+	DesksPerZone int
+	// Work is the mean service time of a request.
+	Work time.Duration
+}
+
+// A System is a running system.
+type System struct {
+	layout    Layout
+	processes map[string]*process
+	client    *http.Client
+	vms       []config.VM
+}
+
+// Start starts the platform, the upstreams and all balancers, and waits until
+// they are ready.
+func Start(ctx context.Context, l Layout) (*System, error) {
+	s := &System{
+		layout:    l,
+		processes: make(map[string]*process),
+		client:    &http.Client{Timeout: callTimeout},
+	}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Balancers returns the names of the balancers that were started, in the order
+// of their starts.
+func (s *System) Balancers() []string {
+	names := make([]string, 0, len(s.vms))
+	for i := range s.vms {
+		names = append(names, s.vms[i].Name)
+	}
+	return names
+}
+
+// Kill ends a process at once.
+func (s *System) Kill(name string) error {
+	return s.signal(name, syscall.SIGKILL)
+}
+
+// Leave asks a balancer to leave and waits until it has ended.
+func (s *System) Leave(name string) error {
+	return s.processes[name].stop()
+}
+
+// Pause stops a process from running until Resume.
+func (s *System) Pause(name string) error {
+	return s.signal(name, syscall.SIGSTOP)
+}
+
+// Replace starts a balancer under a new name at the place of one that has
+// ended, and waits until it is ready.
+func (s *System) Replace(ctx context.Context, ended string) (string, error) {
+	for i := range s.vms {
+		if s.vms[i].Name != ended {
+			continue
+		}
+		s.vms[i].Name = ended + "x"
+		if err := s.publishVMs(ctx); err != nil {
+			return "", err
+		}
+		return s.vms[i].Name, s.startBalancer(ctx, &s.vms[i])
+	}
+	return "", eris.Errorf("no balancer %s", ended)
+}
+
+// Resume lets a paused process run on.
+func (s *System) Resume(name string) error {
+	return s.signal(name, syscall.SIGCONT)
+}
+
+// Stop ends all processes.
+func (s *System) Stop() {
+	for _, p := range s.processes {
+		_ = p.signal(syscall.SIGCONT)
+		_ = p.signal(syscall.SIGKILL)
+	}
+	for _, p := range s.processes {
+		<-p.done
+	}
+}
+
+// Document returns the configuration that a system starts with.
+func (s *System) Document() *config.Document {
+	d := &config.Document{
+		Keys: []config.Key{{
+			ID:     1,
+			Secret: make([]byte, config.MinSecretSize),
+		}},
+	}
+	// Read never fails on the supported systems.
+	_, _ = rand.Read(d.Keys[0].Secret)
+	for _, z := range Zones {
+		d.Zones = append(d.Zones, config.Zone{
+			Name:   z,
+			Region: "tx-central",
+			State:  config.ZoneIn,
+		})
+	}
+	d.Services = []config.Service{
+		s.service(1, RentalDesk, portDesk, s.layout.DesksPerZone),
+		s.service(2, Lookbook, portLookbook, 1),
+	}
+	return d
+}
+
+// Upstream returns an upstream of a service: its number counts from one and
+// its address is that of no other upstream.
+func (s *System) Upstream(service string, number int, zone string) config.Upstream {
+	block := byte(2)
+	if service == Lookbook {
+		block = 3
+	}
+	return config.Upstream{
+		ID:          uint32(block)*1000 + uint32(number),
+		Name:        fmt.Sprintf("%s-%d", service, number),
+		Zone:        zone,
+		Address:     s.address(block, byte(number), portUpstream),
+		Share:       100,
+		Slots:       4,
+		Connections: 2000,
+		State:       config.UpstreamActive,
+	}
+}
+
+// address returns 127.Subnet.block.number:port.
+func (s *System) address(block, number byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.layout.Subnet, block, number}), port)
+}
+
+func (s *System) file(name string) string {
+	return filepath.Join(s.layout.Directory, name)
+}
+
+func (s *System) run(name, program string, arguments ...string) error {
+	p, err := startProcess(name, s.file(name+".log"), filepath.Join(s.layout.Programs, program), arguments...)
+	if err != nil {
+		return err
+	}
+	s.processes[name] = p
+	return nil
+}
+
+func (s *System) service(id uint32, name string, port uint16, perZone int) config.Service {
+	v := config.Service{
+		ID:       id,
+		Name:     name,
+		Address:  s.address(1, 100, port),
+		Deadline: config.Duration(Deadline),
+		Refresh:  config.Duration(Refresh),
+	}
+	for i := range perZone * len(Zones) {
+		v.Upstreams = append(v.Upstreams, s.Upstream(name, i+1, Zones[i%len(Zones)]))
+	}
+	return v
+}
+
+func (s *System) signal(name string, sig syscall.Signal) error {
+	p := s.processes[name]
+	if p == nil {
+		return eris.Errorf("no process %s", name)
+	}
+	return p.signal(sig)
+}
+
+func (s *System) start(ctx context.Context) error {
+	document := s.Document()
+	if err := s.write("config.json", document); err != nil {
+		return err
+	}
+	s.layOutVMs()
+	if err := s.write("vms.json", config.VMList{VMs: s.vms}); err != nil {
+		return err
+	}
+	if err := s.run("platform", "platform", "--listen", s.address(0, 1, portPlatform).String(),
+		"--config", s.file("config.json"), "--vms", s.file("vms.json")); err != nil {
+		return err
+	}
+	if err := s.run("upstream", "upstream", "--config", s.file("config.json"),
+		"--control", s.address(0, 1, portFaults).String(), "--work", s.layout.Work.String()); err != nil {
+		return err
+	}
+	for _, url := range []string{s.platform("/standin/calls"), s.faults("/standin/counters")} {
+		if err := s.await(ctx, url); err != nil {
+			return err
+		}
+	}
+	for i := range s.vms {
+		if err := s.startBalancer(ctx, &s.vms[i]); err != nil {
+			return err
+		}
+	}
+	return s.Ready(ctx)
+}
+
+func (s *System) layOutVMs() {
+	for i := range s.layout.BalancersPerZone * len(Zones) {
+		number := byte(i + 1)
+		s.vms = append(s.vms, config.VM{
+			Name:    fmt.Sprintf("lb-%d", number),
+			Zone:    Zones[i%len(Zones)],
+			Relay:   s.address(1, number, portRelay),
+			Control: s.address(1, number, portControl),
+			Admin:   s.address(1, number, portAdmin),
+			State:   config.VMLive,
+		})
+	}
+}
+
+func (s *System) startBalancer(_ context.Context, v *config.VM) error {
+	settings := fmt.Sprintf(`name = %q
+zone = %q
+[callers]
+ip = %q
+[relay]
+listen = %q
+[control]
+listen = %q
+[admin]
+listen = %q
+[upstreams]
+ip = %q
+[platform]
+url = %q
+`, v.Name, v.Zone, v.Relay.Addr(), v.Relay, v.Control, v.Admin, v.Relay.Addr(), s.platform(""))
+	file := s.file(v.Name + ".toml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	return s.run(v.Name, "filbertd", "--settings", file)
+}
+
+func (s *System) write(name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return eris.Wrapf(err, "encode %s", name)
+	}
+	return eris.Wrapf(os.WriteFile(s.file(name), data, 0o600), "write %s", name)
+}
--- /dev/null
+++ b/proof/faults_test.go
@@ -0,0 +1,159 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/internal/system"
+)
+
+// Times of faults.
+const (
+	// inForce bounds the spread of a configuration version.
+	inForce = 3 * time.Second
+	// pauseTime is longer than a member may be unheard.
+	pauseTime = 6 * time.Second
+	// zoneOutTime is how long a zone stays taken out.
+	zoneOutTime = 4 * time.Second
+)
+
+func killBalancer(_ context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.Kill(s.Balancers()[0]))
+}
+
+func replaceBalancer(ctx context.Context, t *testing.T, s *system.System) {
+	leaver := s.Balancers()[1]
+	require.NoError(t, s.Leave(leaver))
+	_, err := s.Replace(ctx, leaver)
+	require.NoError(t, err)
+	require.NoError(t, s.Ready(ctx))
+}
+
+func replaceAndDrain(ctx context.Context, t *testing.T, s *system.System) {
+	added := s.Upstream(system.RentalDesk, 1, system.Zones[0])
+	added.State = config.UpstreamDraining
+	require.NoError(t, s.Patch(ctx, 1, config.Operation{
+		PutUpstream: &config.PutUpstream{
+			Service:  system.RentalDesk,
+			Upstream: added,
+		},
+	}))
+	replaceBalancer(ctx, t, s)
+	added.State = config.UpstreamActive
+	require.NoError(t, s.Patch(ctx, 2, config.Operation{
+		PutUpstream: &config.PutUpstream{
+			Service:  system.RentalDesk,
+			Upstream: added,
+		},
+	}))
+	awaitVersion(ctx, t, s, 3)
+}
+
+func pauseBalancer(_ context.Context, t *testing.T, s *system.System) {
+	paused := s.Balancers()[0]
+	require.NoError(t, s.Pause(paused))
+	wait(t, pauseTime)
+	require.NoError(t, s.Resume(paused))
+}
+
+func platformDown(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultPlatform(ctx, `{"down":true}`))
+	leaver := s.Balancers()[1]
+	require.NoError(t, s.Kill(leaver))
+	wait(t, 4*time.Second)
+	for _, name := range s.Balancers()[2:] {
+		v, err := s.Status(ctx, name)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, v.Version)
+	}
+}
+
+func restartUpstream(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultUpstream(ctx, `{"upstream":"rental-desk-1","restart":true}`))
+}
+
+func coldUpstreams(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultUpstream(ctx, `{"cold":true}`))
+}
+
+func silentPaths(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultUpstream(ctx, `{"silent":true}`))
+}
+
+// raceOperators submits two patches on the same version: one is accepted whole
+// and the other not at all.
+func raceOperators(ctx context.Context, t *testing.T, s *system.System) {
+	results := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			u := s.Upstream(system.RentalDesk, i+1, system.Zones[i])
+			u.Share = 50
+			results <- s.Patch(ctx, 1, config.Operation{
+				PutUpstream: &config.PutUpstream{
+					Service:  system.RentalDesk,
+					Upstream: u,
+				},
+			})
+		}()
+	}
+	first, second := <-results, <-results
+	if first != nil {
+		first, second = second, first
+	}
+	require.NoError(t, first)
+	require.True(t, errors.Is(second, system.ErrConflict), "%v", second)
+	awaitVersion(ctx, t, s, 2)
+}
+
+// zoneOutAndBack requires that a zone taken out receives no packets three
+// seconds after its version was accepted, and that it serves again afterwards.
+func zoneOutAndBack(ctx context.Context, t *testing.T, s *system.System) {
+	zone := config.Zone{
+		Name:   system.Zones[2],
+		Region: "tx-central",
+		State:  config.ZoneOut,
+	}
+	require.NoError(t, s.Patch(ctx, 1, config.Operation{PutZone: &zone}))
+	awaitVersion(ctx, t, s, 2)
+	before := zoneRequests(ctx, t, s, system.Zones[2])
+	wait(t, zoneOutTime)
+	require.Equal(t, before, zoneRequests(ctx, t, s, system.Zones[2]), "requests into the zone")
+	zone.State = config.ZoneIn
+	require.NoError(t, s.Patch(ctx, 2, config.Operation{PutZone: &zone}))
+	awaitVersion(ctx, t, s, 3)
+	require.NoError(t, s.Until(ctx, 10*time.Second, "requests into the returned zone", func() bool {
+		return zoneRequests(ctx, t, s, system.Zones[2]) > before
+	}))
+}
+
+// zoneRequests returns the number of requests that a zone's upstreams received.
+func zoneRequests(ctx context.Context, t *testing.T, s *system.System, zone string) uint64 {
+	t.Helper()
+	counts, err := s.Counts(ctx)
+	require.NoError(t, err)
+	var n uint64
+	for _, v := range s.Document().Services {
+		for i := range v.Upstreams {
+			if v.Upstreams[i].Zone == zone {
+				n += counts[v.Upstreams[i].Name].Requests
+			}
+		}
+	}
+	return n
+}
+
+// wait lets a fault last for a time.
+func wait(t *testing.T, d time.Duration) {
+	t.Helper()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.Context().Done():
+	}
+}
