fix: late answers, moved retransmissions and planned changes of non-idempotent requests

Cause: generated histories over three balancers, a fake clock and a fake network showed outcomes left unknown: answers after the deadline were thrown away, a retransmission from another port or token was not followed, a reused token cancelled an execution, removing an upstream or taking a zone out answered may-have-run at once, and balancers of an older version refused tickets sealed with a key that had just come. Message ids started at 1 in each process and were shared by all upstreams, so that strict receivers would take new messages for duplicates. The stand-in caller answered a challenge under the token of the challenged request, so that a second, late challenge looked like a refusal of the request with the ticket. Ruled out: stating not-run to more callers; asking an upstream again, since a non-idempotent request is sent once; clocks compared between VMs. Change: the ledger finds an execution by its upstream token and settles it late; retransmissions re-attach; a reused token detaches instead of cancelling; executions at removed upstreams or in zones taken out wait for their answer while nothing is sent there; an earlier key seals for 10 s more; retention 60 s -> 145 s (MAX_TRANSMIT_SPAN + MAX_LATENCY); message ids per upstream, started at random; a new token for each challenge.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -76,7 +76,9 @@
 	// config is nil until the first configuration is in force.
 	config *config.Snapshot
 	sealer *ticket.Sealer
-	table  *member.Table
+	// sealing is the key with which sealer seals.
+	sealing config.Key
+	table   *member.Table
 	// settled tells that members not in table are gone.
 	settled bool
 	// opened is scratch space for the ticket of the datagram in hand.
@@ -127,15 +129,8 @@
 	if b.config != nil && c.Version <= b.config.Version {
 		return false
 	}
+	b.setKeys(now, b.config, c)
 	b.config = c
-	keys := make([]ticket.Key, 0, len(c.Document.Keys))
-	for _, k := range c.Document.Keys {
-		keys = append(keys, ticket.Key{
-			ID:     k.ID,
-			Secret: k.Secret,
-		})
-	}
-	b.sealer = ticket.NewSealer(keys...)
 	b.keeper.Configure(now, c)
 	return true
 }
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -135,6 +135,10 @@
 }
 
 func (d *Daemon) send(p *path, b []byte) {
+	if p.retired {
+		d.counters.add("send", "retired-path")
+		return
+	}
 	if _, err := p.socket.Write(b); err != nil {
 		d.counters.add("send", "upstream")
 	}
--- a/filbertd/internal/daemon/path.go
+++ b/filbertd/internal/daemon/path.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -15,6 +16,9 @@
 	upstream uint32
 	remote   netip.AddrPort
 	socket   *net.UDPConn
+	// retired paths only receive: answers to requests in progress may still
+	// come, and nothing may be sent. It belongs to the loop's goroutine.
+	retired bool
 }
 
 // A pathSet holds the paths that are in use.
@@ -32,7 +36,7 @@
 	}
 }
 
-// close closes all paths.
+// close closes all paths in use; retired ones close by their timers.
 func (s *pathSet) close() {
 	for id, p := range s.paths {
 		_ = p.socket.Close()
@@ -40,18 +44,24 @@
 	}
 }
 
-// configure closes the paths to upstreams that are gone, have another address
+// configure retires the paths to upstreams that are gone, have another address
 // or lie in zones taken out.
 func (s *pathSet) configure(c *config.Snapshot) {
 	for id, p := range s.paths {
 		u := c.Upstream(id).Upstream
 		if u == nil || u.Address != p.remote || !c.ZoneIn(u.Zone) {
-			_ = p.socket.Close()
 			delete(s.paths, id)
+			s.retire(p)
 		}
 	}
 }
 
+// retire closes a path once every request on it has passed its deadline.
+func (s *pathSet) retire(p *path) {
+	p.retired = true
+	time.AfterFunc(config.MaxDeadline, func() { _ = p.socket.Close() })
+}
+
 // to returns the path to u, which it opens if need be.
 func (s *pathSet) to(u *config.Upstream) (*path, error) {
 	if p := s.paths[u.ID]; p != nil {
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -34,6 +34,12 @@
 	kind packet.Kind
 	// confirmable tells that the caller's message awaits an acknowledgement.
 	confirmable bool
+	// detached tells that key leads to another exchange: the caller has used its
+	// token again.
+	detached bool
+	// closed tells that nothing more may be sent to the upstream; its answer is
+	// still awaited.
+	closed bool
 	// settled tells that a watch has been confirmed by its upstream.
 	settled bool
 	// message is the caller's latest message id, forwarded the one used
@@ -69,7 +75,7 @@
 
 // add opens an exchange; ok is false where the table is full.
 func (t *exchangeTable) add(key exchangeKey) (place uint32, ok bool) {
-	if len(t.index) >= t.limit {
+	if t.len() >= t.limit {
 		return 0, false
 	}
 	if n := len(t.free); n > 0 {
@@ -98,6 +104,24 @@
 	return place, t.get(place, binary.BigEndian.Uint32(token.Bytes[4:]))
 }
 
+// attach makes key lead to the exchange at a place; no exchange has key.
+func (t *exchangeTable) attach(place uint32, key exchangeKey) {
+	e := &t.places[place]
+	t.detach(place)
+	e.key = key
+	e.detached = false
+	t.index[key] = place
+}
+
+// detach leaves the exchange at a place open without a key that leads to it.
+func (t *exchangeTable) detach(place uint32) {
+	e := &t.places[place]
+	if !e.detached {
+		delete(t.index, e.key)
+	}
+	e.detached = true
+}
+
 func (t *exchangeTable) find(key exchangeKey) (uint32, *exchange) {
 	place, ok := t.index[key]
 	if !ok {
@@ -118,9 +142,14 @@
 	return e
 }
 
+// len returns the number of open exchanges.
+func (t *exchangeTable) len() int {
+	return len(t.places) - len(t.free)
+}
+
 func (t *exchangeTable) remove(place uint32) {
 	e := &t.places[place]
-	delete(t.index, e.key)
+	t.detach(place)
 	*e = exchange{generation: e.generation + 1}
 	t.free = append(t.free, place)
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -21,8 +21,11 @@
 	// non-idempotent request.
 	ExecutionLifetime = 10 * time.Second
 	// AnswerRetention is how long answers to non-idempotent requests are kept
-	// after their ticket has expired.
-	AnswerRetention = 60 * time.Second
+	// after their ticket has expired: the longest time between the first
+	// transmission of a message and the arrival of its last retransmission
+	// (RFC 7252, MAX_TRANSMIT_SPAN and MAX_LATENCY). It exceeds
+	// config.MaxDeadline, so that an execution ends before its entry.
+	AnswerRetention = 145 * time.Second
 	// WatchLeaseIntervals is how many refresh intervals a watch outlives its
 	// last refresh.
 	WatchLeaseIntervals = 3
@@ -61,9 +64,12 @@
 	exchanges   *exchangeTable
 	ledger      *ledger
 	gates       map[uint32]*upstream.Gate
-	// message numbers the messages that the keeper sends by itself.
-	message uint16
-	sealed  [ticket.Size]byte
+	// message is the last message id towards callers, messages that towards each
+	// upstream. They start at random, since receivers take a repeated id for a
+	// duplicate (RFC 7252, section 4.5), and callers hear several keepers.
+	message  uint16
+	messages map[uint32]uint16
+	sealed   [ticket.Size]byte
 }
 
 // New returns a keeper of a process that started at start under a random
@@ -78,14 +84,19 @@
 		exchanges:   newExchangeTable(limits.Exchanges),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
 		gates:       make(map[uint32]*upstream.Gate),
+		message:     uint16(incarnation),
+		messages:    make(map[uint32]uint16),
 	}
 }
 
 // Answer takes an upstream's message and reports whether it belongs to an open
-// exchange.
+// exchange or a remembered execution.
 func (k *Keeper) Answer(now time.Time, from uint32, a *Answer, datagram []byte) bool {
 	place, e := k.exchanges.at(a.Token)
-	if e == nil || e.upstream != from {
+	if e == nil {
+		return k.lateAnswer(from, a, datagram)
+	}
+	if e.upstream != from {
 		return false
 	}
 	switch e.kind {
@@ -124,7 +135,7 @@
 
 // Exchanges returns the number of open watches and requests.
 func (k *Keeper) Exchanges() int {
-	return len(k.exchanges.index)
+	return k.exchanges.len()
 }
 
 // Expire ends the exchange or drops the ledger entry that a timer was set for.
@@ -143,10 +154,7 @@
 		k.cancel(place, e)
 		k.endWatch(now, place, e)
 	case packet.KindOnce:
-		k.ledger.entries[e.serial].state = entryUnknown
-		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonTimeout)
-		k.cancel(place, e)
-		k.endRequest(now, place, e, upstream.ResultTimeout)
+		k.onceTimeout(now, place, e)
 	default:
 		k.cancel(place, e)
 		k.endRequest(now, place, e, upstream.ResultTimeout)
@@ -188,9 +196,8 @@
 	case packet.KindWatchOpen:
 		k.endWatch(now, place, e)
 	case packet.KindOnce:
-		k.ledger.entries[e.serial].state = entryUnknown
-		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonZoneOut)
-		k.endRequest(now, place, e, upstream.ResultCancelled)
+		// The answer is on its way, and nothing is sent to receive it.
+		e.closed = true
 	default:
 		k.endRequest(now, place, e, upstream.ResultCancelled)
 	}
@@ -278,7 +285,19 @@
 	return verdict.ReasonNone
 }
 
-// nextMessage returns a message id for a message of the keeper's own.
+// nextForwarded returns a message id for a message to an upstream.
+func (k *Keeper) nextForwarded(id uint32) uint16 {
+	n, ok := k.messages[id]
+	if !ok {
+		n = k.message
+	}
+	n++
+	k.messages[id] = n
+	return n
+}
+
+// nextMessage returns a message id for a message of the keeper's own to a
+// caller.
 func (k *Keeper) nextMessage() uint16 {
 	k.message++
 	return k.message
@@ -294,7 +313,7 @@
 	e.kind = r.Header.Kind
 	e.confirmable = r.Header.Confirmable
 	e.message = r.Header.Message
-	e.forwarded = k.nextMessage()
+	e.forwarded = k.nextForwarded(r.Upstream.ID)
 	e.service = r.Service.ID
 	e.upstream = r.Upstream.ID
 	e.sent = now.Sub(k.start)
@@ -316,15 +335,18 @@
 	k.outlet.Refuse(h, newRefusal(v, reason, 0))
 }
 
-// supersede ends an exchange whose caller reuses the token.
+// supersede ends an exchange whose caller reuses the token. A non-idempotent
+// request goes on, since the reuse may be a delayed duplicate; its answer waits
+// for a retransmission.
 func (k *Keeper) supersede(now time.Time, place uint32, e *exchange) {
+	if e.kind == packet.KindOnce {
+		k.exchanges.detach(place)
+		return
+	}
 	k.cancel(place, e)
 	if e.kind == packet.KindWatchOpen {
 		k.endWatch(now, place, e)
 		return
 	}
-	if e.kind == packet.KindOnce {
-		k.ledger.entries[e.serial].state = entryUnknown
-	}
 	k.endRequest(now, place, e, upstream.ResultCancelled)
 }
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/verdict"
 )
 
@@ -25,17 +26,31 @@
 	state entryState
 	// digest is that of the only request that the serial may execute.
 	digest uint64
+	// upstream and token name the execution where it has begun.
+	upstream uint32
+	token    packet.Token
 	// answer is the upstream's datagram, set in state entryAnswered.
 	answer []byte
 	// reason is set in state entryRefused.
 	reason verdict.Reason
 }
 
+// settle stores the answer to an execution whose outcome was open.
+func (n *entry) settle(datagram []byte) {
+	if n.state != entrySent && n.state != entryUnknown {
+		return
+	}
+	n.state = entryAnswered
+	n.answer = append([]byte(nil), datagram...)
+}
+
 // A ledger decides for each serial issued by this process whether it may be
 // executed. Invariant: for each serial at most one call of begin succeeds, and
 // none after any answer has stated that the serial has not run.
 type ledger struct {
 	entries map[uint64]*entry
+	// serials leads from the tokens of entries that have begun to their keys.
+	serials map[packet.Token]uint64
 	limit   int
 	// issued is the last serial issued.
 	issued uint64
@@ -48,23 +63,49 @@
 func newLedger(limit int, retention time.Duration) *ledger {
 	return &ledger{
 		entries:   make(map[uint64]*entry),
+		serials:   make(map[packet.Token]uint64),
 		limit:     limit,
 		retention: retention,
 	}
 }
 
-// begin records that serial is about to be executed; it is called only after
-// judge returned nil and before the request is sent.
-func (l *ledger) begin(serial, digest uint64) {
+// begin records that serial is about to be executed at an upstream under a
+// token; it is called only after judge returned nil and before the request is
+// sent.
+func (l *ledger) begin(serial, digest uint64, upstream uint32, token packet.Token) {
 	l.entries[serial] = &entry{
-		state:  entrySent,
-		digest: digest,
+		state:    entrySent,
+		digest:   digest,
+		upstream: upstream,
+		token:    token,
+	}
+	l.serials[token] = serial
+}
+
+// executed returns the entry that has begun at an upstream under a token, or
+// nil.
+func (l *ledger) executed(upstream uint32, token packet.Token) *entry {
+	serial, ok := l.serials[token]
+	if !ok {
+		return nil
+	}
+	n := l.entries[serial]
+	if n.upstream != upstream {
+		return nil
 	}
+	return n
 }
 
 // forget drops an entry whose retention is over.
 func (l *ledger) forget(serial uint64) {
+	n := l.entries[serial]
+	if n == nil {
+		return
+	}
 	delete(l.entries, serial)
+	if n.token.Size > 0 {
+		delete(l.serials, n.token)
+	}
 }
 
 // full reports whether no further serial can be recorded. All serials issued
--- a/keeper/once.go
+++ b/keeper/once.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/upstream"
 	"filbertworks.example/filbertworks/verdict"
 )
@@ -65,7 +64,7 @@
 		return
 	}
 	e.serial = serial
-	k.ledger.begin(serial, r.Header.Digest)
+	k.ledger.begin(serial, r.Header.Digest, r.Upstream.ID, k.exchanges.token(place))
 	k.forward(now, place, e, r)
 }
 
@@ -84,17 +83,40 @@
 
 // onceAnswer settles an execution.
 func (k *Keeper) onceAnswer(now time.Time, place uint32, e *exchange, a *Answer, datagram []byte) {
-	n := k.ledger.entries[e.serial]
-	n.state = entryAnswered
-	n.answer = append([]byte(nil), datagram...)
-	k.deliver(now, e, datagram)
+	k.ledger.entries[e.serial].settle(datagram)
+	if !e.detached {
+		k.deliver(now, e, datagram)
+	}
 	k.endRequest(now, place, e, a.result())
 }
 
+// onceTimeout ends an execution at its deadline; its answer may still come.
+func (k *Keeper) onceTimeout(now time.Time, place uint32, e *exchange) {
+	k.ledger.entries[e.serial].state = entryUnknown
+	if !e.detached {
+		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonTimeout)
+	}
+	if !e.closed {
+		k.cancel(place, e)
+	}
+	k.endRequest(now, place, e, upstream.ResultTimeout)
+}
+
 func (k *Keeper) refuse(r *Request, v verdict.Verdict, reason verdict.Reason) {
 	k.outlet.Refuse(r.Header, newRefusal(v, reason, RetryAfter))
 }
 
+// lateAnswer keeps an answer that came after its execution's deadline, or again,
+// for the caller's next retransmission.
+func (k *Keeper) lateAnswer(from uint32, a *Answer, datagram []byte) bool {
+	n := k.ledger.executed(from, a.Token)
+	if n == nil {
+		return false
+	}
+	n.settle(datagram)
+	return true
+}
+
 // refuseWith answers with err and, where the request has not run, a ticket to
 // send it again with.
 func (k *Keeper) refuseWith(now time.Time, r *Request, err *verdict.Error) {
@@ -129,18 +151,27 @@
 	case entryUnknown:
 		k.refuse(r, verdict.MayHaveRun, verdict.ReasonTimeout)
 	case entrySent:
-		k.follow(r)
+		k.follow(now, r, n)
 	}
 }
 
 // follow makes the answer to a request in progress go to its latest
-// retransmission.
-func (k *Keeper) follow(r *Request) {
-	_, e := k.exchanges.find(keyOf(r.Header.Caller, r.Header.Token))
-	if e != nil && e.kind == packet.KindOnce && e.serial == r.Ticket.Serial {
-		e.message = r.Header.Message
-		e.confirmable = r.Header.Confirmable
+// retransmission, which may come from another port or under another token.
+func (k *Keeper) follow(now time.Time, r *Request, n *entry) {
+	place, e := k.exchanges.at(n.token)
+	if e == nil {
+		return
+	}
+	e.message = r.Header.Message
+	e.confirmable = r.Header.Confirmable
+	key := keyOf(r.Header.Caller, r.Header.Token)
+	if e.key == key && !e.detached {
+		return
+	}
+	if other, o := k.exchanges.find(key); o != nil {
+		k.supersede(now, other, o)
 	}
+	k.exchanges.attach(place, key)
 }
 
 // ledgerExpiry drops ledger entries whose retention is over.
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -34,7 +34,7 @@
 // answer proves the whole path.
 func (k *Keeper) refreshWatch(now time.Time, place uint32, e *exchange, r *Request, lifetime time.Duration) {
 	if e.message != r.Header.Message {
-		e.forwarded = k.nextMessage()
+		e.forwarded = k.nextForwarded(e.upstream)
 	}
 	e.message = r.Header.Message
 	e.confirmable = r.Header.Confirmable
--- a/standin/caller/internal/flow/request.go
+++ b/standin/caller/internal/flow/request.go
@@ -57,11 +57,12 @@
 	}
 }
 
-// attempt sends a request and follows its challenges.
+// attempt sends a request and follows its challenges. Each challenge is answered
+// under a new token, so that a late answer to what was sent before can't be taken
+// for one to the request with the ticket.
 func (s *socket) attempt(ctx context.Context, r *request, t *Tally) *coap.Response {
-	token := s.token()
 	for range maxChallenges {
-		a, err := s.exchange(ctx, r.message(token))
+		a, err := s.exchange(ctx, r.message(s.token()))
 		if err != nil {
 			t.MayHaveRun++
 			return nil
