--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -138,5 +138,9 @@
 }
 
 func (d *Daemon) send(p *path, b []byte) {
+	if p.retired {
+		d.counters.add("send", "retired-path")
+		return
+	}
 	d.outlet.inward.send(d.outlet.now, p.socket, netip.AddrPort{}, b)
 }
