--- a/internal/system/load.go
+++ b/internal/system/load.go
@@ -23,6 +23,8 @@
 	Photos   int
 	Duration time.Duration
 	Seed     uint64
+	// Zone restricts the load to the balancers of a zone; empty stands for all.
+	Zone string
 }
 
 // A Tally counts callers' flows and requests by what became of them.
@@ -49,7 +51,7 @@
 	errors  bytes.Buffer
 }
 
-// Call starts a load on all balancers.
+// Call starts a load.
 func (s *System) Call(ctx context.Context, l Load) (*Caller, error) {
 	arguments := []string{
 		"--config", s.file("config.json"),
@@ -62,7 +64,7 @@
 		"--source", fmt.Sprintf("127.%d.128.0/17", s.layout.Subnet),
 		"--json",
 	}
-	arguments = slices.Concat(arguments, s.callerFlags())
+	arguments = slices.Concat(arguments, s.callerFlags(l.Zone))
 	c := &Caller{
 		command: exec.CommandContext(ctx, filepath.Join(s.layout.Programs, "caller"), arguments...), //nolint:gosec // the test names the program
 	}
@@ -71,10 +73,13 @@
 	return c, eris.Wrap(c.command.Start(), "start caller")
 }
 
-// callerFlags returns the flags that name all balancers.
-func (s *System) callerFlags() []string {
+// callerFlags returns the flags that name the balancers of a zone, or all.
+func (s *System) callerFlags(zone string) []string {
 	all := make([]string, 0, 2*len(s.vms))
 	for i := range s.vms {
+		if zone != "" && s.vms[i].Zone != zone {
+			continue
+		}
 		all = append(all, "--balancer", s.vms[i].Relay.Addr().String())
 	}
 	return all
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -27,7 +27,7 @@
 	portControl  = 7401
 	portAdmin    = 7402
 	portDesk     = 5683
-	portLookbook = 5684
+	portPhotos   = 5684
 	portUpstream = 5683
 )
 
@@ -45,13 +45,35 @@
 	Refresh = 2 * time.Second
 )
 
-// Zones are the availability zones of a system.
-var Zones = []string{"tx-central-a", "tx-central-b", "tx-central-c"}
+// A Place is a user's region with its services.
+type Place struct {
+	Region string
+	// Zones are the availability zones.
+	Zones []string
+	// Desk is the service with watches and non-idempotent requests, Photos the
+	// one with large answers.
+	Desk   string
+	Photos string
+	// Slots is the number of requests that an upstream bears.
+	Slots uint32
+}
 
-// Names of the services of a system.
-const (
-	RentalDesk = "rental-desk"
-	Lookbook   = "lookbook"
+// Places of the users.
+var (
+	Lonestar = Place{
+		Region: "tx-central",
+		Zones:  []string{"tx-central-a", "tx-central-b", "tx-central-c"},
+		Desk:   "rental-desk",
+		Photos: "lookbook",
+		Slots:  4,
+	}
+	Consorzio = Place{
+		Region: "alto-adige",
+		Zones:  []string{"bolzano", "merano", "bressanone", "brunico"},
+		Desk:   "bacheca",
+		Photos: "planimetrie",
+		Slots:  2,
+	}
 )
 
 // A Layout says what a system consists of.
@@ -63,9 +85,10 @@
 	// Subnet makes addresses distinct from those of other systems: all lie in
 	// 127.Subnet.0.0/16.
 	Subnet uint8
+	Place  Place
 	// BalancersPerZone is at least one.
 	BalancersPerZone int
-	// DesksPerZone is the number of rental-desk upstreams of each zone.
+	// DesksPerZone is the number of desk upstreams of each zone.
 	DesksPerZone int
 	// Work is the mean service time of a request.
 	Work time.Duration
@@ -104,6 +127,17 @@
 	return names
 }
 
+// InZone returns the names of the balancers of a zone.
+func (s *System) InZone(zone string) []string {
+	var names []string
+	for i := range s.vms {
+		if s.vms[i].Zone == zone {
+			names = append(names, s.vms[i].Name)
+		}
+	}
+	return names
+}
+
 // Kill ends a process at once.
 func (s *System) Kill(name string) error {
 	return s.signal(name, syscall.SIGKILL)
@@ -161,25 +195,30 @@
 	}
 	// Read never fails on the supported systems.
 	_, _ = rand.Read(d.Keys[0].Secret)
-	for _, z := range Zones {
+	for _, z := range s.layout.Place.Zones {
 		d.Zones = append(d.Zones, config.Zone{
 			Name:   z,
-			Region: "tx-central",
+			Region: s.layout.Place.Region,
 			State:  config.ZoneIn,
 		})
 	}
 	d.Services = []config.Service{
-		s.service(1, RentalDesk, portDesk, s.layout.DesksPerZone),
-		s.service(2, Lookbook, portLookbook, 1),
+		s.service(1, s.layout.Place.Desk, portDesk, s.layout.DesksPerZone),
+		s.service(2, s.layout.Place.Photos, portPhotos, 1),
 	}
 	return d
 }
 
+// Place returns the place that s runs.
+func (s *System) Place() Place {
+	return s.layout.Place
+}
+
 // Upstream returns an upstream of a service: its number counts from one and
 // its address is that of no other upstream.
 func (s *System) Upstream(service string, number int, zone string) config.Upstream {
 	block := byte(2)
-	if service == Lookbook {
+	if service == s.layout.Place.Photos {
 		block = 3
 	}
 	return config.Upstream{
@@ -188,7 +227,7 @@
 		Zone:        zone,
 		Address:     s.address(block, byte(number), portUpstream),
 		Share:       100,
-		Slots:       4,
+		Slots:       s.layout.Place.Slots,
 		Connections: 2000,
 		State:       config.UpstreamActive,
 	}
@@ -220,8 +259,8 @@
 		Deadline: config.Duration(Deadline),
 		Refresh:  config.Duration(Refresh),
 	}
-	for i := range perZone * len(Zones) {
-		v.Upstreams = append(v.Upstreams, s.Upstream(name, i+1, Zones[i%len(Zones)]))
+	for i := range perZone * len(s.layout.Place.Zones) {
+		v.Upstreams = append(v.Upstreams, s.Upstream(name, i+1, s.zone(i)))
 	}
 	return v
 }
@@ -265,11 +304,11 @@
 }
 
 func (s *System) layOutVMs() {
-	for i := range s.layout.BalancersPerZone * len(Zones) {
+	for i := range s.layout.BalancersPerZone * len(s.layout.Place.Zones) {
 		number := byte(i + 1)
 		s.vms = append(s.vms, config.VM{
 			Name:    fmt.Sprintf("lb-%d", number),
-			Zone:    Zones[i%len(Zones)],
+			Zone:    s.zone(i),
 			Relay:   s.address(1, number, portRelay),
 			Control: s.address(1, number, portControl),
 			Admin:   s.address(1, number, portAdmin),
@@ -308,3 +347,9 @@
 	}
 	return eris.Wrapf(os.WriteFile(s.file(name), data, 0o600), "write %s", name)
 }
+
+// zone returns the zone of the i-th of things that are spread over the zones.
+func (s *System) zone(i int) string {
+	zones := s.layout.Place.Zones
+	return zones[i%len(zones)]
+}
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -35,11 +35,11 @@
 }
 
 func replaceAndDrain(ctx context.Context, t *testing.T, s *system.System) {
-	added := s.Upstream(system.RentalDesk, 1, system.Zones[0])
+	added := s.Upstream(s.Place().Desk, 1, s.Place().Zones[0])
 	added.State = config.UpstreamDraining
 	require.NoError(t, s.Patch(ctx, 1, config.Operation{
 		PutUpstream: &config.PutUpstream{
-			Service:  system.RentalDesk,
+			Service:  s.Place().Desk,
 			Upstream: added,
 		},
 	}))
@@ -47,7 +47,7 @@
 	added.State = config.UpstreamActive
 	require.NoError(t, s.Patch(ctx, 2, config.Operation{
 		PutUpstream: &config.PutUpstream{
-			Service:  system.RentalDesk,
+			Service:  s.Place().Desk,
 			Upstream: added,
 		},
 	}))
@@ -73,8 +73,28 @@
 	}
 }
 
+// isolateZone leaves one zone alone: the platform and the balancers of all
+// other zones stop. It serves on, and the others join again.
+func isolateZone(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultPlatform(ctx, `{"down":true}`))
+	others := s.Place().Zones[1:]
+	for _, z := range others {
+		for _, name := range s.InZone(z) {
+			require.NoError(t, s.Pause(name))
+		}
+	}
+	wait(t, pauseTime)
+	for _, z := range others {
+		for _, name := range s.InZone(z) {
+			require.NoError(t, s.Resume(name))
+		}
+	}
+	require.NoError(t, s.FaultPlatform(ctx, `{"down":false}`))
+	require.NoError(t, s.Ready(ctx))
+}
+
 func restartUpstream(ctx context.Context, t *testing.T, s *system.System) {
-	require.NoError(t, s.FaultUpstream(ctx, `{"upstream":"rental-desk-1","restart":true}`))
+	require.NoError(t, s.FaultUpstream(ctx, `{"upstream":"`+s.Place().Desk+`-1","restart":true}`))
 }
 
 func coldUpstreams(ctx context.Context, t *testing.T, s *system.System) {
@@ -91,11 +111,11 @@
 	results := make(chan error, 2)
 	for i := range 2 {
 		go func() {
-			u := s.Upstream(system.RentalDesk, i+1, system.Zones[i])
+			u := s.Upstream(s.Place().Desk, i+1, s.Place().Zones[i])
 			u.Share = 50
 			results <- s.Patch(ctx, 1, config.Operation{
 				PutUpstream: &config.PutUpstream{
-					Service:  system.RentalDesk,
+					Service:  s.Place().Desk,
 					Upstream: u,
 				},
 			})
@@ -114,20 +134,20 @@
 // seconds after its version was accepted, and that it serves again afterwards.
 func zoneOutAndBack(ctx context.Context, t *testing.T, s *system.System) {
 	zone := config.Zone{
-		Name:   system.Zones[2],
-		Region: "tx-central",
+		Name:   s.Place().Zones[2],
+		Region: s.Place().Region,
 		State:  config.ZoneOut,
 	}
 	require.NoError(t, s.Patch(ctx, 1, config.Operation{PutZone: &zone}))
 	awaitVersion(ctx, t, s, 2)
-	before := zoneRequests(ctx, t, s, system.Zones[2])
+	before := zoneRequests(ctx, t, s, s.Place().Zones[2])
 	wait(t, zoneOutTime)
-	require.Equal(t, before, zoneRequests(ctx, t, s, system.Zones[2]), "requests into the zone")
+	require.Equal(t, before, zoneRequests(ctx, t, s, s.Place().Zones[2]), "requests into the zone")
 	zone.State = config.ZoneIn
 	require.NoError(t, s.Patch(ctx, 2, config.Operation{PutZone: &zone}))
 	awaitVersion(ctx, t, s, 3)
 	require.NoError(t, s.Until(ctx, 10*time.Second, "requests into the returned zone", func() bool {
-		return zoneRequests(ctx, t, s, system.Zones[2]) > before
+		return zoneRequests(ctx, t, s, s.Place().Zones[2]) > before
 	}))
 }
 
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -61,13 +61,28 @@
 		name string
 		// planned tells that no fault is the platform's: outcomes stay known.
 		planned bool
-		fault   fault
+		// place is Lonestar's where it is nil.
+		place *system.Place
+		// alone restricts the callers to the first zone.
+		alone bool
+		fault fault
 	}{
 		{
 			name:    "no fault",
 			planned: true,
 			fault:   func(context.Context, *testing.T, *system.System) {},
 		},
+		{
+			name:    "four zones, zone out and back",
+			planned: true,
+			place:   &system.Consorzio,
+			fault:   zoneOutAndBack,
+		},
+		{
+			name:  "zone left alone",
+			alone: true,
+			fault: isolateZone,
+		},
 		{
 			name:  "balancer killed",
 			fault: killBalancer,
@@ -117,8 +132,17 @@
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
 			defer cancel()
-			s := start(ctx, t)
+			place := system.Lonestar
+			if tc.place != nil {
+				place = *tc.place
+			}
+			s := start(ctx, t, place)
+			zone := ""
+			if tc.alone {
+				zone = place.Zones[0]
+			}
 			load, err := s.Call(ctx, system.Load{
+				Zone:     zone,
 				Watches:  30,
 				Holds:    holds,
 				Photos:   5,
@@ -155,8 +179,8 @@
 	}
 }
 
-// start starts a system of three zones that ends with the test.
-func start(ctx context.Context, t *testing.T) *system.System {
+// start starts a system that ends with the test.
+func start(ctx context.Context, t *testing.T, place system.Place) *system.System {
 	t.Helper()
 	subnet, err := system.TakeSubnet()
 	require.NoError(t, err)
@@ -166,6 +190,7 @@
 		Programs:         programs,
 		Directory:        directory,
 		Subnet:           subnet.Number,
+		Place:            place,
 		BalancersPerZone: 2,
 		DesksPerZone:     2,
 		Work:             20 * time.Millisecond,
