feat: retry budget for idempotent work, refusals for bad options, fuzz targets

Cause: a shed of an idempotent request went to the caller though another upstream could take it, and bounces between upstreams were bounded only for each request. Requests with options that a proxy may not pass on, and oversized ones, were dropped although PROTOCOL promises 4.02 and 4.13. Ruled out: 4.00 with not-run for undecodable datagrams, since one may be the damaged copy of a request that has run; retries of non-idempotent requests. Conclusion: at most a tenth more work by retries.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/placement"
+	"filbertworks.example/filbertworks/retry"
 	"filbertworks.example/filbertworks/ticket"
 	"filbertworks.example/filbertworks/timer"
 	"filbertworks.example/filbertworks/verdict"
@@ -81,6 +82,8 @@
 	table   *member.Table
 	// settled tells that members not in table are gone.
 	settled bool
+	// budgets are those of the services' retries.
+	budgets map[uint32]*retry.Budget
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
 }
@@ -93,8 +96,9 @@
 		outlet:  o.Outlet,
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
+		budgets: make(map[uint32]*retry.Budget),
 	}
-	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet)
+	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b))
 	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
 	return b
 }
--- /dev/null
+++ b/balancer/retrier.go
@@ -0,0 +1,58 @@
+package balancer
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/retry"
+	"filbertworks.example/filbertworks/verdict"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// retrier offers shed requests to other upstreams within their service's
+// budget.
+type retrier Balancer
+
+// Retry implements keeper.Retrier.
+func (t *retrier) Retry(now time.Time, q *keeper.Retry) bool {
+	b := (*Balancer)(t)
+	h := q.Header
+	s := b.config.Service(h.Service)
+	if s == nil {
+		return false
+	}
+	r := &wire.Relay{
+		Caller:   h.Caller,
+		Service:  h.Service,
+		Attempts: q.Tried.Attempts,
+		Excluded: q.Tried.Excluded,
+		Elapsed:  q.Elapsed,
+	}
+	next := b.next(h, s, q.Upstream, r)
+	if next == nil || !b.budget(now, s.ID).Spend(now) {
+		return false
+	}
+	d := &Decision{
+		Header:   h,
+		Upstream: next.ID,
+		Placed:   true,
+		Reason:   verdict.ReasonShed,
+	}
+	b.offer(now, d, nil, s, next, r, q.Datagram)
+	return true
+}
+
+// Succeed implements keeper.Retrier.
+func (t *retrier) Succeed(now time.Time, service uint32) {
+	(*Balancer)(t).budget(now, service).Succeed(now)
+}
+
+// budget returns the budget of a service's retries at this balancer.
+func (b *Balancer) budget(now time.Time, service uint32) *retry.Budget {
+	g := b.budgets[service]
+	if g == nil {
+		g = retry.NewBudget(now)
+		b.budgets[service] = g
+	}
+	return g
+}
--- /dev/null
+++ b/balancer/retrier_test.go
@@ -0,0 +1,87 @@
+package balancer_test
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/verdict"
+)
+
+// TestRetryAmplification states that retries and bounces add at most a tenth to
+// the work offered, and that a few sheds are hidden from callers.
+func TestRetryAmplification(t *testing.T) {
+	cases := []struct {
+		name string
+		// rate is that of requests a second, shed the fraction that upstreams shed.
+		rate int
+		shed float64
+		// answered is the least fraction of answers.
+		answered float64
+	}{
+		{
+			name:     "few sheds",
+			rate:     5,
+			shed:     0.05,
+			answered: 0.975, // at least half of the sheds are hidden
+		},
+		{
+			name: "most are shed",
+			rate: 20,
+			shed: 0.8,
+		},
+		{
+			name: "more than the slots bear",
+			rate: 400,
+		},
+		{
+			name: "overload with sheds",
+			rate: 400,
+			shed: 0.5,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1, smooth, keeper.Limits{Exchanges: 1000, Entries: 1000}, "a", "a", "b")
+			d := &driver{world: w}
+			d.serve(document())
+			for _, h := range w.hosts {
+				h.run = func([]byte) {}
+				h.answer = func() (time.Duration, bool, bool) {
+					return w.upTo(100 * time.Millisecond), w.random.Float64() < c.shed, false
+				}
+			}
+			answered, offered := make(map[uint64]bool), 0
+			w.receive = func(_ netip.AddrPort, m *message) {
+				if m.verdict == verdict.Answered {
+					answered[binary.BigEndian.Uint64(m.content[5:])] = true
+				}
+			}
+			w.install(snapshot(t, 1, document()), 0)
+			const seconds = 60
+			for offered < c.rate*seconds {
+				id := uint64(offered)
+				w.after(w.upTo(seconds*time.Second), func() { w.ask(id) })
+				offered++
+			}
+			w.run(epoch.Add(2 * seconds * time.Second))
+			t.Logf("offered %d, answered %d, at upstreams %d, retried %d", offered, len(answered), w.arrived, w.retried)
+			require.LessOrEqual(t, float64(w.retried), 0.1*float64(offered))
+			require.LessOrEqual(t, float64(w.arrived), 1.1*float64(offered))
+			require.GreaterOrEqual(t, float64(len(answered)), c.answered*float64(offered))
+		})
+	}
+}
+
+// ask sends an idempotent request once.
+func (w *world) ask(id uint64) {
+	b := datagramOf(photos, packet.KindIdempotent, id, 0, id, nil)
+	h := headerOf(b)
+	h.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3, 0, 0}), uint16(1+id%60000))
+	w.fabric(h, b)
+}
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -172,12 +172,17 @@
 			Service:  s,
 			Upstream: u,
 			Datagram: datagram,
+			Tried: keeper.Tried{
+				Attempts: r.Attempts,
+				Excluded: r.Excluded,
+			},
+			Elapsed: r.Elapsed,
 		})
 		if reason == verdict.ReasonNone {
 			return
 		}
-		next := b.next(d.Header, s, u, r)
-		if next == nil {
+		next := b.next(d.Header, s, u.ID, r)
+		if next == nil || reason == verdict.ReasonDeadline || !b.budget(now, s.ID).Spend(now) {
 			b.refuse(d.Header, verdict.NotRun, reason)
 			return
 		}
@@ -187,10 +192,11 @@
 	}
 }
 
-// next returns another upstream after u refused a datagram, or nil.
-func (b *Balancer) next(h *packet.Header, s *config.Service, u *config.Upstream, r *wire.Relay) *config.Upstream {
+// next returns another upstream after the one of an id refused a datagram, or
+// nil.
+func (b *Balancer) next(h *packet.Header, s *config.Service, refused uint32, r *wire.Relay) *config.Upstream {
 	if int(r.Attempts) < len(r.Excluded) {
-		r.Excluded[r.Attempts] = u.ID
+		r.Excluded[r.Attempts] = refused
 	}
 	r.Attempts++
 	if r.Attempts >= MaxAttempts {
--- a/balancer/world_test.go
+++ b/balancer/world_test.go
@@ -48,6 +48,8 @@
 	receive func(to netip.AddrPort, m *message)
 	// wrong counts datagrams that reached a host of another service.
 	wrong int
+	// retried counts offers of refused requests to other upstreams.
+	retried int
 	// arrived counts datagrams that reached a host.
 	arrived int
 }
@@ -313,7 +315,11 @@
 	})
 }
 
-func (c *core) Routed(*balancer.Decision) {}
+func (c *core) Routed(d *balancer.Decision) {
+	if d.Upstream != 0 && d.Reason != verdict.ReasonNone {
+		c.world.retried++
+	}
+}
 
 // relayed takes a relay as another core sent it.
 func (c *core) relayed(frame []byte) {
--- /dev/null
+++ b/coap/option.go
@@ -0,0 +1,55 @@
+package coap
+
+import (
+	"github.com/plgd-dev/go-coap/v3/message"
+
+	"filbertworks.example/filbertworks/packet"
+)
+
+// blockNumberShift leads from a block option's value to the block's number
+// (RFC 7959).
+const blockNumberShift = 4
+
+// checkOptions returns ErrBadOption where m has an option that a balancer may
+// not pass on.
+func checkOptions(m *message.Message, kind packet.Kind) error {
+	tickets := 0
+	for _, o := range m.Options {
+		switch {
+		case o.ID == message.Echo:
+			tickets++
+		case kind == packet.KindOnce && partial(&o):
+			return ErrBadOption
+		case unknown(o.ID):
+			return ErrBadOption
+		}
+	}
+	if tickets > 1 {
+		return ErrBadOption
+	}
+	return nil
+}
+
+// partial reports whether o makes a request a part of several, which could not
+// run at most once as a whole.
+func partial(o *message.Option) bool {
+	if o.ID == message.Block1 {
+		return true
+	}
+	return o.ID == message.Block2 && uintOf(o.Value)>>blockNumberShift > 0
+}
+
+// unknown reports whether an option is critical and unsafe to forward (RFC
+// 7252, section 5.4.6) and its meaning is not known here.
+func unknown(id message.OptionID) bool {
+	const critical, unsafe = 1, 2
+	if id&critical == 0 || id&unsafe == 0 {
+		return false
+	}
+	switch id {
+	case message.URIHost, message.URIPort, message.URIPath, message.URIQuery, message.Block1, message.Block2:
+		return false
+	default:
+		return true
+	}
+}
--- a/coap/parser.go
+++ b/coap/parser.go
@@ -34,6 +34,8 @@
 	ErrMalformed = eris.New("malformed message")
 	ErrOversized = eris.New("oversized message")
 	ErrNoRequest = eris.New("not a request")
+	// ErrBadOption reports a whole request with an option that can't be served.
+	ErrBadOption = eris.New("bad option")
 )
 
 // A Parser reads datagrams; it is reused between them and not safe for
@@ -63,7 +65,7 @@
 
 // Request sets h from a caller's datagram; h aliases data. Caller and service
 // come from the socket on which the datagram arrived. The error is
-// ErrMalformed, ErrOversized or ErrNoRequest.
+// ErrMalformed, ErrOversized, ErrNoRequest or, with h set, ErrBadOption.
 func (p *Parser) Request(data []byte, service uint32, caller netip.AddrPort, h *packet.Header) error {
 	if err := p.decode(data); err != nil {
 		return err
@@ -88,7 +90,7 @@
 	}
 	h.Kind = kind
 	p.options(h)
-	return nil
+	return checkOptions(m, kind)
 }
 
 // Response sets r from an upstream's datagram; r aliases data. The error is
@@ -187,6 +189,7 @@
 		}
 		_ = p.hash.WriteByte(byte(o.ID >> 8))
 		_ = p.hash.WriteByte(byte(o.ID))
+		_ = p.hash.WriteByte(byte(len(o.Value) >> 8))
 		_ = p.hash.WriteByte(byte(len(o.Value)))
 		_, _ = p.hash.Write(o.Value)
 	}
--- /dev/null
+++ b/coap/prefix.go
@@ -0,0 +1,44 @@
+package coap
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+
+	"filbertworks.example/filbertworks/packet"
+)
+
+// Layout of a message's fixed part (RFC 7252, section 3).
+const (
+	prefixSize  = 4
+	version     = 1
+	codeMaximum = 31
+)
+
+// Prefix sets h from the first bytes of a request that is not read further, so
+// that it can be refused, and reports whether they are those of a request.
+func Prefix(data []byte, service uint32, caller netip.AddrPort, h *packet.Header) bool {
+	if len(data) < prefixSize || data[0]>>6 != version {
+		return false
+	}
+	kind := message.Type(data[0] >> 4 & 3)
+	size := int(data[0] & 0xf)
+	if kind != message.Confirmable && kind != message.NonConfirmable {
+		return false
+	}
+	if size > packet.MaxTokenSize || len(data) < prefixSize+size {
+		return false
+	}
+	if data[1] == 0 || data[1] > codeMaximum {
+		return false
+	}
+	*h = packet.Header{
+		Service:     service,
+		Caller:      caller,
+		Token:       packet.TokenOf(data[prefixSize : prefixSize+size]),
+		Message:     binary.BigEndian.Uint16(data[2:]),
+		Confirmable: kind == message.Confirmable,
+	}
+	return true
+}
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -55,7 +55,7 @@
 func (d *Daemon) fromCaller(now time.Time, e *event) {
 	var h packet.Header
 	if err := d.parser.Request(e.buffer.data(), e.id, e.from, &h); err != nil {
-		d.counters.add("drop", err.Error())
+		d.reject(e, &h, err)
 		return
 	}
 	if h.Kind == packet.KindPing {
--- a/filbertd/internal/daemon/outlet.go
+++ b/filbertd/internal/daemon/outlet.go
@@ -153,6 +153,10 @@
 	switch {
 	case r.Verdict == verdict.Answered:
 		return codes.Valid
+	case r.Reason == verdict.ReasonBadOption:
+		return codes.BadOption
+	case r.Reason == verdict.ReasonTooLarge:
+		return codes.RequestEntityTooLarge
 	case len(r.Ticket) > 0:
 		return codes.Unauthorized
 	case r.Verdict == verdict.NotRun:
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,6 +43,10 @@
 	// upstream that takes no new work.
 	Upstream *config.Upstream
 	Datagram []byte
+	// Tried are the upstreams that refused the request before.
+	Tried Tried
+	// Elapsed is the part of the deadline that is used up.
+	Elapsed time.Duration
 }
 
 // Limits bound a keeper's memory.
@@ -63,6 +67,8 @@
 	timers      *timer.Queue
 	exchanges   *exchangeTable
 	ledger      *ledger
+	retention   *retention
+	retrier     Retrier
 	gates       map[uint32]*upstream.Gate
 	// message is the last message id towards callers, messages that towards each
 	// upstream. They start at random, since receivers take a repeated id for a
@@ -74,7 +80,7 @@
 
 // New returns a keeper of a process that started at start under a random
 // incarnation.
-func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet) *Keeper {
+func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet, retrier Retrier) *Keeper {
 	return &Keeper{
 		incarnation: incarnation,
 		start:       start,
@@ -83,6 +89,8 @@
 		timers:      timers,
 		exchanges:   newExchangeTable(limits.Exchanges),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
+		retention:   newRetention(),
+		retrier:     retrier,
 		gates:       make(map[uint32]*upstream.Gate),
 		message:     uint16(incarnation),
 		messages:    make(map[uint32]uint16),
@@ -103,8 +111,13 @@
 	case packet.KindWatchOpen:
 		k.watchAnswer(now, place, e, a, datagram)
 	case packet.KindIdempotent:
+		if a.Shed {
+			k.shed(now, place, e, datagram)
+			return true
+		}
+		k.retrier.Succeed(now, e.service)
 		k.deliver(now, e, datagram)
-		k.endRequest(now, place, e, a.result())
+		k.endRequest(now, place, e, upstream.ResultAnswered)
 	case packet.KindOnce:
 		k.onceAnswer(now, place, e, a, datagram)
 	default:
@@ -212,13 +225,13 @@
 	})
 }
 
-// deadline returns how long a request may take.
+// deadline returns how long a request may still take.
 func deadline(r *Request) time.Duration {
 	d := time.Duration(r.Service.Deadline)
 	if r.Header.Deadline > 0 {
 		d = min(d, r.Header.Deadline)
 	}
-	return d
+	return d - r.Elapsed
 }
 
 // deliver passes an upstream's answer on to the caller of e.
@@ -236,6 +249,7 @@
 func (k *Keeper) endRequest(now time.Time, place uint32, e *exchange, result upstream.Result) {
 	latency := now.Sub(k.start) - e.sent
 	k.gates[e.upstream].EndRequest(now, result, latency)
+	k.retention.drop(place)
 	k.exchanges.remove(place)
 }
 
@@ -273,6 +287,9 @@
 		}
 		k.supersede(now, place, e)
 	}
+	if deadline(r) <= 0 {
+		return verdict.ReasonDeadline
+	}
 	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
 		return reason
 	}
@@ -281,6 +298,7 @@
 		k.Gate(r.Upstream).EndRequest(now, upstream.ResultCancelled, 0)
 		return verdict.ReasonLedgerFull
 	}
+	k.retention.hold(place, r)
 	k.forward(now, place, e, r)
 	return verdict.ReasonNone
 }
@@ -324,15 +342,7 @@
 
 // refuseExchange answers the caller of e without an upstream.
 func (k *Keeper) refuseExchange(e *exchange, v verdict.Verdict, reason verdict.Reason) {
-	h := &packet.Header{
-		Service:     e.service,
-		Caller:      e.key.caller(),
-		Kind:        e.kind,
-		Token:       e.key.token,
-		Message:     e.message,
-		Confirmable: e.confirmable,
-	}
-	k.outlet.Refuse(h, newRefusal(v, reason, 0))
+	k.outlet.Refuse(e.header(0), newRefusal(v, reason, 0))
 }
 
 // supersede ends an exchange whose caller reuses the token. A non-idempotent
--- a/keeper/once.go
+++ b/keeper/once.go
@@ -84,6 +84,9 @@
 // onceAnswer settles an execution.
 func (k *Keeper) onceAnswer(now time.Time, place uint32, e *exchange, a *Answer, datagram []byte) {
 	k.ledger.entries[e.serial].settle(datagram)
+	if !a.Shed {
+		k.retrier.Succeed(now, e.service)
+	}
 	if !e.detached {
 		k.deliver(now, e, datagram)
 	}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,78 @@
+// Package retry bounds how often a service's idempotent work is sent again, so
+// that retries never amplify an overload.
+package retry
+
+import "time"
+
+// Constants of a budget.
+const (
+	// SuccessesPerRetry is how many recent successes allow one retry.
+	SuccessesPerRetry = 10
+	// Window is how long a success counts as recent.
+	Window = buckets * bucketWidth
+	// Initial is the number of successes that a new budget counts, so that a
+	// process that has just started can retry.
+	Initial = 100
+
+	buckets     = 10
+	bucketWidth = time.Second
+)
+
+// A Budget allows retries in a fixed proportion to recent successes. Invariant:
+// the retries allowed so far are at most a SuccessesPerRetry-th of Initial and
+// the successes so far. It is not safe for concurrent use.
+type Budget struct {
+	start time.Time
+	// current numbers the newest bucket by its distance from start.
+	current int64
+	counts  [buckets]count
+}
+
+// A count is what happened in one bucket.
+type count struct {
+	successes uint64
+	retries   uint64
+}
+
+// NewBudget returns the budget of a service from now on.
+func NewBudget(now time.Time) *Budget {
+	b := &Budget{start: now}
+	b.counts[0].successes = Initial
+	return b
+}
+
+// Spend reports whether a retry is allowed now, and counts it if so.
+func (b *Budget) Spend(now time.Time) bool {
+	b.advance(now)
+	var sum count
+	for _, c := range b.counts {
+		sum.successes += c.successes
+		sum.retries += c.retries
+	}
+	if (sum.retries+1)*SuccessesPerRetry > sum.successes {
+		return false
+	}
+	b.counts[b.current%buckets].retries++
+	return true
+}
+
+// Succeed counts a success.
+func (b *Budget) Succeed(now time.Time) {
+	b.advance(now)
+	b.counts[b.current%buckets].successes++
+}
+
+// advance drops the buckets that have left the window. Time never runs
+// backwards: an earlier now counts as the latest one.
+func (b *Budget) advance(now time.Time) {
+	next := int64(now.Sub(b.start) / bucketWidth)
+	if next-b.current >= buckets {
+		b.counts = [buckets]count{}
+		b.current = next
+		return
+	}
+	for b.current < next {
+		b.current++
+		b.counts[b.current%buckets] = count{}
+	}
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -42,6 +42,7 @@
 // Reasons of refusal.
 const (
 	ReasonNone          Reason = ""
+	ReasonBadOption     Reason = "bad-option"
 	ReasonBusy          Reason = "busy"
 	ReasonCold          Reason = "cold"
 	ReasonConnections   Reason = "connections"
@@ -58,6 +59,7 @@
 	ReasonTicketNeeded  Reason = "ticket-needed"
 	ReasonTicketUsed    Reason = "ticket-used"
 	ReasonTimeout       Reason = "timeout"
+	ReasonTooLarge      Reason = "too-large"
 	ReasonUnknown       Reason = "unknown-service"
 	ReasonUnsettled     Reason = "view-unsettled"
 	ReasonZoneOut       Reason = "zone-out"
--- a/wire/relay.go
+++ b/wire/relay.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -19,6 +20,7 @@
 	relayOffsetAttempts = 2
 	relayOffsetCaller   = 4
 	relayOffsetPort     = 20
+	relayOffsetElapsed  = 22
 	relayOffsetVersion  = 24
 	relayOffsetService  = 32
 	relayOffsetUpstream = 36
@@ -28,6 +30,10 @@
 // MaxExcluded is the number of upstreams that a relay names as already tried.
 const MaxExcluded = 3
 
+// MaxElapsed is the longest time that a relay tells of; it exceeds
+// config.MaxDeadline.
+const MaxElapsed = (1<<16 - 1) * time.Millisecond
+
 // RelayHeaderSize is the size of a relay's header, in bytes.
 const RelayHeaderSize = relayOffsetExcluded + 4*MaxExcluded
 
@@ -50,6 +56,9 @@
 	Service  uint32
 	Upstream uint32
 	Excluded [MaxExcluded]uint32
+	// Elapsed is the part of the request's deadline that is used up, in whole
+	// milliseconds up to MaxElapsed.
+	Elapsed time.Duration
 }
 
 // AppendRelay appends the header of r and a caller's datagram to buf.
@@ -61,6 +70,8 @@
 	ip := r.Caller.Addr().As16()
 	copy(h[relayOffsetCaller:], ip[:])
 	binary.BigEndian.PutUint16(h[relayOffsetPort:], r.Caller.Port())
+	elapsed := min(r.Elapsed, MaxElapsed) / time.Millisecond
+	binary.BigEndian.PutUint16(h[relayOffsetElapsed:], uint16(elapsed))
 	binary.BigEndian.PutUint64(h[relayOffsetVersion:], uint64(r.Version))
 	binary.BigEndian.PutUint32(h[relayOffsetService:], r.Service)
 	binary.BigEndian.PutUint32(h[relayOffsetUpstream:], r.Upstream)
@@ -84,6 +95,7 @@
 		Version:  config.Version(binary.BigEndian.Uint64(data[relayOffsetVersion:])),
 		Service:  binary.BigEndian.Uint32(data[relayOffsetService:]),
 		Upstream: binary.BigEndian.Uint32(data[relayOffsetUpstream:]),
+		Elapsed:  time.Duration(binary.BigEndian.Uint16(data[relayOffsetElapsed:])) * time.Millisecond,
 	}
 	for i := range r.Excluded {
 		r.Excluded[i] = binary.BigEndian.Uint32(data[relayOffsetExcluded+4*i:])
--- /dev/null
+++ b/wire/relay_test.go
@@ -0,0 +1,80 @@
+package wire_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/wire"
+)
+
+func relay() *wire.Relay {
+	return &wire.Relay{
+		Hops:     2,
+		Attempts: 1,
+		Caller:   netip.MustParseAddrPort("10.0.0.1:5683"),
+		Version:  7,
+		Service:  1,
+		Upstream: 11,
+		Excluded: [wire.MaxExcluded]uint32{10, 12},
+		Elapsed:  1500 * time.Millisecond,
+	}
+}
+
+func TestRelayRoundTrip(t *testing.T) {
+	var r wire.Relay
+	datagram, err := wire.ParseRelay(wire.AppendRelay(nil, relay(), []byte("x")), &r)
+	require.NoError(t, err)
+	require.Equal(t, *relay(), r)
+	require.Equal(t, "x", string(datagram))
+}
+
+// TestRelayElapsed states that time is never lost from a deadline.
+func TestRelayElapsed(t *testing.T) {
+	for _, elapsed := range []time.Duration{0, time.Millisecond, time.Minute, time.Hour} {
+		in := relay()
+		in.Elapsed = elapsed
+		var out wire.Relay
+		_, err := wire.ParseRelay(wire.AppendRelay(nil, in, []byte("x")), &out)
+		require.NoError(t, err)
+		require.Equal(t, min(elapsed, wire.MaxElapsed), out.Elapsed)
+	}
+}
+
+func FuzzParseRelay(f *testing.F) {
+	f.Add(wire.AppendRelay(nil, relay(), []byte("x")))
+	f.Add([]byte{})
+	f.Add(make([]byte, wire.RelayHeaderSize))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r wire.Relay
+		datagram, err := wire.ParseRelay(data, &r)
+		if err != nil {
+			require.ErrorIs(t, err, wire.ErrRelay)
+			return
+		}
+		require.NotEmpty(t, datagram)
+		var again wire.Relay
+		_, err = wire.ParseRelay(wire.AppendRelay(nil, &r, datagram), &again)
+		require.NoError(t, err)
+		require.Equal(t, r, again)
+	})
+}
+
+func FuzzParseHeartbeat(f *testing.F) {
+	f.Add(wire.AppendHeartbeat(nil, &wire.Heartbeat{
+		Incarnation: 5,
+		Leaving:     true,
+		Version:     3,
+	}))
+	f.Add([]byte{0xf2})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var h wire.Heartbeat
+		if err := wire.ParseHeartbeat(data, &h); err != nil {
+			require.ErrorIs(t, err, wire.ErrHeartbeat)
+			return
+		}
+		require.Equal(t, data, wire.AppendHeartbeat(nil, &h))
+	})
+}
