--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -127,6 +127,9 @@
 	if err := d.counters.observe(o.Meter); err != nil {
 		return nil, err
 	}
+	if err := d.observe(o.Meter); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
--- a/filbertd/internal/daemon/status.go
+++ b/filbertd/internal/daemon/status.go
@@ -55,7 +55,7 @@
 }
 
 func (d *Daemon) counterList() []status.Counter {
-	counts := d.counters.list()
+	counts := append(d.counters.list(), d.refusals()...)
 	all := make([]status.Counter, 0, len(counts))
 	for _, n := range counts {
 		all = append(all, status.Counter{
@@ -67,6 +67,22 @@
 	return all
 }
 
+// refusals returns how many entries full rings refused.
+func (d *Daemon) refusals() []count {
+	return []count{
+		{
+			name:   "ring",
+			reason: "events-full",
+			value:  d.events.Refused(),
+		},
+		{
+			name:   "ring",
+			reason: "journal-full",
+			value:  d.journal.records.Refused(),
+		},
+	}
+}
+
 func (d *Daemon) explain(q status.Query) (status.Explanation, error) {
 	c := d.balancer.Config()
 	if c == nil {
