feat: views by observers and news, versions pulled from peers, trust after a pause

Cause: each balancer sent heartbeats to all others and read the platform itself: 17,000 readers for a platform that allows 2,000 calls a second. A process that woke went on acting on what it knew before its pause, and a starting one took the platform's word where peers knew a newer version. Ruled out: heartbeat counters of all members in each message (bytes grow with the fleet); taking a peer back from the dead on its heartbeat alone (others spread the death again). Change: a member's heartbeats go to two observers of its zone and one of each other zone; suspicions, deaths, leaving and versions spread as numbered records that the member itself refutes. Two readers a zone, with stand-bys; the others pull patches by base version and digest, or the document. A process that starts or wakes drops datagrams until a peer has answered a fresh probe, for at most three seconds where it is alone.

--- /dev/null
+++ b/filbertd/internal/daemon/control.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/rollout"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// Sizes of what peers send each other.
+const (
+	// pageSize is the greatest part of a publication in one message.
+	pageSize = 512 << 10
+	// maxPublication is the largest publication that is taken, in bytes.
+	maxPublication = 64 << 20
+)
+
+// introductionTimeout bounds the call that asks a peer for its view.
+const introductionTimeout = 2 * time.Second
+
+// A control answers peers' calls.
+type control struct {
+	daemon *Daemon
+}
+
+// Members returns the records of all known processes.
+func (c *control) Members(ctx context.Context, _ *wire.MembersRequest) (*wire.MembersReply, error) {
+	reply := &wire.MembersReply{}
+	c.daemon.call(ctx, func(time.Time) {
+		reply.Records = wire.AppendRecords(nil, c.daemon.tracker.Records())
+	})
+	return reply, ctx.Err()
+}
+
+// Since streams what is newer than the asking process's version.
+func (c *control) Since(r *wire.SinceRequest, stream wire.DRPCPeer_SinceStream) error {
+	var p *config.Publication
+	c.daemon.call(stream.Context(), func(time.Time) {
+		p = c.daemon.history.Since(config.Version(r.GetBase()), r.GetDigest())
+	})
+	if p == nil {
+		return stream.Send(&wire.Page{Last: true})
+	}
+	data, err := pack(p)
+	if err != nil {
+		return err
+	}
+	for len(data) > pageSize {
+		if err := stream.Send(&wire.Page{Data: data[:pageSize]}); err != nil {
+			return eris.Wrap(err, "send page")
+		}
+		data = data[pageSize:]
+	}
+	return stream.Send(&wire.Page{
+		Data: data,
+		Last: true,
+	})
+}
+
+// serveControl answers peers until ctx ends.
+func (d *Daemon) serveControl(ctx context.Context) {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, &control{daemon: d}); err != nil {
+		d.log.WithError(err).Error("control: can't register")
+		return
+	}
+	if err := drpcserver.New(mux).Serve(ctx, d.control); err != nil && ctx.Err() == nil {
+		d.log.WithError(err).Error("control: can't serve")
+	}
+}
+
+// pull asks a peer that has a newer version for it.
+func (d *Daemon) pull(now time.Time) {
+	version, digest := d.history.Current()
+	peer, ok := d.puller.Next(now, version)
+	if !ok {
+		return
+	}
+	current := d.balancer.Config()
+	d.duties.Go(func() { d.pullFrom(peer, current, digest) })
+}
+
+func (d *Daemon) pullFrom(peer netip.AddrPort, current *config.Snapshot, digest uint64) {
+	ctx, cancel := context.WithTimeout(d.ctx, rollout.PullTimeout)
+	defer cancel()
+	next, patches, err := fetch(ctx, peer, current, digest)
+	if err != nil {
+		d.counters.add("pull", "failed")
+		d.log.WithError(err).Warnf("config: can't get a newer version from %v", peer)
+	}
+	d.call(d.ctx, func(now time.Time) {
+		if next != nil {
+			d.counters.add("pull", kindOf(patches))
+			d.install(now, next, patches)
+		}
+		d.puller.Done(now, peer, next != nil)
+	})
+}
+
+// kindOf tells what a pulled version came as.
+func kindOf(patches []config.Patch) string {
+	if len(patches) > 0 {
+		return "patches"
+	}
+	return "document"
+}
+
+// fetch returns the version in force at a peer, or nil where it is not newer.
+func fetch(ctx context.Context, peer netip.AddrPort, current *config.Snapshot, digest uint64) (*config.Snapshot, []config.Patch, error) {
+	client, stop, err := dial(ctx, peer)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer stop()
+	request := &wire.SinceRequest{Digest: digest}
+	if current != nil {
+		request.Base = uint64(current.Version)
+	}
+	stream, err := client.Since(ctx, request)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "call peer")
+	}
+	data, err := receive(stream)
+	if err != nil || len(data) == 0 {
+		return nil, nil, err
+	}
+	p, err := unpack(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	next, err := p.Follow(current)
+	if err != nil || next == current {
+		return nil, nil, err
+	}
+	return next, p.Patches, nil
+}
+
+// dial returns a client of a peer and what closes it.
+func dial(ctx context.Context, peer netip.AddrPort) (wire.DRPCPeerClient, func(), error) {
+	var dialer net.Dialer
+	socket, err := dialer.DialContext(ctx, "tcp", peer.String())
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "dial peer")
+	}
+	conn := drpcconn.New(socket)
+	return wire.NewDRPCPeerClient(conn), func() { _ = conn.Close() }, nil
+}
+
+// receive returns a whole publication, or nothing of it.
+func receive(stream wire.DRPCPeer_SinceClient) ([]byte, error) {
+	var data []byte
+	for {
+		page, err := stream.Recv()
+		if err != nil {
+			return nil, eris.Wrap(err, "receive page")
+		}
+		data = append(data, page.GetData()...)
+		if len(data) > maxPublication {
+			return nil, eris.Wrap(config.ErrTooLarge, "publication")
+		}
+		if page.GetLast() {
+			return data, nil
+		}
+	}
+}
+
+func pack(p *config.Publication) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if err := json.NewEncoder(w).Encode(p); err != nil {
+		return nil, eris.Wrap(err, "pack publication")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "pack publication")
+	}
+	return b.Bytes(), nil
+}
+
+func unpack(data []byte) (*config.Publication, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, eris.Wrap(err, "unpack publication")
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxPublication+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "unpack publication")
+	}
+	if len(plain) > maxPublication {
+		return nil, eris.Wrap(config.ErrTooLarge, "publication")
+	}
+	p := &config.Publication{}
+	if err := config.Decode(plain, p); err != nil {
+		return nil, err
+	}
+	return p, p.Check()
+}
+
+// introduce takes the view of one of the listed VMs.
+func (d *Daemon) introduce(ctx context.Context, vms []config.VM) {
+	for i := range vms {
+		if vms[i].Name == d.options.Name || vms[i].State != config.VMLive {
+			continue
+		}
+		if err := d.introduceBy(ctx, vms[i].Control); err == nil || ctx.Err() != nil {
+			return
+		}
+		d.counters.add("introduction", "failed")
+	}
+}
+
+func (d *Daemon) introduceBy(ctx context.Context, peer netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
+	defer cancel()
+	client, stop, err := dial(ctx, peer)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	reply, err := client.Members(ctx, &wire.MembersRequest{})
+	if err != nil {
+		return eris.Wrap(err, "call peer")
+	}
+	records, err := wire.ParseRecords(reply.GetRecords())
+	if err != nil {
+		return err
+	}
+	d.call(ctx, func(now time.Time) {
+		for i := range records {
+			d.tracker.Merge(now, &records[i])
+		}
+	})
+	return nil
+}
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"filbertworks.example/filbertworks/keeper"
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/ring"
-	"filbertworks.example/filbertworks/wire"
+	"filbertworks.example/filbertworks/rollout"
 )
 
 // Platform is the read-only service that publishes the configuration.
@@ -69,6 +69,15 @@
 	outlet    *outlet
 	balancer  *balancer.Balancer
 	tracker   *member.Tracker
+	trust     *member.Trust
+	history   *rollout.History
+	puller    *rollout.Puller
+	control   net.Listener
+	// frame is scratch space for heartbeats.
+	frame []byte
+	// ctx ends with Run, duties are what Run waits for.
+	ctx    context.Context
+	duties sync.WaitGroup
 	// installed is when the configuration in force came into force here.
 	installed time.Time
 	drainOnce sync.Once
@@ -82,6 +91,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for peers on %v", o.Relay)
 	}
+	control, err := net.Listen("tcp", o.Control.String())
+	if err != nil {
+		_ = relay.Close()
+		return nil, eris.Wrapf(err, "listen for calls on %v", o.Control)
+	}
+	now := time.Now()
 	d := &Daemon{
 		options:     o,
 		incarnation: randomIncarnation(),
@@ -91,19 +106,23 @@
 		counters:    &counters{},
 		journal:     newJournal(o.Log),
 		relay:       relay,
+		control:     control,
+		trust:       member.NewTrust(now),
+		history:     &rollout.History{},
+		puller:      &rollout.Puller{},
 		parser:      coap.NewParser(),
 		draining:    make(chan struct{}),
 	}
 	d.listeners = newListeners(o.CallerIP, d.events, o.Log)
 	d.paths = newPathSet(o.UpstreamIP, d.events)
-	d.tracker = member.NewTracker(member.Member{
+	d.tracker = member.NewTracker(now, member.Member{
 		Name:        o.Name,
 		Zone:        o.Zone,
 		Incarnation: d.incarnation,
 		Relay:       o.Relay,
 		Control:     o.Control,
 		Admin:       o.Admin,
-	})
+	}, mathrand.New(mathrand.NewPCG(d.incarnation, 1)))
 	d.outlet = &outlet{
 		writer:    coap.NewWriter(),
 		listeners: d.listeners,
@@ -137,11 +156,12 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var duties sync.WaitGroup
+	d.ctx = ctx
+	duties := &d.duties
 	duties.Go(func() { d.journal.run(ctx.Done()) })
 	duties.Go(func() { d.followConfig(ctx) })
 	duties.Go(func() { d.followVMs(ctx) })
-	duties.Go(func() { d.heartbeat(ctx) })
+	duties.Go(func() { d.serveControl(ctx) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
 	var senders sync.WaitGroup
@@ -172,33 +192,6 @@
 	}
 }
 
-// heartbeat tells all peers that this process lives.
-func (d *Daemon) heartbeat(ctx context.Context) {
-	ticker := time.NewTicker(member.HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			d.call(ctx, d.sendHeartbeats)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (d *Daemon) sendHeartbeats(time.Time) {
-	h := &wire.Heartbeat{Incarnation: d.incarnation}
-	if c := d.balancer.Config(); c != nil {
-		h.Version = c.Version
-	}
-	b := wire.AppendHeartbeat(nil, h)
-	for _, a := range d.tracker.Peers() {
-		if _, err := d.relay.WriteToUDPAddrPort(b, a); err != nil {
-			d.counters.add("heartbeat", "send")
-		}
-	}
-}
-
 func randomIncarnation() uint64 {
 	var b [8]byte
 	// Read never fails on the supported systems.
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -39,12 +39,18 @@
 
 func (d *Daemon) advance(now time.Time) {
 	d.outlet.now = now
-	d.balancer.Advance(now)
-	d.balancer.SetMembers(d.tracker.Table(now), d.tracker.Settled(now))
+	trusted := d.watchful(now)
+	d.beat(now)
+	d.balancer.SetMembers(d.tracker.Table(), d.tracker.Settled(now))
+	if trusted {
+		d.balancer.Advance(now)
+	}
+	d.pull(now)
 }
 
 func (d *Daemon) handle(now time.Time, e *event) {
 	d.outlet.now = now
+	d.watchful(now)
 	switch e.source {
 	case sourceCaller:
 		d.fromCaller(now, e)
@@ -56,6 +62,11 @@
 }
 
 func (d *Daemon) fromCaller(now time.Time, e *event) {
+	if d.outlet.muted {
+		// The caller's retransmission reaches another balancer.
+		d.counters.add("drop", "distrust")
+		return
+	}
 	var h packet.Header
 	if err := d.parser.Request(e.buffer.data(), e.id, e.from, &h); err != nil {
 		d.reject(e, &h, err)
@@ -73,6 +84,10 @@
 		d.hear(now, e.from, e.buffer.data())
 		return
 	}
+	if d.outlet.muted {
+		d.counters.add("drop", "distrust")
+		return
+	}
 	if _, ok := d.balancer.Members().ByRelay(e.from); !ok {
 		d.counters.add("drop", "unknown-peer")
 		return
@@ -115,22 +130,13 @@
 	}
 }
 
-func (d *Daemon) hear(now time.Time, from netip.AddrPort, data []byte) {
-	var h wire.Heartbeat
-	if err := wire.ParseHeartbeat(data, &h); err != nil {
-		d.counters.add("drop", err.Error())
-		return
-	}
-	if !d.tracker.Hear(now, from, h.Incarnation, h.Leaving) {
-		d.counters.add("drop", "unknown-peer")
-	}
-}
-
-// install puts a configuration in force.
-func (d *Daemon) install(now time.Time, c *config.Snapshot) {
+// install puts a configuration in force that patches led to, if any did.
+func (d *Daemon) install(now time.Time, c *config.Snapshot, patches []config.Patch) {
 	if !d.balancer.Configure(now, c) {
 		return
 	}
+	d.history.Add(c, patches)
+	d.tracker.Announce(d.history.Current())
 	d.installed = now
 	d.paths.configure(c)
 	d.listeners.configure(c)
@@ -138,6 +144,10 @@
 }
 
 func (d *Daemon) send(p *path, b []byte) {
+	if d.outlet.muted {
+		d.counters.add("send", "distrust")
+		return
+	}
 	if p.retired {
 		d.counters.add("send", "retired-path")
 		return
--- a/filbertd/internal/daemon/outlet.go
+++ b/filbertd/internal/daemon/outlet.go
@@ -31,7 +31,10 @@
 	outward *sender
 	inward  *sender
 	// now is the time of the event in hand.
-	now   time.Time
+	now time.Time
+	// muted stops everything towards upstreams while the process distrusts its
+	// configuration.
+	muted bool
 	frame []byte
 }
 
@@ -135,6 +138,10 @@
 }
 
 func (o *outlet) toUpstream(id uint32, b []byte) {
+	if o.muted {
+		o.counters.add("send", "distrust")
+		return
+	}
 	u := o.balancer.Config().Upstream(id).Upstream
 	if u == nil {
 		o.counters.add("send", "no-upstream")
--- a/filbertd/internal/daemon/status.go
+++ b/filbertd/internal/daemon/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -123,6 +124,10 @@
 	if d.balancer.Config() == nil {
 		return eris.New("no configuration yet")
 	}
+	version, _ := d.history.Current()
+	if !d.trust.Trusted(now, version) {
+		return eris.New("no peer or platform has confirmed the configuration yet")
+	}
 	if !d.tracker.Settled(now) {
 		return eris.New("not all listed VMs have been heard yet")
 	}
@@ -137,13 +142,8 @@
 		Counters:    d.counterList(),
 		Flows:       d.balancer.Keeper().Exchanges(),
 	}
-	for _, m := range d.balancer.Members().Members() {
-		s.Members = append(s.Members, status.Member{
-			Name:  m.Name,
-			Zone:  m.Zone,
-			State: m.State.String(),
-		})
-	}
+	s.PlatformAge = config.Duration(d.tracker.PlatformAge(now))
+	s.Members = d.memberStatus(now)
 	c := d.balancer.Config()
 	if c == nil {
 		return s
@@ -156,6 +156,29 @@
 	return s
 }
 
+func (d *Daemon) memberStatus(now time.Time) []status.Member {
+	members := d.tracker.Members()
+	all := make([]status.Member, 0, len(members))
+	for i := range members {
+		m := &members[i]
+		v := status.Member{
+			Name:    m.Name,
+			Zone:    m.Zone,
+			State:   m.State.String(),
+			Version: m.Version,
+		}
+		if m.Suspected {
+			v.State = "suspect"
+		}
+		if !m.LastHeard.IsZero() {
+			v.LastHeard = config.Duration(now.Sub(m.LastHeard))
+		}
+		all = append(all, v)
+	}
+	slices.SortFunc(all, func(a, b status.Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
 func (d *Daemon) serviceStatus(v *config.Service) status.Service {
 	s := status.Service{Name: v.Name}
 	for i := range v.Upstreams {
--- a/member/beat.go
+++ b/member/beat.go
@@ -36,7 +36,7 @@
 		t.say()
 	}
 	t.expect(now)
-	for _, id := range t.order {
+	for _, id := range t.lookup().judged {
 		p := t.members[id]
 		r := p.record
 		switch {
@@ -56,7 +56,7 @@
 // forget drops dead members that the platform does not list any more.
 func (t *Tracker) forget(now time.Time) {
 	var old []uint64
-	for _, id := range t.order {
+	for _, id := range t.lookup().doubted {
 		if p := t.members[id]; p.record.State == Dead && now.Sub(p.died) >= ForgetAfter {
 			old = append(old, id)
 		}
@@ -73,6 +73,7 @@
 		return
 	}
 	t.ringChanged = false
+	t.touch()
 	rings := t.rings()
 	t.observers = t.observersOf(rings, &t.self)
 	for _, id := range t.order {
@@ -166,10 +167,10 @@
 		return nil
 	}
 	old := t.rand.IntN(oldSeedPeriod) == 0
-	heard := t.relays()
+	living := t.lookup().living
 	unheard := make([]netip.AddrPort, 0, seedPeers)
 	for a, s := range t.seeds {
-		if !heard[a] && (old || now.Sub(s.listed) < seedFresh) {
+		if !living[a] && (old || now.Sub(s.listed) < seedFresh) {
 			unheard = append(unheard, a)
 		}
 	}
@@ -197,7 +198,7 @@
 	out := make([]Message, 0, len(targets))
 	for _, a := range targets {
 		m := t.message(now, a)
-		if t.doubt || !t.living(a) {
+		if t.doubt || !t.lookup().living[a] {
 			m.Heartbeat.Probe = t.probe
 		}
 		out = append(out, m)
@@ -208,16 +209,6 @@
 	return out
 }
 
-// living reports whether a process that is not dead is known at an address.
-func (t *Tracker) living(a netip.AddrPort) bool {
-	for _, p := range t.members {
-		if p.record.Relay == a && p.record.State != Dead {
-			return true
-		}
-	}
-	return false
-}
-
 // message returns a heartbeat to a peer: what is believed of the peer itself
 // comes first, then news, then a part of the view in turn.
 func (t *Tracker) message(now time.Time, to netip.AddrPort) Message {
@@ -248,8 +239,8 @@
 			records = append(records, t.members[id].record)
 		}
 	}
-	for _, id := range t.order {
-		if r := &t.members[id].record; r.Relay == to && r.rank() > 0 {
+	for _, id := range t.lookup().doubted {
+		if t.members[id].record.Relay == to {
 			choose(id)
 		}
 	}
--- a/member/fleet_bench_test.go
+++ b/member/fleet_bench_test.go
@@ -53,6 +53,9 @@
 
 // introduce makes all processes known to each other, as a call of a peer does.
 func (f *fleet) introduce() {
+	for _, p := range f.processes {
+		p.tracker.self.Joining = false
+	}
 	for _, p := range f.processes {
 		for _, o := range f.processes {
 			p.tracker.Merge(f.now, &o.tracker.self)
@@ -104,19 +107,33 @@
 			for _, o := range f.processes[1:] {
 				p.tracker.Merge(f.now, &o.tracker.self)
 			}
-			f.run(0)
+			clear(p.tracker.news)
+			p.tracker.self.Joining = false
 			now := f.now
-			peers := f.processes[1:min(13, size)]
+			p.tracker.Tick(now)
+			var observed []*process
+			for _, o := range f.processes[1:] {
+				if !p.tracker.members[o.self.Incarnation].expected.IsZero() {
+					observed = append(observed, o)
+				}
+			}
 			b.ResetTimer()
 			for range b.N {
-				for range int(time.Second / step) {
+				for i := range int(time.Second / step) {
 					now = now.Add(step)
 					p.tracker.Tick(now)
-				}
-				for _, o := range peers {
-					p.tracker.Hear(now, o.self.Relay, &Heartbeat{Sender: o.tracker.self})
+					if i%int(HeartbeatInterval/step) != 0 {
+						continue
+					}
+					for _, o := range observed {
+						p.tracker.Hear(now, o.self.Relay, &Heartbeat{
+							Sender:  o.tracker.self,
+							Records: []Record{observed[0].tracker.self, o.tracker.self},
+						})
+					}
 				}
 			}
+			b.ReportMetric(float64(len(observed)), "observed")
 		})
 	}
 }
--- a/member/hear.go
+++ b/member/hear.go
@@ -113,7 +113,7 @@
 	}
 	t.insert(r.Incarnation, p)
 	t.news[r.Incarnation] = t.repeats()
-	t.table = nil
+	t.touch()
 }
 
 func (t *Tracker) believe(now time.Time, p *tracked, r *Record) {
@@ -134,7 +134,7 @@
 	}
 	t.ringChanged = t.ringChanged || (r.State == Dead) != (was.State == Dead)
 	t.news[r.Incarnation] = t.repeats()
-	t.table = nil
+	t.touch()
 }
 
 // refute answers a wrong belief of this process.
--- a/member/record.go
+++ b/member/record.go
@@ -20,9 +20,9 @@
 	Suspected bool
 	// Joining tells that the process started less than JoinDelay ago.
 	Joining bool
-	Relay     netip.AddrPort
-	Control   netip.AddrPort
-	Admin     netip.AddrPort
+	Relay   netip.AddrPort
+	Control netip.AddrPort
+	Admin   netip.AddrPort
 	// Version is the configuration version in force at the process.
 	Version config.Version
 }
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -76,13 +76,15 @@
 	// probe is the number that answers to this process's probes carry.
 	probe uint32
 	// doubt makes every message a probe.
-	doubt       bool
-	nextBeat    time.Time
-	nextSpread  time.Time
-	window      int
-	rand        *rand.Rand
+	doubt      bool
+	nextBeat   time.Time
+	nextSpread time.Time
+	window     int
+	rand       *rand.Rand
 	// table is the view made last, nil where something changed since.
-	table       *Table
+	table *Table
+	// index is nil where something changed since it was made.
+	index       *index
 	ringChanged bool
 	observers   []netip.AddrPort
 }
@@ -140,7 +142,7 @@
 	if v == t.self.Version {
 		return
 	}
-	t.table = nil
+	t.touch()
 	t.self.Version = v
 	t.digest = digest
 	t.announcements = t.repeats()
@@ -148,15 +150,8 @@
 
 // Known reports whether datagrams from a relay address are accepted.
 func (t *Tracker) Known(from netip.AddrPort) bool {
-	if t.seeds[from] != nil {
-		return true
-	}
-	for _, p := range t.members {
-		if p.record.Relay == from {
-			return true
-		}
-	}
-	return false
+	_, known := t.lookup().living[from]
+	return known || t.seeds[from] != nil
 }
 
 // Leave announces that this process leaves.
@@ -237,15 +232,9 @@
 	if !t.seeded {
 		return false
 	}
-	var heard map[netip.AddrPort]bool
+	living := t.lookup().living
 	for a, s := range t.seeds {
-		if now.Sub(s.listed) >= DeadAfter {
-			continue
-		}
-		if heard == nil {
-			heard = t.relays()
-		}
-		if !heard[a] {
+		if now.Sub(s.listed) < DeadAfter && !living[a] {
 			return false
 		}
 	}
@@ -286,7 +275,7 @@
 func (t *Tracker) say() {
 	t.self.Sequence++
 	t.announcements = t.repeats()
-	t.table = nil
+	t.touch()
 }
 
 func memberOf(r *Record, heard time.Time) Member {
@@ -305,17 +294,6 @@
 	}
 }
 
-// relays returns the relay addresses of processes that are not dead.
-func (t *Tracker) relays() map[netip.AddrPort]bool {
-	relays := make(map[netip.AddrPort]bool, len(t.members))
-	for _, p := range t.members {
-		if p.record.State != Dead {
-			relays[p.record.Relay] = true
-		}
-	}
-	return relays
-}
-
 // repeats returns how often one piece of news is passed on.
 func (t *Tracker) repeats() int {
 	return spreadFactor * bits.Len(uint(len(t.members)+1))
@@ -326,7 +304,7 @@
 	i, _ := slices.BinarySearch(t.order, id)
 	t.order = slices.Insert(t.order, i, id)
 	t.ringChanged = true
-	t.table = nil
+	t.touch()
 }
 
 func (t *Tracker) remove(id uint64) {
@@ -336,5 +314,5 @@
 		t.order = slices.Delete(t.order, i, i+1)
 	}
 	t.ringChanged = true
-	t.table = nil
+	t.touch()
 }
--- a/wire/heartbeat.go
+++ b/wire/heartbeat.go
@@ -142,14 +142,20 @@
 	failed bool
 }
 
+// address reads an address, which has no bytes and port zero where it is not
+// set.
 func (c *cursor) address() netip.AddrPort {
-	ip, ok := netip.AddrFromSlice(c.bytes(int(c.byte())))
-	port := c.bytes(2)
-	if !ok || port == nil {
-		// An address that is not set has no bytes and port zero.
+	ip := c.bytes(int(c.byte()))
+	port := uint16(c.number(2))
+	if len(ip) == 0 {
+		c.failed = c.failed || port != 0
 		return netip.AddrPort{}
 	}
-	return netip.AddrPortFrom(ip.Unmap(), binary.BigEndian.Uint16(port))
+	a, ok := netip.AddrFromSlice(ip)
+	if !ok || a.Is4In6() {
+		c.failed = true
+	}
+	return netip.AddrPortFrom(a, port)
 }
 
 func (c *cursor) byte() byte {
--- a/wire/heartbeat_test.go
+++ b/wire/heartbeat_test.go
@@ -60,11 +60,20 @@
 }
 
 func FuzzParseHeartbeat(f *testing.F) {
-	f.Add(AppendHeartbeat(nil, &member.Heartbeat{}))
+	f.Add(AppendHeartbeat(nil, &member.Heartbeat{
+		Sender: member.Record{
+			Incarnation: 5,
+			State:       member.Leaving,
+			Version:     3,
+		},
+	}))
+	f.Add([]byte{0xf2})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var h member.Heartbeat
 		if err := ParseHeartbeat(data, &h); err != nil {
 			require.ErrorIs(t, err, ErrHeartbeat)
+			return
 		}
+		require.Equal(t, data, AppendHeartbeat(nil, &h))
 	})
 }
--- a/wire/relay_test.go
+++ b/wire/relay_test.go
@@ -61,20 +61,3 @@
 		require.Equal(t, r, again)
 	})
 }
-
-func FuzzParseHeartbeat(f *testing.F) {
-	f.Add(wire.AppendHeartbeat(nil, &wire.Heartbeat{
-		Incarnation: 5,
-		Leaving:     true,
-		Version:     3,
-	}))
-	f.Add([]byte{0xf2})
-	f.Fuzz(func(t *testing.T, data []byte) {
-		var h wire.Heartbeat
-		if err := wire.ParseHeartbeat(data, &h); err != nil {
-			require.ErrorIs(t, err, wire.ErrHeartbeat)
-			return
-		}
-		require.Equal(t, data, wire.AppendHeartbeat(nil, &h))
-	})
-}
