perf: changes of the configuration cost what they touch

Ruled out: trusting the platform and skipping the check (a patch would be in force half); persistent trees in place of slices (the document is read everywhere as slices). Zones that are replaced, and upstreams put or removed, are checked against counted hashes of names and addresses; where anything is in doubt the whole document decides, so faults and outcomes are the same. Tests for the spread of versions.

--- /dev/null
+++ b/config/advance_test.go
@@ -0,0 +1,130 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A snapshot that follows by a patch equals one made from the whole document,
+// or neither exists.
+func TestSnapshotApplyEqualsWholeDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, err := NewSnapshot(7, drawDocument(t))
+		require.NoError(t, err)
+		for range rapid.IntRange(1, 6).Draw(t, "patches") {
+			p := &Patch{
+				Base:       s.Version,
+				Operations: rapid.SliceOfN(rapid.Custom(drawOperation), 0, 3).Draw(t, "operations"),
+			}
+			if len(s.Document.Zones) > 0 && rapid.Bool().Draw(t, "valid") {
+				p.Operations = []Operation{drawChange(t, s.Document)}
+			}
+			before := encoded(t, s.Document)
+			next, err := s.Apply(p)
+			require.Equal(t, before, encoded(t, s.Document), "the snapshot has changed")
+			requireIndexed(t, s)
+			want, wantErr := p.Apply(s.Version, s.Document)
+			require.Equal(t, wantErr == nil, err == nil, "%v, %v", wantErr, err)
+			if err != nil {
+				require.Equal(t, wantErr.Error(), err.Error())
+				continue
+			}
+			// Copies make no difference between no upstreams and an empty list.
+			require.Equal(t, encoded(t, want.Clone()), encoded(t, next.Document.Clone()))
+			require.Equal(t, want.Digest(), next.Document.Digest())
+			requireIndexed(t, next)
+			s = next
+		}
+	})
+}
+
+// Small changes don't need the whole document.
+func TestAdvanceTakesSmallChanges(t *testing.T) {
+	d := sample()
+	s, err := NewSnapshot(1, d)
+	require.NoError(t, err)
+	u := d.Services[0].Upstreams[0]
+	u.State = UpstreamDraining
+	z := d.Zones[0]
+	z.State = ZoneOut
+	for name, o := range map[string]Operation{
+		"zone out":        {PutZone: &z},
+		"upstream drains": {PutUpstream: &PutUpstream{Service: d.Services[0].Name, Upstream: u}},
+		"upstream goes":   {RemoveUpstream: &RemoveUpstream{Service: d.Services[0].Name, Name: u.Name}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, ok := s.advance(&Patch{
+				Base:       1,
+				Operations: []Operation{o},
+			})
+			require.True(t, ok)
+		})
+	}
+}
+
+// drawChange returns an operation on something that the document has.
+func drawChange(t *rapid.T, d *Document) Operation {
+	z := rapid.SampledFrom(d.Zones).Draw(t, "zone")
+	z.State = rapid.SampledFrom([]ZoneState{ZoneIn, ZoneOut}).Draw(t, "state")
+	if len(d.Services) == 0 || rapid.Bool().Draw(t, "put zone") {
+		return Operation{PutZone: &z}
+	}
+	s := rapid.SampledFrom(d.Services).Draw(t, "service")
+	if len(s.Upstreams) == 0 {
+		return Operation{PutZone: &z}
+	}
+	u := rapid.SampledFrom(s.Upstreams).Draw(t, "upstream")
+	if rapid.Bool().Draw(t, "remove") {
+		return Operation{RemoveUpstream: &RemoveUpstream{
+			Service: s.Name,
+			Name:    u.Name,
+		}}
+	}
+	u.Share = rapid.Uint32Range(0, 9).Draw(t, "share")
+	u.Zone = z.Name
+	if rapid.Bool().Draw(t, "add") {
+		u.ID += 1000
+		u.Name += "-added"
+	}
+	return Operation{PutUpstream: &PutUpstream{
+		Service:  s.Name,
+		Upstream: u,
+	}}
+}
+
+// requireIndexed fails where a look-up does not lead to the document.
+func requireIndexed(t *rapid.T, s *Snapshot) {
+	n := 0
+	for i := range s.Document.Services {
+		v := &s.Document.Services[i]
+		require.Same(t, v, s.Service(v.ID))
+		require.Same(t, v, s.ServiceAt(v.Address))
+		for j := range v.Upstreams {
+			n++
+			p := s.Upstream(v.Upstreams[j].ID)
+			require.Same(t, v, p.Service)
+			require.Same(t, &v.Upstreams[j], p.Upstream)
+		}
+	}
+	indexed := 0
+	for i := range s.upstreams.parts {
+		indexed += len(s.upstreams.parts[i])
+	}
+	require.Equal(t, n, indexed)
+	for i := range s.Document.Zones {
+		require.Same(t, &s.Document.Zones[i], s.Zone(s.Document.Zones[i].Name))
+	}
+}
+
+func TestDigestTellsDocumentsApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawDocument(t), drawDocument(t)
+		if encoded(t, a) == encoded(t, b) {
+			require.Equal(t, a.Digest(), b.Digest())
+			return
+		}
+		require.NotEqual(t, a.Digest(), b.Digest())
+	})
+}
--- a/config/scale_bench_test.go
+++ b/config/scale_bench_test.go
@@ -1,8 +1,12 @@
 package config_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"filbertworks.example/filbertworks/config"
@@ -92,3 +96,62 @@
 		d.Digest()
 	}
 }
+
+// BenchmarkSnapshot reports the time and the memory in use of a whole snapshot
+// at the target size.
+func BenchmarkSnapshot(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s, err := config.NewSnapshot(1, scaleDocument(13000, 110000))
+		if err != nil {
+			b.Fatal(err)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		runtime.KeepAlive(s)
+	}
+}
+
+// BenchmarkTransfer reports the compressed bytes of one change and of a whole
+// document, as peers send them.
+func BenchmarkTransfer(b *testing.B) {
+	for _, size := range []struct{ services, upstreams int }{
+		{services: 2, upstreams: 18},
+		{services: 1444, upstreams: 12222},
+		{services: 13000, upstreams: 110000},
+	} {
+		b.Run(fmt.Sprintf("upstreams=%d", size.upstreams), func(b *testing.B) {
+			d := scaleDocument(size.services, size.upstreams)
+			patch := config.Patch{
+				Base:       7,
+				Operations: []config.Operation{{PutZone: &d.Zones[0]}},
+			}
+			for b.Loop() {
+				b.ReportMetric(compressed(b, config.Publication{
+					Version: 8,
+					Patches: []config.Patch{patch},
+				}), "B/patch")
+				b.ReportMetric(compressed(b, config.Publication{
+					Version:  8,
+					Document: d,
+				}), "B/document")
+			}
+		})
+	}
+}
+
+func compressed(b *testing.B, v any) float64 {
+	b.Helper()
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		b.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		b.Fatal(err)
+	}
+	return float64(out.Len())
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -15,11 +15,21 @@
 	Version  Version
 	Document *Document
 
-	// byID, byAddress and upstreams point into Document.
-	byID      map[uint32]*Service
-	byAddress map[netip.AddrPort]*Service
-	upstreams map[uint32]Placement
-	zones     map[string]*Zone
+	// byID, byName and byAddress hold indices into Document.Services.
+	byID      map[uint32]int
+	byName    map[string]int
+	byAddress map[netip.AddrPort]int
+	upstreams *shards[uint32, position]
+	// claims has the names and addresses of services and upstreams.
+	claims claims
+	// zones holds indices into Document.Zones.
+	zones map[string]int
+}
+
+// A position is the place of an upstream in a document, as indices.
+type position struct {
+	service  int
+	upstream int
 }
 
 // A Placement is an upstream together with its service.
@@ -37,16 +47,18 @@
 	s := &Snapshot{
 		Version:   v,
 		Document:  d,
-		byID:      make(map[uint32]*Service, len(d.Services)),
-		byAddress: make(map[netip.AddrPort]*Service, len(d.Services)),
-		upstreams: make(map[uint32]Placement),
-		zones:     make(map[string]*Zone, len(d.Zones)),
+		byID:      make(map[uint32]int, len(d.Services)),
+		byName:    make(map[string]int, len(d.Services)),
+		byAddress: make(map[netip.AddrPort]int, len(d.Services)),
+		upstreams: newShards[uint32, position](),
+		claims:    claims{shards: newShards[uint64, uint32]()},
+		zones:     make(map[string]int, len(d.Zones)),
 	}
 	for i := range d.Zones {
-		s.zones[d.Zones[i].Name] = &d.Zones[i]
+		s.zones[d.Zones[i].Name] = i
 	}
 	for i := range d.Services {
-		s.index(&d.Services[i])
+		s.index(i)
 	}
 	return s, nil
 }
@@ -54,6 +66,9 @@
 // Apply returns the snapshot that follows s by p; the error is that of
 // Patch.Apply.
 func (s *Snapshot) Apply(p *Patch) (*Snapshot, error) {
+	if next, ok := s.advance(p); ok {
+		return next, nil
+	}
 	d, err := p.Apply(s.Version, s.Document)
 	if err != nil {
 		return nil, err
@@ -63,41 +78,68 @@
 
 // Service returns the service of an id, or nil.
 func (s *Snapshot) Service(id uint32) *Service {
-	return s.byID[id]
+	i, ok := s.byID[id]
+	return s.serviceAt(i, ok)
 }
 
 // ServiceAt returns the service of an address, or nil.
 func (s *Snapshot) ServiceAt(a netip.AddrPort) *Service {
-	return s.byAddress[a]
+	i, ok := s.byAddress[a]
+	return s.serviceAt(i, ok)
 }
 
 // Upstream returns the upstream of an id and its service; both are nil where
 // there is none.
 func (s *Snapshot) Upstream(id uint32) Placement {
-	return s.upstreams[id]
+	at, ok := s.upstreams.get(id)
+	if !ok {
+		return Placement{}
+	}
+	v := &s.Document.Services[at.service]
+	return Placement{
+		Service:  v,
+		Upstream: &v.Upstreams[at.upstream],
+	}
 }
 
 // ZoneIn reports whether a zone is known and receives traffic.
 func (s *Snapshot) ZoneIn(name string) bool {
-	z := s.zones[name]
+	z := s.Zone(name)
 	return z != nil && z.State == ZoneIn
 }
 
 // Zone returns the zone of a name, or nil.
 func (s *Snapshot) Zone(name string) *Zone {
-	return s.zones[name]
+	i, ok := s.zones[name]
+	if !ok {
+		return nil
+	}
+	return &s.Document.Zones[i]
+}
+
+func (s *Snapshot) index(i int) {
+	v := &s.Document.Services[i]
+	s.byID[v.ID] = i
+	s.byName[v.Name] = i
+	s.byAddress[v.Address] = i
+	s.claims.take(nameClaim(v.Name))
+	s.claims.take(addressClaim(v.Address))
+	for j := range v.Upstreams {
+		u := &v.Upstreams[j]
+		s.claims.take(nameClaim(u.Name))
+		s.claims.take(addressClaim(u.Address))
+		s.upstreams.set(u.ID, position{
+			service:  i,
+			upstream: j,
+		})
+	}
 }
 
-func (s *Snapshot) index(v *Service) {
-	s.byID[v.ID] = v
-	s.byAddress[v.Address] = v
-	for i := range v.Upstreams {
-		u := &v.Upstreams[i]
-		s.upstreams[u.ID] = Placement{
-			Service:  v,
-			Upstream: u,
-		}
+func (s *Snapshot) serviceAt(i int, ok bool) *Service {
+	if !ok {
+		return nil
 	}
+	return &s.Document.Services[i]
 }
 
 // Decode sets v from one JSON value in data; unknown fields and trailing data
--- /dev/null
+++ b/filbertd/internal/daemon/control_test.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// A fakePeer answers Since with fixed pages.
+type fakePeer struct {
+	wire.DRPCPeerUnimplementedServer
+	pages []*wire.Page
+}
+
+func (p *fakePeer) Since(_ *wire.SinceRequest, stream wire.DRPCPeer_SinceStream) error {
+	for _, page := range p.pages {
+		if err := stream.Send(page); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// servePeer serves pages until the test ends.
+func servePeer(t *testing.T, pages ...*wire.Page) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, wire.DRPCRegisterPeer(mux, &fakePeer{pages: pages}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = drpcserver.New(mux).Serve(ctx, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func smallDocument() *config.Document {
+	return &config.Document{
+		Keys: []config.Key{{
+			ID:     1,
+			Secret: make([]byte, config.MinSecretSize),
+		}},
+		Zones: []config.Zone{{
+			Name:   "bolzano",
+			Region: "alto-adige",
+			State:  config.ZoneIn,
+		}},
+	}
+}
+
+func packed(t *testing.T, p *config.Publication) []byte {
+	t.Helper()
+	data, err := pack(p)
+	require.NoError(t, err)
+	return data
+}
+
+func TestFetch(t *testing.T) {
+	current, err := config.NewSnapshot(7, smallDocument())
+	require.NoError(t, err)
+	out := smallDocument().Zones[0]
+	out.State = config.ZoneOut
+	change := config.Patch{
+		Base:       7,
+		Operations: []config.Operation{{PutZone: &out}},
+	}
+	patches := packed(t, &config.Publication{
+		Version: 8,
+		Patches: []config.Patch{change},
+	})
+	document := packed(t, &config.Publication{
+		Version:  9,
+		Document: smallDocument(),
+	})
+	broken := packed(t, &config.Publication{
+		Version:  9,
+		Document: &config.Document{},
+	})
+	gap := packed(t, &config.Publication{
+		Version: 10,
+		Patches: []config.Patch{{
+			Base:       9,
+			Operations: change.Operations,
+		}},
+	})
+	old := packed(t, &config.Publication{
+		Version:  6,
+		Document: smallDocument(),
+	})
+	for _, tt := range []struct {
+		name  string
+		pages []*wire.Page
+		// want is the version that comes of it, zero for none.
+		want   config.Version
+		failed bool
+	}{
+		{name: "patches", pages: []*wire.Page{{Data: patches, Last: true}}, want: 8},
+		{name: "document", pages: []*wire.Page{{Data: document, Last: true}}, want: 9},
+		{name: "in pages", pages: []*wire.Page{{Data: document[:20]}, {Data: document[20:40]}, {Data: document[40:], Last: true}}, want: 9},
+		{name: "nothing newer", pages: []*wire.Page{{Last: true}}},
+		{name: "an older document", pages: []*wire.Page{{Data: old, Last: true}}},
+		{name: "a page is missing", pages: []*wire.Page{{Data: document[:20]}, {Data: document[40:], Last: true}}, failed: true},
+		{name: "the stream ends early", pages: []*wire.Page{{Data: document}}, failed: true},
+		{name: "no pages", failed: true},
+		{name: "a document with faults", pages: []*wire.Page{{Data: broken, Last: true}}, failed: true},
+		{name: "patches of another base", pages: []*wire.Page{{Data: gap, Last: true}}, failed: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			peer := servePeer(t, tt.pages...)
+			next, _, err := fetch(t.Context(), peer, current, current.Document.Digest())
+			require.Equal(t, tt.failed, err != nil, "%v", err)
+			if tt.want == 0 {
+				require.Nil(t, next)
+				return
+			}
+			require.Equal(t, tt.want, next.Version, fmt.Sprint(err))
+		})
+	}
+}
+
+func TestFetchFromNobody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	peer := netip.MustParseAddrPort(l.Addr().String())
+	require.NoError(t, l.Close())
+	_, _, err = fetch(t.Context(), peer, nil, 0)
+	require.Error(t, err)
+}
--- a/member/fleet_bench_test.go
+++ b/member/fleet_bench_test.go
@@ -25,7 +25,7 @@
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []int{9, 100, 500} {
 		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
-			var bytes, messages, death, version float64
+			var bytes, messages, death, version, longest float64
 			for i := range b.N {
 				f := newFleet(uint64(i), 4, size)
 				f.loss = 0.02
@@ -39,12 +39,15 @@
 				version += f.spreadVersion().Seconds()
 				gone := f.processes[i%size]
 				gone.down = true
-				death += f.until(time.Minute, func() bool { return f.buried(gone) }).Seconds()
+				took := f.until(time.Minute, func() bool { return f.buried(gone) }).Seconds()
+				death += took
+				longest = max(longest, took)
 			}
 			n := float64(b.N)
 			b.ReportMetric(bytes/n, "B/s/member")
 			b.ReportMetric(messages/n, "msg/s/member")
 			b.ReportMetric(death/n, "s/death")
+			b.ReportMetric(longest, "s/death-max")
 			b.ReportMetric(version/n, "s/version")
 			b.ReportMetric(0, "ns/op")
 		})
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,154 @@
+package rollout
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/member"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func snapshot(t require.TestingT, v config.Version, zones int) *config.Snapshot {
+	d := &config.Document{Keys: []config.Key{{
+		ID:     1,
+		Secret: make([]byte, config.MinSecretSize),
+	}}}
+	for i := range zones {
+		d.Zones = append(d.Zones, config.Zone{
+			Name:   fmt.Sprintf("zone-%d", i),
+			Region: "region",
+			State:  config.ZoneIn,
+		})
+	}
+	s, err := config.NewSnapshot(v, d)
+	require.NoError(t, err)
+	return s
+}
+
+func patch(base config.Version, zone int, state config.ZoneState) config.Patch {
+	return config.Patch{
+		Base: base,
+		Operations: []config.Operation{{PutZone: &config.Zone{
+			Name:   fmt.Sprintf("zone-%d", zone),
+			Region: "region",
+			State:  state,
+		}}},
+	}
+}
+
+// Whatever versions a process skips, a peer's answer leads it to the peer's
+// document, whole, and never back.
+func TestHistoryLeadsToTheVersionInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ahead, behind := &History{}, &History{}
+		s := snapshot(t, 1, 3)
+		ahead.Add(s, nil)
+		behind.Add(s, nil)
+		mine := s
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			p := patch(s.Version, rapid.IntRange(0, 2).Draw(t, "zone"), rapid.SampledFrom([]config.ZoneState{config.ZoneIn, config.ZoneOut}).Draw(t, "state"))
+			next, err := s.Apply(&p)
+			require.NoError(t, err)
+			s = next
+			patches := []config.Patch{p}
+			if rapid.IntRange(0, 9).Draw(t, "whole") == 0 {
+				patches = nil
+			}
+			ahead.Add(s, patches)
+			if rapid.Bool().Draw(t, "pull") {
+				version, digest := behind.Current()
+				got := ahead.Since(version, digest)
+				require.NoError(t, got.Check())
+				require.Less(t, mine.Version, got.Version)
+				mine, err = got.Follow(mine)
+				require.NoError(t, err)
+				require.Equal(t, s.Version, mine.Version)
+				require.Equal(t, s.Document.Digest(), mine.Document.Digest())
+				behind.Add(mine, got.Patches)
+			}
+		}
+		version, digest := ahead.Current()
+		require.Nil(t, ahead.Since(version, digest))
+		require.Nil(t, ahead.Since(version+1, digest))
+	})
+}
+
+func TestHistoryOfAnotherDocument(t *testing.T) {
+	s := snapshot(t, 1, 3)
+	h := &History{}
+	h.Add(s, nil)
+	p := patch(1, 0, config.ZoneOut)
+	next, err := s.Apply(&p)
+	require.NoError(t, err)
+	h.Add(next, []config.Patch{p})
+	require.Len(t, h.Since(1, s.Document.Digest()).Patches, 1)
+	other := h.Since(1, s.Document.Digest()+1)
+	require.Nil(t, other.Patches)
+	require.NotNil(t, other.Document)
+}
+
+func TestPuller(t *testing.T) {
+	a := netip.MustParseAddrPort("10.0.0.1:7401")
+	b := netip.MustParseAddrPort("10.0.0.2:7401")
+	p := &Puller{}
+	_, ok := p.Next(epoch, 3)
+	require.False(t, ok, "nobody has more")
+	p.Offer(epoch, a, 3)
+	_, ok = p.Next(epoch, 3)
+	require.False(t, ok, "the same version")
+	p.Offer(epoch, a, 5)
+	p.Offer(epoch, b, 4)
+	peer, ok := p.Next(epoch, 3)
+	require.True(t, ok)
+	require.Equal(t, a, peer, "the highest version")
+	_, ok = p.Next(epoch, 3)
+	require.False(t, ok, "one call at a time")
+	p.Done(epoch, a, false)
+	_, ok = p.Next(epoch, 3)
+	require.False(t, ok, "a pause after a failure")
+	peer, ok = p.Next(epoch.Add(PullRetry), 3)
+	require.True(t, ok)
+	require.Equal(t, b, peer, "another peer after a failure")
+	peer, ok = p.Next(epoch.Add(PullRetry+PullTimeout), 3)
+	require.False(t, ok, "offers are old: %v", peer)
+}
+
+func TestReads(t *testing.T) {
+	var members []member.Member
+	for i := range 9 {
+		members = append(members, member.Member{
+			Name:  fmt.Sprintf("lb-%d", i),
+			Zone:  fmt.Sprintf("zone-%d", i/8),
+			Relay: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400),
+		})
+	}
+	count := func(members []member.Member, age time.Duration) int {
+		table := member.NewTable(members)
+		n := 0
+		for _, m := range members {
+			if m.Zone == "zone-0" && m.State == member.Alive && Reads(table, m.Name, m.Zone, age, true) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, Readers, count(members, 0))
+	require.Equal(t, Readers+1, count(members, StandbyAfter))
+	require.Equal(t, MaxReaders, count(members, 100*StandbyAfter))
+	for i := range 8 {
+		gone := append([]member.Member(nil), members...)
+		gone[i].State = member.Dead
+		require.Equal(t, Readers, count(gone, 0), "a stand-by takes the place of %s", gone[i].Name)
+	}
+	table := member.NewTable(members)
+	require.True(t, Reads(table, "lb-8", "zone-1", 0, true), "alone in its zone")
+	require.True(t, Reads(table, "lb-new", "zone-0", 0, true), "not part of the view")
+	require.True(t, Reads(table, "lb-0", "zone-0", 0, false), "nothing in force")
+}
