feat: flows move between keepers without a break

Cause: a flow whose keeper changed was admitted as a new one, went to another upstream where connections were full, and stayed registered at its former keeper until the lease ended; a fresh source port made a second flow. Ruled out: an index without the port (callers behind one address share tokens); following an unknown upstream by a fixed grace (stuck callers). Change: tickets of flows carry a stable serial and the configuration version; re-registrations are admitted up to twice the connections and never offered elsewhere; the new keeper releases the former; watches of gone upstreams are dismissed at a bounded rate; exchanges and leases live in paged tables. Conclusion: planned changes break no flow in the test.

--- /dev/null
+++ b/balancer/affinity.go
@@ -0,0 +1,85 @@
+package balancer
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/ticket"
+	"filbertworks.example/filbertworks/verdict"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// A Releaser passes a release on to the balancer that it names.
+type Releaser interface {
+	Release(to *member.Member, r *keeper.Release)
+}
+
+// releasing finds the processes that releases name.
+type releasing Balancer
+
+// Release reports false where the process may live but is not known yet.
+func (l *releasing) Release(r *keeper.Release) bool {
+	m, ok := l.table.ByIncarnation(r.Incarnation)
+	if !ok {
+		return l.settled
+	}
+	if l.options.Releaser != nil {
+		l.options.Releaser.Release(&m, r)
+	}
+	return true
+}
+
+// Leave makes this balancer grant no further rights to executions; the view
+// that says so to others is set by SetMembers.
+func (b *Balancer) Leave() {
+	b.keeper.Leave()
+}
+
+// Released takes the release of a watch that another balancer keeps now, and
+// reports whether this one kept it.
+func (b *Balancer) Released(now time.Time, r *keeper.Release) bool {
+	return b.keeper.Release(now, r)
+}
+
+// outdated reports whether the upstream of a flow is missing here because the
+// configuration in force is older than the flow's ticket.
+func (b *Balancer) outdated(t *ticket.Ticket) bool {
+	if t == nil || config.Version(t.Version) <= b.config.Version {
+		return false
+	}
+	return b.config.Upstream(t.Upstream).Upstream == nil
+}
+
+// passOn relays a datagram to its flow's keeper, which has the configuration
+// that this balancer lacks. Where the keeper is not known, a retransmission of
+// the caller reaches another balancer, or this one once it is up to date.
+func (b *Balancer) passOn(h *packet.Header, t *ticket.Ticket, r *wire.Relay, datagram []byte) {
+	m, ok := b.table.ByIncarnation(t.Incarnation)
+	if !ok || r.Hops >= MaxHops || t.Incarnation == b.options.Incarnation {
+		b.drop(h, verdict.ReasonUnsettled)
+		return
+	}
+	b.outlet.Routed(&Decision{
+		Header:   h,
+		Upstream: t.Upstream,
+		Keeper:   m.Name,
+	})
+	b.relay(&m, r, t.Upstream, datagram)
+}
+
+// mayKeep reports whether h may go on to the keeper of u. A balancer that does
+// not know the flow's keeper, nor yet all others, must not take the flow over:
+// the caller's retransmission reaches a balancer that knows.
+func (b *Balancer) mayKeep(h *packet.Header, t *ticket.Ticket, u *config.Upstream, r *wire.Relay) bool {
+	if b.settled || r.Hops > 0 || t == nil || h.Kind != packet.KindWatchOpen || t.Incarnation == b.options.Incarnation {
+		return true
+	}
+	if _, ok := b.table.ByIncarnation(t.Incarnation); ok {
+		return true
+	}
+	m, ok := b.table.Keeper(u.ID, u.Zone)
+	return ok && m.Incarnation != b.options.Incarnation
+}
--- /dev/null
+++ b/balancer/affinity_test.go
@@ -0,0 +1,142 @@
+package balancer_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+)
+
+// A change is one planned change of a flowSystem.
+type change struct {
+	name  string
+	apply func(s *flowSystem)
+}
+
+var changes = []change{
+	{
+		name:  "upstream added",
+		apply: (*flowSystem).addUpstream,
+	},
+	{
+		name: "upstream drained",
+		apply: func(s *flowSystem) {
+			v := s.service()
+			for i := range v.Upstreams {
+				v.Upstreams[i].State = config.UpstreamActive
+			}
+			v.Upstreams[s.random.IntN(len(v.Upstreams))].State = config.UpstreamDraining
+		},
+	},
+	{
+		name: "upstream re-weighted",
+		apply: func(s *flowSystem) {
+			v := s.service()
+			v.Upstreams[s.random.IntN(len(v.Upstreams))].Share = 10 + s.random.Uint32N(200)
+		},
+	},
+	{
+		name: "upstream removed",
+		apply: func(s *flowSystem) {
+			v := s.service()
+			v.Upstreams = slices.Delete(v.Upstreams, 0, 1)
+		},
+	},
+	{
+		name: "balancer replaced",
+		apply: func(s *flowSystem) {
+			c := s.cores[0]
+			c.self.State = member.Leaving
+			c.balancer.Leave()
+			s.addCore()
+		},
+	},
+}
+
+// step puts changes in force at one part of the cores after the other while all
+// flows are refreshed and some are opened.
+func (s *flowSystem) step(parts ...change) {
+	for _, c := range parts {
+		c.apply(s)
+	}
+	s.publish()
+	s.install(s.some())
+	s.view(s.some())
+	known := len(s.flows)
+	s.grow(100)
+	for i := range s.flows {
+		if i%2 == 0 || i >= known {
+			s.refresh(uint32(i))
+		}
+	}
+	s.install(s.cores)
+	s.view(s.cores)
+	s.forget()
+	for i := range s.flows {
+		s.refresh(uint32(i))
+	}
+	s.run(6 * time.Second)
+	s.stop()
+}
+
+// run lets time pass.
+func (s *flowSystem) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(50 * time.Millisecond)
+		for _, c := range s.cores {
+			c.balancer.Advance(s.now)
+		}
+		s.settle()
+	}
+}
+
+// outliveLeases refreshes all flows for the time of a lease.
+func (s *flowSystem) outliveLeases() {
+	refresh := time.Duration(s.service().Refresh)
+	for range keeper.WatchLeaseIntervals + 1 {
+		s.run(refresh)
+		for i := range s.flows {
+			s.refresh(uint32(i))
+		}
+	}
+	s.run(time.Second)
+}
+
+// stop ends the cores that leave; by now they hold nothing.
+func (s *flowSystem) stop() {
+	for _, c := range s.cores {
+		if c.self.State == member.Leaving {
+			require.Zero(s.t, c.balancer.Keeper().Exchanges(), "%s left flows behind", c.self.Name)
+		}
+	}
+	s.cores = slices.DeleteFunc(s.cores, func(c *flowCore) bool { return c.self.State == member.Leaving })
+	s.view(s.cores)
+}
+
+// TestAffinity opens flows and makes every planned change and every
+// pair of them at once: no flow breaks.
+func TestAffinity(t *testing.T) {
+	const seed = 20261204
+	t.Logf("seed %d", seed)
+	s := newFlowSystem(t, seed, 4, 14)
+	s.grow(population)
+	for i, a := range changes {
+		for _, b := range changes[i:] {
+			parts := []change{a}
+			if b.name != a.name {
+				parts = append(parts, b)
+			}
+			s.step(parts...)
+			require.Zero(t, s.broken, "%s and %s", a.name, b.name)
+		}
+	}
+	t.Logf("%d flows, %d broken, %d retransmitted, %d relays, %d bytes of releases, %d registered twice at last",
+		len(s.flows), s.broken, s.dropped, s.relays, s.control, len(s.open)-len(s.flows))
+	s.outliveLeases()
+	require.Len(t, s.open, len(s.flows), "upstreams see no flow twice once the leases of releases that were lost are over")
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,6 +63,9 @@
 	// Rand makes the random choices of placement.
 	Rand   *rand.Rand
 	Outlet Outlet
+	// Releaser may be nil: watches that move then stay with their former keeper
+	// until its lease ends.
+	Releaser Releaser
 }
 
 // A Balancer routes datagrams under the configuration and member view in force.
@@ -92,7 +95,7 @@
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
 	}
-	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet)
+	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, keeper.WithReleaser((*releasing)(b)))
 	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
 	return b
 }
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -31,15 +31,27 @@
 		b.refuse(h, verdict.MayHaveRun, reason)
 		return
 	}
+	if h.Kind == packet.KindOnce && t != nil && !t.Executes() {
+		// The ticket names a flow and no execution.
+		t = nil
+	}
 	if h.Kind == packet.KindOnce && t != nil {
 		b.routeOnce(now, h, t, s, r, datagram)
 		return
 	}
+	if b.outdated(t) {
+		b.passOn(h, t, r, datagram)
+		return
+	}
 	u, placed, reason := b.upstreamFor(h, t, s, r)
 	if u == nil {
 		b.refuse(h, verdict.NotRun, reason)
 		return
 	}
+	if !b.mayKeep(h, t, u, r) {
+		b.drop(h, verdict.ReasonUnsettled)
+		return
+	}
 	d := &Decision{
 		Header:   h,
 		Upstream: u.ID,
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/timer"
 )
 
 // An exchangeKey names an exchange as its caller does.
@@ -27,6 +28,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom16(k.ip).Unmap(), k.port)
 }
 
+// sameHost reports whether k and o differ at most in the port.
+func (k *exchangeKey) sameHost(o *exchangeKey) bool {
+	return k.ip == o.ip && k.token == o.token
+}
+
 // An exchange is one open watch or one request in flight.
 type exchange struct {
 	key exchangeKey
@@ -34,8 +40,15 @@
 	kind packet.Kind
 	// confirmable tells that the caller's message awaits an acknowledgement.
 	confirmable bool
+	// detached tells that key leads to another exchange: the caller has used its
+	// token again.
+	detached bool
+	// closed tells that nothing more may be sent to the upstream.
+	closed bool
 	// settled tells that a watch has been confirmed by its upstream.
 	settled bool
+	// repaired tells that the registration in flight is the keeper's own.
+	repaired bool
 	// message is the caller's latest message id, forwarded the one used
 	// towards the upstream.
 	message   uint16
@@ -45,46 +58,74 @@
 	generation uint32
 	service    uint32
 	upstream   uint32
-	// serial is the ledger's key of a non-idempotent request.
+	// chain is the next place plus one of the same bucket, or zero.
+	chain uint32
+	// registration is the place plus one of a watch's request, or zero.
+	registration uint32
+	// lease is a watch's link in the wheel of leases.
+	lease timer.Link
+	// serial is the ledger's key of a non-idempotent request. A watch keeps one
+	// serial for its life, by which its tickets name it.
 	serial uint64
+	// former is the incarnation that kept a watch before; zero once it has been
+	// told. Until then serial is that keeper's.
+	former uint64
 	// sent and expires count from the keeper's start.
 	sent    time.Duration
 	expires time.Duration
 }
 
-// An exchangeTable holds the open exchanges of a keeper in reused places.
+// pageSize is the number of exchanges that are allocated together.
+const pageSize = 1024
+
+// An exchangeTable holds the open exchanges of a keeper in reused places, which
+// do not move. Its index is chained through the exchanges.
 type exchangeTable struct {
-	places []exchange
-	free   []uint32
-	index  map[exchangeKey]uint32
-	limit  int
+	pages []*[pageSize]exchange
+	free  []uint32
+	// count is the number of places that were ever used.
+	count uint32
+	// buckets hold places plus one, by a hash of IP address and token; their
+	// number is a power of two.
+	buckets []uint32
+	seed    uint64
+	limit   int
 }
 
-func newExchangeTable(limit int) *exchangeTable {
+func newExchangeTable(limit int, seed uint64) *exchangeTable {
+	n := 1
+	for n < limit {
+		n *= 2
+	}
 	return &exchangeTable{
-		index: make(map[exchangeKey]uint32),
-		limit: limit,
+		buckets: make([]uint32, n),
+		seed:    seed,
+		limit:   limit,
 	}
 }
 
+// Link returns the link of the lease at a place.
+func (t *exchangeTable) Link(place uint32) *timer.Link {
+	return &t.entry(place).lease
+}
+
 // add opens an exchange; ok is false where the table is full.
 func (t *exchangeTable) add(key exchangeKey) (place uint32, ok bool) {
-	if len(t.index) >= t.limit {
+	if t.len() >= t.limit {
 		return 0, false
 	}
 	if n := len(t.free); n > 0 {
 		place = t.free[n-1]
 		t.free = t.free[:n-1]
 	} else {
-		place = uint32(len(t.places))
-		t.places = append(t.places, exchange{})
+		place = t.grow()
 	}
-	e := &t.places[place]
+	e := t.entry(place)
 	*e = exchange{
-		key:        key,
 		generation: e.generation + 1,
+		detached:   true,
 	}
-	t.index[key] = place
+	t.attach(place, key)
 	return place, true
 }
 
@@ -98,29 +139,92 @@
 	return place, t.get(place, binary.BigEndian.Uint32(token.Bytes[4:]))
 }
 
+// attach makes key lead to the exchange at a place; no exchange has key.
+func (t *exchangeTable) attach(place uint32, key exchangeKey) {
+	t.detach(place)
+	e := t.entry(place)
+	b := t.bucket(&key)
+	e.key = key
+	e.detached = false
+	e.chain = *b
+	*b = place + 1
+}
+
+// bucket returns where the chain for a key begins.
+func (t *exchangeTable) bucket(key *exchangeKey) *uint32 {
+	sum := mix(t.seed ^ binary.LittleEndian.Uint64(key.ip[:]))
+	sum = mix(sum ^ binary.LittleEndian.Uint64(key.ip[8:]))
+	sum = mix(sum ^ binary.LittleEndian.Uint64(key.token.Bytes[:]))
+	return &t.buckets[sum&uint64(len(t.buckets)-1)]
+}
+
+// detach leaves the exchange at a place open without a key that leads to it.
+func (t *exchangeTable) detach(place uint32) {
+	e := t.entry(place)
+	if e.detached {
+		return
+	}
+	p := t.bucket(&e.key)
+	for *p != place+1 {
+		p = &t.entry(*p - 1).chain
+	}
+	*p = e.chain
+	e.chain = 0
+	e.detached = true
+}
+
+// entry returns what is at a place that was used before.
+func (t *exchangeTable) entry(place uint32) *exchange {
+	return &t.pages[place/pageSize][place%pageSize]
+}
+
 func (t *exchangeTable) find(key exchangeKey) (uint32, *exchange) {
-	place, ok := t.index[key]
-	if !ok {
-		return 0, nil
+	return t.search(&key, func(e *exchange) bool { return e.key.port == key.port })
+}
+
+// search returns an exchange of the IP address and token of key that matches,
+// or nil.
+func (t *exchangeTable) search(key *exchangeKey, match func(e *exchange) bool) (uint32, *exchange) {
+	for next := *t.bucket(key); next != 0; {
+		e := t.entry(next - 1)
+		if e.key.sameHost(key) && match(e) {
+			return next - 1, e
+		}
+		next = e.chain
 	}
-	return place, &t.places[place]
+	return 0, nil
 }
 
 // get returns the exchange at a place if it has not been replaced, or nil.
 func (t *exchangeTable) get(place, generation uint32) *exchange {
-	if int64(place) >= int64(len(t.places)) || generation%2 == 0 {
+	if place >= t.count || generation%2 == 0 {
 		return nil
 	}
-	e := &t.places[place]
+	e := t.entry(place)
 	if e.generation != generation {
 		return nil
 	}
 	return e
 }
 
+// grow returns a place that was not used before.
+func (t *exchangeTable) grow() uint32 {
+	if t.count%pageSize == 0 {
+		t.pages = append(t.pages, new([pageSize]exchange))
+	}
+	t.count++
+	return t.count - 1
+}
+
+// len returns the number of open exchanges.
+func (t *exchangeTable) len() int {
+	return int(t.count) - len(t.free)
+}
+
+// remove closes the exchange at a place; its lease has been cleared.
 func (t *exchangeTable) remove(place uint32) {
-	e := &t.places[place]
-	delete(t.index, e.key)
+	t.detach(place)
+	e := t.entry(place)
 	*e = exchange{generation: e.generation + 1}
 	t.free = append(t.free, place)
 }
@@ -129,11 +233,21 @@
 func (t *exchangeTable) token(place uint32) packet.Token {
 	token := packet.Token{Size: packet.MaxTokenSize}
 	binary.BigEndian.PutUint32(token.Bytes[:], place)
-	binary.BigEndian.PutUint32(token.Bytes[4:], t.places[place].generation)
+	binary.BigEndian.PutUint32(token.Bytes[4:], t.entry(place).generation)
 	return token
 }
 
 // timerKey returns the key of a timer for the exchange at a place.
 func (t *exchangeTable) timerKey(place uint32) uint64 {
-	return uint64(t.places[place].generation)<<32 | uint64(place)
+	return uint64(t.entry(place).generation)<<32 | uint64(place)
+}
+
+// mix returns a bijective scrambling of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -50,6 +50,15 @@
 	Entries int
 }
 
+// An Option changes a keeper.
+type Option func(*Keeper)
+
+// WithReleaser makes a keeper tell former keepers of the watches that it takes
+// over.
+func WithReleaser(r Releaser) Option {
+	return func(k *Keeper) { k.releaser = r }
+}
+
 // A Keeper decides on the work of the upstreams that one balancer keeps. It is
 // not safe for concurrent use.
 type Keeper struct {
@@ -61,6 +70,17 @@
 	exchanges   *exchangeTable
 	ledger      *ledger
 	gates       map[uint32]*upstream.Gate
+	// registrations are the requests by which watches were opened.
+	registrations *registrations
+	// leases hold the watches; leasesArmed tells that they are looked at.
+	leases      *timer.Wheel
+	leasesArmed bool
+	// sweeps are under way where there are any.
+	sweeps   []sweep
+	releaser Releaser
+	leaving  bool
+	// version is that of the configuration in force.
+	version uint32
 	// message numbers the messages that the keeper sends by itself.
 	message uint16
 	sealed  [ticket.Size]byte
@@ -68,17 +88,23 @@
 
 // New returns a keeper of a process that started at start under a random
 // incarnation.
-func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet) *Keeper {
-	return &Keeper{
+func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet, options ...Option) *Keeper {
+	k := &Keeper{
 		incarnation: incarnation,
 		start:       start,
 		sealer:      sealer,
 		outlet:      outlet,
 		timers:      timers,
-		exchanges:   newExchangeTable(limits.Exchanges),
+		exchanges:   newExchangeTable(limits.Exchanges, incarnation),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
 		gates:       make(map[uint32]*upstream.Gate),
 	}
+	k.registrations = newRegistrations()
+	k.leases = timer.NewWheel(k.exchanges, leaseTick, leaseSlots)
+	for _, o := range options {
+		o(k)
+	}
+	return k
 }
 
 // Answer takes an upstream's message and reports whether it belongs to an open
@@ -105,26 +131,18 @@
 // Configure follows a new configuration: exchanges at upstreams that are gone
 // or lie in zones taken out end.
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
+	k.version = uint32(c.Version)
 	for id, g := range k.gates {
 		if p := c.Upstream(id); p.Upstream != nil {
 			g.Configure(p.Upstream)
 		}
 	}
-	for place := range k.exchanges.places {
-		e := &k.exchanges.places[place]
-		if e.generation%2 == 0 {
-			continue
-		}
-		p := c.Upstream(e.upstream)
-		if p.Upstream == nil || p.Service.ID != e.service || !c.ZoneIn(p.Upstream.Zone) {
-			k.abandon(now, uint32(place), e)
-		}
-	}
+	k.closeAt(now, c)
 }
 
 // Exchanges returns the number of open watches and requests.
 func (k *Keeper) Exchanges() int {
-	return len(k.exchanges.index)
+	return k.exchanges.len()
 }
 
 // Expire ends the exchange or drops the ledger entry that a timer was set for.
@@ -139,9 +157,6 @@
 		return
 	}
 	switch e.kind {
-	case packet.KindWatchOpen:
-		k.cancel(place, e)
-		k.endWatch(now, place, e)
 	case packet.KindOnce:
 		k.ledger.entries[e.serial].state = entryUnknown
 		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonTimeout)
@@ -182,21 +197,11 @@
 	}
 }
 
-// abandon ends an exchange at an upstream that may not be sent to any more.
-func (k *Keeper) abandon(now time.Time, place uint32, e *exchange) {
-	switch e.kind {
-	case packet.KindWatchOpen:
-		k.endWatch(now, place, e)
-	case packet.KindOnce:
-		k.ledger.entries[e.serial].state = entryUnknown
-		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonZoneOut)
-		k.endRequest(now, place, e, upstream.ResultCancelled)
-	default:
-		k.endRequest(now, place, e, upstream.ResultCancelled)
-	}
-}
-
+// cancel ends an exchange at its upstream, unless that may not be sent to.
 func (k *Keeper) cancel(place uint32, e *exchange) {
+	if e.closed {
+		return
+	}
 	k.outlet.Cancel(&Cancel{
 		Upstream: e.upstream,
 		Kind:     e.kind,
@@ -244,15 +249,20 @@
 }
 
 // grant returns a sealed ticket with the right to one execution, valid until
-// the next call.
+// the next call. The ticket of a leaving keeper has no such right.
 func (k *Keeper) grant(now time.Time, service, id uint32, caller netip.Addr) []byte {
-	k.sealer.Seal(k.sealed[:], ticket.Ticket{
+	t := ticket.Ticket{
 		Service:     service,
 		Upstream:    id,
 		Incarnation: k.incarnation,
 		Serial:      k.ledger.issue(),
-		Expiry:      now.Sub(k.start) + ExecutionLifetime,
-	}, caller)
+	}
+	if k.leaving {
+		t.Version = k.version
+	} else {
+		t.Expiry = now.Sub(k.start) + ExecutionLifetime
+	}
+	k.sealer.Seal(k.sealed[:], t, caller)
 	return k.sealed[:]
 }
 
@@ -290,7 +300,7 @@
 	if !ok {
 		return 0, nil
 	}
-	e := &k.exchanges.places[place]
+	e := k.exchanges.entry(place)
 	e.kind = r.Header.Kind
 	e.confirmable = r.Header.Confirmable
 	e.message = r.Header.Message
@@ -299,7 +309,11 @@
 	e.upstream = r.Upstream.ID
 	e.sent = now.Sub(k.start)
 	e.expires = e.sent + lifetime
-	k.timers.Subscribe(now.Add(lifetime), k, k.exchanges.timerKey(place))
+	if e.kind == packet.KindWatchOpen {
+		k.setLease(now, place, e.expires)
+	} else {
+		k.timers.Subscribe(now.Add(lifetime), k, k.exchanges.timerKey(place))
+	}
 	return place, e
 }
 
--- a/keeper/once.go
+++ b/keeper/once.go
@@ -72,6 +72,9 @@
 // grantOnce answers a request without a ticket with one, if the upstream could
 // take the request now.
 func (k *Keeper) grantOnce(now time.Time, r *Request) verdict.Reason {
+	if k.leaving {
+		return verdict.ReasonDraining
+	}
 	g := k.Gate(r.Upstream)
 	if g.Requests() >= g.Limit() {
 		return verdict.ReasonBusy
--- /dev/null
+++ b/keeper/sweep.go
@@ -0,0 +1,205 @@
+package keeper
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/upstream"
+	"filbertworks.example/filbertworks/verdict"
+)
+
+// Pace of work on many watches at once, so that neither callers nor upstreams
+// see a storm.
+const (
+	sweepTick = 50 * time.Millisecond
+	// EndRate is the greatest number of watches a second whose callers are told
+	// that their upstream is gone.
+	EndRate = 2000
+	// RepairRate is the greatest number of watches a second that are registered
+	// again at an upstream whose path went silent.
+	RepairRate = 500
+	// scanBatch is the greatest number of places looked at in one step.
+	scanBatch = 50_000
+)
+
+// A sweep visits the watches of one upstream, or the closed ones where upstream
+// is zero.
+type sweep struct {
+	upstream uint32
+	// next is the place to visit next.
+	next uint32
+	// batch is the number of watches of one step.
+	batch int
+}
+
+// Leave makes the keeper grant no further rights to executions.
+func (k *Keeper) Leave() {
+	k.leaving = true
+}
+
+// Repair registers all watches of an upstream again, at RepairRate: its path
+// has been replaced. Requests in flight are left alone.
+func (k *Keeper) Repair(now time.Time, upstream uint32) {
+	k.startSweep(now, sweep{
+		upstream: upstream,
+		batch:    int(RepairRate * sweepTick / time.Second),
+	})
+}
+
+// EndWatches tells the callers of all open watches at once to register anew,
+// and closes them at their upstreams.
+func (k *Keeper) EndWatches(now time.Time) {
+	for place := range k.exchanges.count {
+		e := k.exchanges.entry(place)
+		if e.generation%2 == 1 && e.kind == packet.KindWatchOpen {
+			k.cancel(place, e)
+			k.dismiss(now, place, e)
+		}
+	}
+}
+
+// closeAt closes the work at upstreams that may not be sent to any more, which
+// c tells.
+func (k *Keeper) closeAt(now time.Time, c *config.Snapshot) {
+	gone := k.gone(c)
+	if len(gone) == 0 {
+		return
+	}
+	watches := false
+	for place := range k.exchanges.count {
+		e := k.exchanges.entry(place)
+		if e.generation%2 == 0 || e.closed || !gone[e.upstream] {
+			continue
+		}
+		if e.kind == packet.KindWatchOpen {
+			e.closed = true
+			watches = true
+			continue
+		}
+		k.abandon(now, place, e)
+	}
+	if watches {
+		k.startSweep(now, sweep{batch: int(EndRate * sweepTick / time.Second)})
+	}
+}
+
+// gone returns the upstreams with a gate that may not be sent to.
+func (k *Keeper) gone(c *config.Snapshot) map[uint32]bool {
+	gone := make(map[uint32]bool)
+	for id := range k.gates {
+		p := c.Upstream(id)
+		if p.Upstream == nil || !c.ZoneIn(p.Upstream.Zone) {
+			gone[id] = true
+		}
+	}
+	return gone
+}
+
+// dismiss ends a watch and tells its caller to register anew: an answer that is
+// no success ends an observation (RFC 7641, section 3.2).
+func (k *Keeper) dismiss(now time.Time, place uint32, e *exchange) {
+	h := &packet.Header{
+		Service: e.service,
+		Caller:  e.key.caller(),
+		Kind:    e.kind,
+		Token:   e.key.token,
+		Message: k.nextMessage(),
+	}
+	k.outlet.Refuse(h, newRefusal(verdict.NotRun, verdict.ReasonNoUpstream, RetryAfter))
+	k.endWatch(now, place, e)
+}
+
+func (k *Keeper) startSweep(now time.Time, s sweep) {
+	for i := range k.sweeps {
+		if k.sweeps[i].upstream == s.upstream {
+			k.sweeps[i] = s
+			return
+		}
+	}
+	k.sweeps = append(k.sweeps, s)
+	if len(k.sweeps) == 1 {
+		k.timers.Subscribe(now.Add(sweepTick), (*sweepTimer)(k), 0)
+	}
+}
+
+// sweepTimer makes the steps of sweeps.
+type sweepTimer Keeper
+
+// Expire makes one step of each sweep.
+func (t *sweepTimer) Expire(now time.Time, _ uint64) {
+	k := (*Keeper)(t)
+	unfinished := k.sweeps[:0]
+	for _, s := range k.sweeps {
+		if k.step(now, &s) {
+			unfinished = append(unfinished, s)
+		}
+	}
+	k.sweeps = unfinished
+	if len(k.sweeps) > 0 {
+		k.timers.Subscribe(now.Add(sweepTick), t, 0)
+	}
+}
+
+// step makes one step of a sweep and reports whether there is more to do.
+func (k *Keeper) step(now time.Time, s *sweep) bool {
+	left := s.batch
+	last := min(s.next+scanBatch, k.exchanges.count)
+	for ; s.next < last && left > 0; s.next++ {
+		e := k.exchanges.entry(s.next)
+		if e.generation%2 == 0 || e.kind != packet.KindWatchOpen {
+			continue
+		}
+		switch {
+		case s.upstream == 0 && e.closed:
+			k.dismiss(now, s.next, e)
+			left--
+		case s.upstream == e.upstream && !e.closed && e.registration != 0:
+			k.repair(now, s.next, e)
+			left--
+		}
+	}
+	return s.next < k.exchanges.count
+}
+
+// repair registers a watch again without its caller.
+func (k *Keeper) repair(now time.Time, place uint32, e *exchange) {
+	e.forwarded = k.nextMessage()
+	e.repaired = true
+	k.outlet.Forward(&Forward{
+		Upstream:    e.upstream,
+		Token:       k.exchanges.token(place),
+		Message:     e.forwarded,
+		Confirmable: true,
+		Deadline:    e.expires - now.Sub(k.start),
+	}, k.registrations.datagram(e.registration))
+}
+
+// Holdings are what a keeper holds.
+type Holdings struct {
+	// Watches and Requests are those open.
+	Watches  int
+	Requests int
+}
+
+// Holdings returns what the keeper holds.
+func (k *Keeper) Holdings() Holdings {
+	h := Holdings{Watches: k.leases.Len()}
+	h.Requests = k.exchanges.len() - h.Watches
+	return h
+}
+
+// Message returns a message id for a message to an upstream that belongs to no
+// exchange.
+func (k *Keeper) Message(uint32) uint16 {
+	return k.nextMessage()
+}
+
+// abandon ends a request at an upstream that may not be sent to any more.
+func (k *Keeper) abandon(now time.Time, place uint32, e *exchange) {
+	if e.kind == packet.KindOnce {
+		k.ledger.entries[e.serial].state = entryUnknown
+		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonZoneOut)
+	}
+	k.endRequest(now, place, e, upstream.ResultCancelled)
+}
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -31,8 +31,13 @@
 	macSize           = Size - offsetMAC
 )
 
-// format is the number of this layout.
-const format = 1
+// Formats of this layout: what the field at offsetExpiry holds.
+const (
+	// formatExecution tickets hold the expiry.
+	formatExecution = 1
+	// formatFlow tickets hold the version.
+	formatFlow = 2
+)
 
 // MaxSerial is the greatest serial that a ticket holds.
 const MaxSerial = 1<<48 - 1
@@ -55,6 +60,15 @@
 	// Expiry ends the right to start the execution. It counts from the start
 	// of Incarnation, on that process's own monotonic clock, in steps of 10 ms.
 	Expiry time.Duration
+	// Version is not zero on the ticket of a flow, which has no expiry and gives
+	// no right to an execution. It is the configuration version in force at the
+	// keeper, by which a balancer sees that its own is older.
+	Version uint32
+}
+
+// Executes reports whether t names an execution.
+func (t *Ticket) Executes() bool {
+	return t.Version == 0
 }
 
 // A Key is a secret with the number that tickets name it by.
@@ -92,7 +106,7 @@
 // its IP address, not its port, so that a flow can move to a fresh source
 // port. The error is ErrInvalid.
 func (s *Sealer) Open(data []byte, caller netip.Addr) (Ticket, error) {
-	if len(data) != Size || data[offsetFormat] != format {
+	if len(data) != Size || (data[offsetFormat] != formatExecution && data[offsetFormat] != formatFlow) {
 		return Ticket{}, ErrInvalid
 	}
 	k := s.key(data[offsetKey])
@@ -103,13 +117,19 @@
 	if subtle.ConstantTimeCompare(mac, data[offsetMAC:]) != 1 {
 		return Ticket{}, ErrInvalid
 	}
-	return Ticket{
+	t := Ticket{
 		Service:     binary.BigEndian.Uint32(data[offsetService:]),
 		Upstream:    binary.BigEndian.Uint32(data[offsetUpstream:]),
 		Incarnation: binary.BigEndian.Uint64(data[offsetIncarnation:]),
 		Serial:      uint48(data[offsetSerial:]),
-		Expiry:      time.Duration(binary.BigEndian.Uint32(data[offsetExpiry:])) * expiryUnit,
-	}, nil
+	}
+	last := binary.BigEndian.Uint32(data[offsetExpiry:])
+	if data[offsetFormat] == formatFlow {
+		t.Version = last
+	} else {
+		t.Expiry = time.Duration(last) * expiryUnit
+	}
+	return t, nil
 }
 
 // Seal writes t, sealed for a caller, into out, which has Size bytes.
@@ -117,12 +137,17 @@
 	k := &s.keys[0]
 	out = out[:Size]
 	out[offsetKey] = k.id
-	out[offsetFormat] = format
+	out[offsetFormat] = formatExecution
 	binary.BigEndian.PutUint32(out[offsetService:], t.Service)
 	binary.BigEndian.PutUint32(out[offsetUpstream:], t.Upstream)
 	binary.BigEndian.PutUint64(out[offsetIncarnation:], t.Incarnation)
 	putUint48(out[offsetSerial:], t.Serial)
-	binary.BigEndian.PutUint32(out[offsetExpiry:], uint32(t.Expiry/expiryUnit))
+	last := uint32(t.Expiry / expiryUnit)
+	if !t.Executes() {
+		out[offsetFormat] = formatFlow
+		last = t.Version
+	}
+	binary.BigEndian.PutUint32(out[offsetExpiry:], last)
 	copy(out[offsetMAC:], s.mac(k, out, caller))
 }
 
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -103,6 +103,18 @@
 	return g.limit
 }
 
+// ReadmitWatch takes a connection for a watch that the upstream holds already,
+// through another keeper, or returns why it doesn't. As the former keeper may
+// have filled all connections while this one admitted new watches, it refuses
+// from twice the connections on.
+func (g *Gate) ReadmitWatch(_ time.Time) verdict.Reason {
+	if g.watches >= 2*g.connections {
+		return verdict.ReasonConnections
+	}
+	g.watches++
+	return verdict.ReasonNone
+}
+
 // Requests returns the number of requests in flight.
 func (g *Gate) Requests() uint32 {
 	return g.requests
