--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -21,8 +21,11 @@
 	// non-idempotent request.
 	ExecutionLifetime = 10 * time.Second
 	// AnswerRetention is how long answers to non-idempotent requests are kept
-	// after their ticket has expired.
-	AnswerRetention = 60 * time.Second
+	// after their ticket has expired: the longest time between the first
+	// transmission of a message and the arrival of its last retransmission
+	// (RFC 7252, MAX_TRANSMIT_SPAN and MAX_LATENCY). It exceeds
+	// config.MaxDeadline, so that an execution ends before its entry.
+	AnswerRetention = 145 * time.Second
 	// WatchLeaseIntervals is how many refresh intervals a watch outlives its
 	// last refresh.
 	WatchLeaseIntervals = 3
@@ -81,9 +84,12 @@
 	leaving  bool
 	// version is that of the configuration in force.
 	version uint32
-	// message numbers the messages that the keeper sends by itself.
-	message uint16
-	sealed  [ticket.Size]byte
+	// message is the last message id towards callers, messages that towards each
+	// upstream. They start at random, since receivers take a repeated id for a
+	// duplicate (RFC 7252, section 4.5), and callers hear several keepers.
+	message  uint16
+	messages map[uint32]uint16
+	sealed   [ticket.Size]byte
 }
 
 // New returns a keeper of a process that started at start under a random
@@ -98,6 +104,8 @@
 		exchanges:   newExchangeTable(limits.Exchanges, incarnation),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
 		gates:       make(map[uint32]*upstream.Gate),
+		message:     uint16(incarnation),
+		messages:    make(map[uint32]uint16),
 	}
 	k.registrations = newRegistrations()
 	k.leases = timer.NewWheel(k.exchanges, leaseTick, leaseSlots)
@@ -108,10 +116,13 @@
 }
 
 // Answer takes an upstream's message and reports whether it belongs to an open
-// exchange.
+// exchange or a remembered execution.
 func (k *Keeper) Answer(now time.Time, from uint32, a *Answer, datagram []byte) bool {
 	place, e := k.exchanges.at(a.Token)
-	if e == nil || e.upstream != from {
+	if e == nil {
+		return k.lateAnswer(from, a, datagram)
+	}
+	if e.upstream != from {
 		return false
 	}
 	switch e.kind {
@@ -158,10 +169,7 @@
 	}
 	switch e.kind {
 	case packet.KindOnce:
-		k.ledger.entries[e.serial].state = entryUnknown
-		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonTimeout)
-		k.cancel(place, e)
-		k.endRequest(now, place, e, upstream.ResultTimeout)
+		k.onceTimeout(now, place, e)
 	default:
 		k.cancel(place, e)
 		k.endRequest(now, place, e, upstream.ResultTimeout)
@@ -288,7 +296,19 @@
 	return verdict.ReasonNone
 }
 
-// nextMessage returns a message id for a message of the keeper's own.
+// nextForwarded returns a message id for a message to an upstream.
+func (k *Keeper) nextForwarded(id uint32) uint16 {
+	n, ok := k.messages[id]
+	if !ok {
+		n = k.message
+	}
+	n++
+	k.messages[id] = n
+	return n
+}
+
+// nextMessage returns a message id for a message of the keeper's own to a
+// caller.
 func (k *Keeper) nextMessage() uint16 {
 	k.message++
 	return k.message
@@ -304,7 +324,7 @@
 	e.kind = r.Header.Kind
 	e.confirmable = r.Header.Confirmable
 	e.message = r.Header.Message
-	e.forwarded = k.nextMessage()
+	e.forwarded = k.nextForwarded(r.Upstream.ID)
 	e.service = r.Service.ID
 	e.upstream = r.Upstream.ID
 	e.sent = now.Sub(k.start)
@@ -330,15 +350,18 @@
 	k.outlet.Refuse(h, newRefusal(v, reason, 0))
 }
 
-// supersede ends an exchange whose caller reuses the token.
+// supersede ends an exchange whose caller reuses the token. A non-idempotent
+// request goes on, since the reuse may be a delayed duplicate; its answer waits
+// for a retransmission.
 func (k *Keeper) supersede(now time.Time, place uint32, e *exchange) {
+	if e.kind == packet.KindOnce {
+		k.exchanges.detach(place)
+		return
+	}
 	k.cancel(place, e)
 	if e.kind == packet.KindWatchOpen {
 		k.endWatch(now, place, e)
 		return
 	}
-	if e.kind == packet.KindOnce {
-		k.ledger.entries[e.serial].state = entryUnknown
-	}
 	k.endRequest(now, place, e, upstream.ResultCancelled)
 }
--- a/keeper/sweep.go
+++ b/keeper/sweep.go
@@ -164,7 +164,7 @@
 
 // repair registers a watch again without its caller.
 func (k *Keeper) repair(now time.Time, place uint32, e *exchange) {
-	e.forwarded = k.nextMessage()
+	e.forwarded = k.nextForwarded(e.upstream)
 	e.repaired = true
 	k.outlet.Forward(&Forward{
 		Upstream:    e.upstream,
@@ -191,15 +191,16 @@
 
 // Message returns a message id for a message to an upstream that belongs to no
 // exchange.
-func (k *Keeper) Message(uint32) uint16 {
-	return k.nextMessage()
+func (k *Keeper) Message(upstream uint32) uint16 {
+	return k.nextForwarded(upstream)
 }
 
 // abandon ends a request at an upstream that may not be sent to any more.
 func (k *Keeper) abandon(now time.Time, place uint32, e *exchange) {
 	if e.kind == packet.KindOnce {
-		k.ledger.entries[e.serial].state = entryUnknown
-		k.refuseExchange(e, verdict.MayHaveRun, verdict.ReasonZoneOut)
+		// The answer is on its way, and nothing is sent to receive it.
+		e.closed = true
+		return
 	}
 	k.endRequest(now, place, e, upstream.ResultCancelled)
 }
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -90,7 +90,7 @@
 // answer proves the whole path.
 func (k *Keeper) refreshWatch(now time.Time, place uint32, e *exchange, r *Request) {
 	if e.message != r.Header.Message || e.repaired {
-		e.forwarded = k.nextMessage()
+		e.forwarded = k.nextForwarded(e.upstream)
 	}
 	e.message = r.Header.Message
 	e.confirmable = r.Header.Confirmable
