feat: planned leave of balancers and repair of silent paths

Cause: a balancer ended at once on SIGTERM, with rights to executions, requests and watches still out; a path that lost its upstream was never noticed. Ruled out: copying flows to a successor (24 MB for 300,000 flows over a few kilobytes a second); taking three lost heartbeats alone for a silent path (a dead upstream looks the same); telling callers to refresh (they can't be told faster than they can be moved). Change: SIGTERM or drain begins a leave that is announced, gives no rights, routes on and ends once nothing is held or after a bounded time; a second signal ends at once. Paths have heartbeats, compared with those from a fresh source port; a silent path is replaced and its watches registered again at a bounded rate; requests in flight are left alone.

--- a/filbertd/internal/cmd/cmd.go
+++ b/filbertd/internal/cmd/cmd.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -66,20 +67,37 @@
 	return serve(s, stderr)
 }
 
-// serve runs a daemon until SIGTERM or SIGINT.
+// serve runs a daemon until it has left gracefully after SIGTERM or SIGINT, or
+// at once after a second of these.
 func serve(s *settings.Settings, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	c, err := newConfig(s, stderr)
 	if err != nil {
 		return fail(stderr, exitFailure, err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go leaveOn(ctx, signals, c.daemon.Drain, cancel)
 	if err := c.run(ctx); err != nil {
 		return fail(stderr, exitFailure, err)
 	}
 	return exitOK
 }
 
+// leaveOn calls drain at the first signal and stop at the second.
+func leaveOn(ctx context.Context, signals <-chan os.Signal, drain, stop func()) {
+	for _, act := range []func(){drain, stop} {
+		select {
+		case <-signals:
+			act()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func fail(stderr io.Writer, code int, err error) int {
 	_, _ = fmt.Fprintln(stderr, "filbertd: "+err.Error())
 	return code
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -122,6 +122,7 @@
 		Limits:      o.Limits,
 		Rand:        mathrand.New(mathrand.NewPCG(d.incarnation, 0)),
 		Outlet:      d.outlet,
+		Releaser:    d.outlet,
 	})
 	d.outlet.balancer = d.balancer
 	if err := d.counters.observe(o.Meter); err != nil {
@@ -130,7 +131,7 @@
 	return d, nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends or a graceful leave is over.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -139,6 +140,7 @@
 	duties.Go(func() { d.followConfig(ctx) })
 	duties.Go(func() { d.followVMs(ctx) })
 	duties.Go(func() { d.heartbeat(ctx) })
+	duties.Go(func() { d.runLeave(ctx, cancel) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
 	var senders sync.WaitGroup
@@ -184,7 +186,10 @@
 }
 
 func (d *Daemon) sendHeartbeats(time.Time) {
-	h := &wire.Heartbeat{Incarnation: d.incarnation}
+	h := &wire.Heartbeat{
+		Incarnation: d.incarnation,
+		Leaving:     d.tracker.Leaving(),
+	}
 	if c := d.balancer.Config(); c != nil {
 		h.Version = c.Version
 	}
--- /dev/null
+++ b/filbertd/internal/daemon/leave.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"filbertworks.example/filbertworks/keeper"
+)
+
+// Times of a planned leave.
+const (
+	// MaxLeave bounds a leave, whatever the services' refresh intervals.
+	MaxLeave = 10 * time.Minute
+	// refreshJitter is the part by which callers' refreshes vary.
+	refreshJitter = 0.1
+	// leaveTick is the interval at which a leave looks at what is left.
+	leaveTick = 250 * time.Millisecond
+)
+
+// A leave is the bounded time in which a balancer finishes what it holds.
+type leave struct {
+	// rights is when the last right to an execution that this process gave is
+	// over, with the wait for its answer.
+	rights time.Time
+	// limit is when the process exits with whatever it holds.
+	limit time.Time
+}
+
+// newLeave returns the leave that begins at now, where the last right to an
+// execution ends at rights and services have a greatest deadline and refresh
+// interval.
+func newLeave(now, rights time.Time, deadline, refresh time.Duration) leave {
+	jittered := time.Duration((1 + refreshJitter) * float64(refresh))
+	limit := now.Add(keeper.ExecutionLifetime + deadline + jittered)
+	if last := now.Add(MaxLeave); limit.After(last) {
+		limit = last
+	}
+	return leave{
+		rights: rights.Add(deadline),
+		limit:  limit,
+	}
+}
+
+// over reports whether the process may exit at now.
+func (l *leave) over(now time.Time, held keeper.Holdings) bool {
+	if !now.Before(l.limit) {
+		return true
+	}
+	return !now.Before(l.rights) && held.Watches == 0 && held.Requests == 0
+}
+
+// runLeave waits for the start of a graceful leave and then for its end, when
+// it calls exit.
+func (d *Daemon) runLeave(ctx context.Context, exit func()) {
+	select {
+	case <-d.draining:
+	case <-ctx.Done():
+		return
+	}
+	var l leave
+	d.call(ctx, func(now time.Time) { l = d.startLeave(now) })
+	ticker := time.NewTicker(leaveTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+			over := false
+			d.call(ctx, func(now time.Time) { over = d.stepLeave(now, &l) })
+			if over {
+				exit()
+				return
+			}
+		case <-ctx.Done():
+		}
+	}
+}
+
+// startLeave announces the leave.
+func (d *Daemon) startLeave(now time.Time) leave {
+	held := d.balancer.Keeper().Holdings()
+	d.log.Infof("leave: begun with %d watches and %d requests", held.Watches, held.Requests)
+	d.balancer.Leave()
+	d.tracker.Leave()
+	d.advance(now)
+	var deadline, refresh time.Duration
+	if c := d.balancer.Config(); c != nil {
+		for i := range c.Document.Services {
+			s := &c.Document.Services[i]
+			deadline = max(deadline, time.Duration(s.Deadline))
+			refresh = max(refresh, time.Duration(s.Refresh))
+		}
+	}
+	return newLeave(now, held.Rights, deadline, refresh)
+}
+
+// stepLeave reports whether the leave is over; the callers of watches that are
+// left are then told to register anew.
+func (d *Daemon) stepLeave(now time.Time, l *leave) bool {
+	held := d.balancer.Keeper().Holdings()
+	if !l.over(now, held) {
+		return false
+	}
+	d.log.Infof("leave: over with %d watches and %d requests held", held.Watches, held.Requests)
+	d.balancer.Keeper().EndWatches(now)
+	return true
+}
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -40,6 +40,7 @@
 func (d *Daemon) advance(now time.Time) {
 	d.outlet.now = now
 	d.balancer.Advance(now)
+	d.beatPaths(now)
 	d.balancer.SetMembers(d.tracker.Table(now), d.tracker.Settled(now))
 }
 
@@ -77,6 +78,10 @@
 		d.counters.add("drop", "unknown-peer")
 		return
 	}
+	if wire.IsRelease(e.buffer.data()) {
+		d.released(now, e.buffer.data())
+		return
+	}
 	var r wire.Relay
 	datagram, err := wire.ParseRelay(e.buffer.data(), &r)
 	if err != nil {
@@ -97,7 +102,11 @@
 		d.counters.add("drop", err.Error())
 		return
 	}
-	if r.Reset() || r.Acknowledgement() {
+	if r.Reset() {
+		d.pathAnswered(e.path, r.Message)
+		return
+	}
+	if r.Acknowledgement() {
 		return
 	}
 	known := d.balancer.Answer(now, e.id, &keeper.Answer{
--- a/filbertd/internal/daemon/path.go
+++ b/filbertd/internal/daemon/path.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"filbertworks.example/filbertworks/config"
+	pathmonitor "filbertworks.example/filbertworks/path"
 	"filbertworks.example/filbertworks/ring"
 )
 
@@ -19,6 +20,13 @@
 	// retired paths only receive: answers to requests in progress may still
 	// come, and nothing may be sent. It belongs to the loop's goroutine.
 	retired bool
+	// monitor tells whether the path has gone silent; fresh is the path from a
+	// fresh source port that it is compared with, or nil.
+	monitor pathmonitor.Monitor
+	fresh   *path
+	// ping is the message id of the heartbeat under way, if pinged.
+	ping   uint16
+	pinged bool
 }
 
 // A pathSet holds the paths that are in use.
@@ -26,6 +34,8 @@
 	local  netip.Addr
 	events *ring.Ring[event]
 	paths  map[uint32]*path
+	// nextBeat is when heartbeats are due.
+	nextBeat time.Time
 }
 
 func newPathSet(local netip.Addr, events *ring.Ring[event]) *pathSet {
@@ -39,6 +49,7 @@
 // close closes all paths in use; retired ones close by their timers.
 func (s *pathSet) close() {
 	for id, p := range s.paths {
+		s.dropFresh(p)
 		_ = p.socket.Close()
 		delete(s.paths, id)
 	}
@@ -51,6 +62,7 @@
 		u := c.Upstream(id).Upstream
 		if u == nil || u.Address != p.remote || !c.ZoneIn(u.Zone) {
 			delete(s.paths, id)
+			s.dropFresh(p)
 			s.retire(p)
 		}
 	}
@@ -67,20 +79,37 @@
 	if p := s.paths[u.ID]; p != nil {
 		return p, nil
 	}
+	p, err := s.open(u.ID, u.Address)
+	if err != nil {
+		return nil, err
+	}
+	s.paths[u.ID] = p
+	return p, nil
+}
+
+// dropFresh closes the path that p is compared with, if there is one.
+func (s *pathSet) dropFresh(p *path) {
+	if p.fresh != nil {
+		_ = p.fresh.socket.Close()
+		p.fresh = nil
+	}
+}
+
+// open returns a path from a fresh source port.
+func (s *pathSet) open(upstream uint32, remote netip.AddrPort) (*path, error) {
 	local := net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.local, 0))
-	socket, err := net.DialUDP("udp", local, net.UDPAddrFromAddrPort(u.Address))
+	socket, err := net.DialUDP("udp", local, net.UDPAddrFromAddrPort(remote))
 	if err != nil {
-		return nil, eris.Wrapf(err, "open path to upstream %s", u.Name)
+		return nil, eris.Wrapf(err, "open path to upstream %d", upstream)
 	}
 	p := &path{
-		upstream: u.ID,
-		remote:   u.Address,
+		upstream: upstream,
+		remote:   remote,
 		socket:   socket,
 	}
-	s.paths[u.ID] = p
 	go readDatagrams(socket, s.events, event{
 		source: sourceUpstream,
-		id:     u.ID,
+		id:     upstream,
 		path:   p,
 	})
 	return p, nil
--- /dev/null
+++ b/filbertd/internal/daemon/release.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// Release tells another balancer that a watch is kept here now.
+func (o *outlet) Release(to *member.Member, r *keeper.Release) {
+	o.frame = wire.AppendRelease(o.frame[:0], r)
+	o.counters.add("release", "sent")
+	o.inward.send(o.now, o.relay, to.Relay, o.frame)
+}
+
+// released takes a release of a known peer.
+func (d *Daemon) released(now time.Time, data []byte) {
+	var r keeper.Release
+	if err := wire.ParseRelease(data, &r); err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	if d.balancer.Released(now, &r) {
+		d.counters.add("release", "done")
+		return
+	}
+	d.counters.add("release", "unknown")
+}
--- a/filbertd/internal/daemon/status.go
+++ b/filbertd/internal/daemon/status.go
@@ -104,6 +104,9 @@
 }
 
 func (d *Daemon) ready(now time.Time) error {
+	if d.tracker.Leaving() {
+		return eris.New("the balancer leaves")
+	}
 	if d.balancer.Config() == nil {
 		return eris.New("no configuration yet")
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -82,6 +82,8 @@
 	sweeps   []sweep
 	releaser Releaser
 	leaving  bool
+	// rights is when the last right to an execution ends, from start.
+	rights time.Duration
 	// version is that of the configuration in force.
 	version uint32
 	// message is the last message id towards callers, messages that towards each
@@ -269,6 +271,7 @@
 		t.Version = k.version
 	} else {
 		t.Expiry = now.Sub(k.start) + ExecutionLifetime
+		k.rights = t.Expiry
 	}
 	k.sealer.Seal(k.sealed[:], t, caller)
 	return k.sealed[:]
--- a/keeper/sweep.go
+++ b/keeper/sweep.go
@@ -33,11 +33,6 @@
 	batch int
 }
 
-// Leave makes the keeper grant no further rights to executions.
-func (k *Keeper) Leave() {
-	k.leaving = true
-}
-
 // Repair registers all watches of an upstream again, at RepairRate: its path
 // has been replaced. Requests in flight are left alone.
 func (k *Keeper) Repair(now time.Time, upstream uint32) {
@@ -47,18 +42,6 @@
 	})
 }
 
-// EndWatches tells the callers of all open watches at once to register anew,
-// and closes them at their upstreams.
-func (k *Keeper) EndWatches(now time.Time) {
-	for place := range k.exchanges.count {
-		e := k.exchanges.entry(place)
-		if e.generation%2 == 1 && e.kind == packet.KindWatchOpen {
-			k.cancel(place, e)
-			k.dismiss(now, place, e)
-		}
-	}
-}
-
 // closeAt closes the work at upstreams that may not be sent to any more, which
 // c tells.
 func (k *Keeper) closeAt(now time.Time, c *config.Snapshot) {
@@ -96,9 +79,9 @@
 	return gone
 }
 
-// dismiss ends a watch and tells its caller to register anew: an answer that is
-// no success ends an observation (RFC 7641, section 3.2).
-func (k *Keeper) dismiss(now time.Time, place uint32, e *exchange) {
+// dismiss ends a watch and tells its caller to register anew after retry: an
+// answer that is no success ends an observation (RFC 7641, section 3.2).
+func (k *Keeper) dismiss(now time.Time, place uint32, e *exchange, retry time.Duration) {
 	h := &packet.Header{
 		Service: e.service,
 		Caller:  e.key.caller(),
@@ -106,7 +89,7 @@
 		Token:   e.key.token,
 		Message: k.nextMessage(),
 	}
-	k.outlet.Refuse(h, newRefusal(verdict.NotRun, verdict.ReasonNoUpstream, RetryAfter))
+	k.outlet.Refuse(h, newRefusal(verdict.NotRun, verdict.ReasonNoUpstream, retry))
 	k.endWatch(now, place, e)
 }
 
@@ -152,7 +135,7 @@
 		}
 		switch {
 		case s.upstream == 0 && e.closed:
-			k.dismiss(now, s.next, e)
+			k.dismiss(now, s.next, e, RetryAfter)
 			left--
 		case s.upstream == e.upstream && !e.closed && e.registration != 0:
 			k.repair(now, s.next, e)
@@ -175,20 +158,6 @@
 	}, k.registrations.datagram(e.registration))
 }
 
-// Holdings are what a keeper holds.
-type Holdings struct {
-	// Watches and Requests are those open.
-	Watches  int
-	Requests int
-}
-
-// Holdings returns what the keeper holds.
-func (k *Keeper) Holdings() Holdings {
-	h := Holdings{Watches: k.leases.Len()}
-	h.Requests = k.exchanges.len() - h.Watches
-	return h
-}
-
 // Message returns a message id for a message to an upstream that belongs to no
 // exchange.
 func (k *Keeper) Message(upstream uint32) uint16 {
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -56,6 +56,16 @@
 	return true
 }
 
+// Leave makes this process a leaving member.
+func (t *Tracker) Leave() {
+	t.self.State = Leaving
+}
+
+// Leaving reports whether this process leaves.
+func (t *Tracker) Leaving() bool {
+	return t.self.State == Leaving
+}
+
 // Peers returns the relay addresses of all listed peers.
 func (t *Tracker) Peers() []netip.AddrPort {
 	peers := make([]netip.AddrPort, 0, len(t.members))
