--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/placement"
+	"filbertworks.example/filbertworks/retry"
 	"filbertworks.example/filbertworks/ticket"
 	"filbertworks.example/filbertworks/timer"
 	"filbertworks.example/filbertworks/verdict"
@@ -66,6 +67,8 @@
 	// Releaser may be nil: watches that move then stay with their former keeper
 	// until its lease ends.
 	Releaser Releaser
+	// Settle is the time after Start in which no rights to executions are given.
+	Settle time.Duration
 }
 
 // A Balancer routes datagrams under the configuration and member view in force.
@@ -84,6 +87,8 @@
 	table   *member.Table
 	// settled tells that members not in table are gone.
 	settled bool
+	// budgets are those of the services' retries.
+	budgets map[uint32]*retry.Budget
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
 }
@@ -96,8 +101,10 @@
 		outlet:  o.Outlet,
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
+		budgets: make(map[uint32]*retry.Budget),
 	}
-	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, keeper.WithReleaser((*releasing)(b)))
+	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b),
+		keeper.WithReleaser((*releasing)(b)), keeper.WithSettle(o.Settle))
 	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
 	return b
 }
--- a/balancer/flows_test.go
+++ b/balancer/flows_test.go
@@ -130,7 +130,7 @@
 	})
 }
 
-func (s *flowSystem) addCore() *flowCore {
+func (s *flowSystem) addCore() {
 	s.started++
 	c := &flowCore{
 		system: s,
@@ -160,7 +160,6 @@
 		c.balancer.Configure(s.now, s.current)
 		c.balancer.SetMembers(member.NewTable([]member.Member{c.self}), false)
 	}
-	return c
 }
 
 // publish makes a version of the document.
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -123,11 +123,15 @@
 		Rand:        mathrand.New(mathrand.NewPCG(d.incarnation, 0)),
 		Outlet:      d.outlet,
 		Releaser:    d.outlet,
+		Settle:      settleTime,
 	})
 	d.outlet.balancer = d.balancer
 	if err := d.counters.observe(o.Meter); err != nil {
 		return nil, err
 	}
+	if err := d.observe(o.Meter); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
--- a/filbertd/internal/daemon/leave.go
+++ b/filbertd/internal/daemon/leave.go
@@ -5,14 +5,18 @@
 	"time"
 
 	"filbertworks.example/filbertworks/keeper"
+	"filbertworks.example/filbertworks/member"
 )
 
-// Times of a planned leave.
+// Times of a process's start and leave.
 const (
 	// MaxLeave bounds a leave, whatever the services' refresh intervals.
 	MaxLeave = 10 * time.Minute
 	// refreshJitter is the part by which callers' refreshes vary.
 	refreshJitter = 0.1
+	// settleTime is the time after the start in which peers hear of the process:
+	// four heartbeats.
+	settleTime = 4 * member.HeartbeatInterval
 	// leaveTick is the interval at which a leave looks at what is left.
 	leaveTick = 250 * time.Millisecond
 )
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,6 +43,10 @@
 	// upstream that takes no new work.
 	Upstream *config.Upstream
 	Datagram []byte
+	// Tried are the upstreams that refused the request before.
+	Tried Tried
+	// Elapsed is the part of the deadline that is used up.
+	Elapsed time.Duration
 }
 
 // Limits bound a keeper's memory.
@@ -62,6 +66,12 @@
 	return func(k *Keeper) { k.releaser = r }
 }
 
+// WithSettle makes a keeper give no rights to executions for a time after its
+// start: other balancers must have heard of the process that they name.
+func WithSettle(d time.Duration) Option {
+	return func(k *Keeper) { k.settle = d }
+}
+
 // A Keeper decides on the work of the upstreams that one balancer keeps. It is
 // not safe for concurrent use.
 type Keeper struct {
@@ -72,6 +82,8 @@
 	timers      *timer.Queue
 	exchanges   *exchangeTable
 	ledger      *ledger
+	retention   *retention
+	retrier     Retrier
 	gates       map[uint32]*upstream.Gate
 	// registrations are the requests by which watches were opened.
 	registrations *registrations
@@ -82,6 +94,8 @@
 	sweeps   []sweep
 	releaser Releaser
 	leaving  bool
+	// settle is the time after start in which no rights are given.
+	settle time.Duration
 	// rights is when the last right to an execution ends, from start.
 	rights time.Duration
 	// version is that of the configuration in force.
@@ -96,7 +110,7 @@
 
 // New returns a keeper of a process that started at start under a random
 // incarnation.
-func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet, options ...Option) *Keeper {
+func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet, retrier Retrier, options ...Option) *Keeper {
 	k := &Keeper{
 		incarnation: incarnation,
 		start:       start,
@@ -105,6 +119,8 @@
 		timers:      timers,
 		exchanges:   newExchangeTable(limits.Exchanges, incarnation),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
+		retention:   newRetention(),
+		retrier:     retrier,
 		gates:       make(map[uint32]*upstream.Gate),
 		message:     uint16(incarnation),
 		messages:    make(map[uint32]uint16),
@@ -131,8 +147,13 @@
 	case packet.KindWatchOpen:
 		k.watchAnswer(now, place, e, a, datagram)
 	case packet.KindIdempotent:
+		if a.Shed {
+			k.shed(now, place, e, datagram)
+			return true
+		}
+		k.retrier.Succeed(now, e.service)
 		k.deliver(now, e, datagram)
-		k.endRequest(now, place, e, a.result())
+		k.endRequest(now, place, e, upstream.ResultAnswered)
 	case packet.KindOnce:
 		k.onceAnswer(now, place, e, a, datagram)
 	default:
@@ -220,13 +241,13 @@
 	})
 }
 
-// deadline returns how long a request may take.
+// deadline returns how long a request may still take.
 func deadline(r *Request) time.Duration {
 	d := time.Duration(r.Service.Deadline)
 	if r.Header.Deadline > 0 {
 		d = min(d, r.Header.Deadline)
 	}
-	return d
+	return d - r.Elapsed
 }
 
 // deliver passes an upstream's answer on to the caller of e.
@@ -244,6 +265,7 @@
 func (k *Keeper) endRequest(now time.Time, place uint32, e *exchange, result upstream.Result) {
 	latency := now.Sub(k.start) - e.sent
 	k.gates[e.upstream].EndRequest(now, result, latency)
+	k.retention.drop(place)
 	k.exchanges.remove(place)
 }
 
@@ -259,7 +281,7 @@
 }
 
 // grant returns a sealed ticket with the right to one execution, valid until
-// the next call. The ticket of a leaving keeper has no such right.
+// the next call. Where the keeper gives no rights, it names the flow only.
 func (k *Keeper) grant(now time.Time, service, id uint32, caller netip.Addr) []byte {
 	t := ticket.Ticket{
 		Service:     service,
@@ -267,11 +289,11 @@
 		Incarnation: k.incarnation,
 		Serial:      k.ledger.issue(),
 	}
-	if k.leaving {
-		t.Version = k.version
-	} else {
+	if k.grants(now) {
 		t.Expiry = now.Sub(k.start) + ExecutionLifetime
 		k.rights = t.Expiry
+	} else {
+		t.Version = k.version
 	}
 	k.sealer.Seal(k.sealed[:], t, caller)
 	return k.sealed[:]
@@ -287,6 +309,9 @@
 		}
 		k.supersede(now, place, e)
 	}
+	if deadline(r) <= 0 {
+		return verdict.ReasonDeadline
+	}
 	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
 		return reason
 	}
@@ -295,6 +320,7 @@
 		k.Gate(r.Upstream).EndRequest(now, upstream.ResultCancelled, 0)
 		return verdict.ReasonLedgerFull
 	}
+	k.retention.hold(place, r)
 	k.forward(now, place, e, r)
 	return verdict.ReasonNone
 }
@@ -342,15 +368,7 @@
 
 // refuseExchange answers the caller of e without an upstream.
 func (k *Keeper) refuseExchange(e *exchange, v verdict.Verdict, reason verdict.Reason) {
-	h := &packet.Header{
-		Service:     e.service,
-		Caller:      e.key.caller(),
-		Kind:        e.kind,
-		Token:       e.key.token,
-		Message:     e.message,
-		Confirmable: e.confirmable,
-	}
-	k.outlet.Refuse(h, newRefusal(v, reason, 0))
+	k.outlet.Refuse(e.header(0), newRefusal(v, reason, 0))
 }
 
 // supersede ends an exchange whose caller reuses the token. A non-idempotent
--- a/keeper/leave.go
+++ b/keeper/leave.go
@@ -45,3 +45,8 @@
 func (k *Keeper) Leave() {
 	k.leaving = true
 }
+
+// grants reports whether the keeper gives rights to executions at now.
+func (k *Keeper) grants(now time.Time) bool {
+	return !k.leaving && now.Sub(k.start) >= k.settle
+}
--- a/keeper/once.go
+++ b/keeper/once.go
@@ -71,8 +71,8 @@
 // grantOnce answers a request without a ticket with one, if the upstream could
 // take the request now.
 func (k *Keeper) grantOnce(now time.Time, r *Request) verdict.Reason {
-	if k.leaving {
-		return verdict.ReasonDraining
+	if !k.grants(now) {
+		return verdict.ReasonUnsettled
 	}
 	g := k.Gate(r.Upstream)
 	if g.Requests() >= g.Limit() {
@@ -87,6 +87,9 @@
 // onceAnswer settles an execution.
 func (k *Keeper) onceAnswer(now time.Time, place uint32, e *exchange, a *Answer, datagram []byte) {
 	k.ledger.entries[e.serial].settle(datagram)
+	if !a.Shed {
+		k.retrier.Succeed(now, e.service)
+	}
 	if !e.detached {
 		k.deliver(now, e, datagram)
 	}
--- a/keeper/watch_test.go
+++ b/keeper/watch_test.go
@@ -55,7 +55,7 @@
 		Exchanges: 10_000,
 		Entries:   100,
 	}
-	b.keeper = keeper.New(epoch, incarnation, limits, b.timers, b, b, keeper.WithReleaser(b))
+	b.keeper = keeper.New(epoch, incarnation, limits, b.timers, b, b, b, keeper.WithReleaser(b))
 	return b
 }
 
@@ -76,6 +76,10 @@
 	return true
 }
 
+func (b *bench) Retry(time.Time, *keeper.Retry) bool { return false }
+
+func (b *bench) Succeed(time.Time, uint32) {}
+
 // open sends a registration of a caller from a port.
 func (b *bench) open(caller, port uint16, t *ticket.Ticket) verdict.Reason {
 	return b.keeper.Request(b.now, &keeper.Request{
