feat: addresses and ids of upstreams don't pass to another service in one patch

Cause: a balancer with the earlier version sends one service's packets to a host that the next version gives to the other. The property of Diff now goes through a version in between where the documents differ in such a move, and still states the same result.

--- a/config/patch.go
+++ b/config/patch.go
@@ -74,6 +74,9 @@
 	if err := next.Check(); err != nil {
 		return nil, err
 	}
+	if err := CheckReuse(d, next); err != nil {
+		return nil, err
+	}
 	return next, nil
 }
 
--- a/config/patch_test.go
+++ b/config/patch_test.go
@@ -125,6 +125,18 @@
 			Operations: Diff(from, to),
 		}
 		next, err := p.Apply(7, from)
+		if CheckReuse(from, to) != nil {
+			// What moves between services leaves in a version of its own.
+			var check *CheckError
+			require.ErrorAs(t, err, &check)
+			between := from.Clone()
+			between.Services = nil
+			p.Operations = Diff(from, between)
+			between, err = p.Apply(7, from)
+			require.NoError(t, err)
+			p.Operations = Diff(between, to)
+			next, err = p.Apply(7, between)
+		}
 		require.NoError(t, err)
 		require.Equal(t, encoded(t, sorted(to)), encoded(t, sorted(next)))
 		require.Empty(t, Diff(to, next))
