--- /dev/null
+++ b/balancer/block_test.go
@@ -0,0 +1,102 @@
+package balancer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/verdict"
+)
+
+// TestLaterBlocks states that the blocks of one answer come from one upstream:
+// where it can't serve a later block, the caller is told so.
+func TestLaterBlocks(t *testing.T) {
+	cases := []struct {
+		name string
+		// change makes the upstream of the first block unusable, or not.
+		change func(w *world, u *config.Upstream)
+		want   verdict.Verdict
+		reason verdict.Reason
+	}{
+		{
+			name:   "same upstream",
+			change: func(*world, *config.Upstream) {},
+			want:   verdict.Answered,
+		},
+		{
+			name: "busy",
+			change: func(w *world, u *config.Upstream) {
+				for _, c := range w.cores {
+					for range u.Slots {
+						c.balancer.Keeper().Gate(u).AdmitRequest(w.now)
+					}
+				}
+			},
+			reason: verdict.ReasonBusy,
+			want:   verdict.NotRun,
+		},
+		{
+			name: "shed",
+			change: func(w *world, u *config.Upstream) {
+				w.hosts[u.Address].answer = func() (time.Duration, bool, bool) { return 0, true, false }
+			},
+			reason: verdict.ReasonShed,
+			want:   verdict.NotRun,
+		},
+		{
+			name: "removed",
+			change: func(w *world, u *config.Upstream) {
+				w.patch(config.Operation{RemoveUpstream: &config.RemoveUpstream{
+					Service: "photos",
+					Name:    u.Name,
+				}})
+			},
+			reason: verdict.ReasonNoUpstream,
+			want:   verdict.NotRun,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1, smooth, roomy, "a", "a", "b")
+			d := &driver{world: w}
+			d.serve(document())
+			at := make(map[uint64]netip.AddrPort)
+			for a, h := range w.hosts {
+				h.answer = func() (time.Duration, bool, bool) { return 0, false, false }
+				h.run = func(content []byte) { at[uint64(content[12])] = a }
+			}
+			var last *message
+			w.receive = func(_ netip.AddrPort, m *message) { last = m }
+			w.install(snapshot(t, document()), 0)
+			w.run(w.now)
+			w.block(1, nil)
+			require.Equal(t, verdict.Answered, last.verdict)
+			s := w.config.Document.Services[1]
+			for i := range s.Upstreams {
+				if s.Upstreams[i].Address == at[1] {
+					c.change(w, &s.Upstreams[i])
+				}
+			}
+			w.run(w.now.Add(configSpread))
+			w.block(2, last.ticket)
+			require.Equal(t, c.want, last.verdict)
+			require.Equal(t, c.reason, last.reason)
+			if c.want == verdict.Answered {
+				require.Equal(t, at[1], at[2])
+			}
+		})
+	}
+}
+
+// block asks for a block of an answer and waits for it.
+func (w *world) block(number uint64, ticket []byte) {
+	b := datagramOf(photos, packet.KindIdempotent, number, 0, number, ticket)
+	h := headerOf(b)
+	h.Caller = netip.MustParseAddrPort("10.0.0.1:5683")
+	w.fabric(h, b)
+	w.run(w.now.Add(time.Second))
+}
--- a/balancer/once_test.go
+++ b/balancer/once_test.go
@@ -132,6 +132,8 @@
 	runs map[uint8]int
 	// said counts answers may-have-run.
 	said int
+	// silent tells that it ran at an upstream that didn't answer.
+	silent bool
 }
 
 // An attempt is a request under one ticket.
@@ -149,8 +151,10 @@
 	fault    *fault
 	requests []*request
 	tokens   map[uint64]func(m *message)
-	token    uint64
-	fail     func(format string, args ...any)
+	// silent tells that the upstream's answer to the next run is not sent.
+	silent bool
+	token  uint64
+	fail   func(format string, args ...any)
 }
 
 func checkHistory(t *rapid.T, f *fault, seed uint64, n *tally) {
@@ -167,7 +171,7 @@
 		}
 	}
 	d.serve(document())
-	w.install(snapshot(t, 1, document()), 0)
+	w.install(snapshot(t, document()), 0)
 	w.run(epoch)
 	for range rapid.IntRange(1, 12).Draw(t, "requests") {
 		w.after(w.upTo(max(f.span, 6*time.Second)), d.begin)
@@ -198,10 +202,11 @@
 
 func (d *driver) answer() (after time.Duration, shed, silent bool) {
 	p := d.world.random.Float64()
+	d.silent = p >= d.fault.late && p < d.fault.late+d.fault.silent
 	switch {
 	case p < d.fault.late:
 		return holdDeadline + d.world.upTo(4*time.Second), false, false
-	case p < d.fault.late+d.fault.silent:
+	case d.silent:
 		return 0, false, true
 	default:
 		return d.world.upTo(200 * time.Millisecond), p > 0.95, false
@@ -211,6 +216,7 @@
 func (d *driver) run(content []byte) {
 	id := binary.BigEndian.Uint64(content[5:])
 	d.requests[id].runs[content[13]]++
+	d.requests[id].silent = d.silent
 }
 
 func (d *driver) begin() {
@@ -307,6 +313,9 @@
 		n.notRun++
 	default:
 		n.unknown++
+		if f := d.fault; f.name == "silent upstreams" && !r.silent {
+			t.Fatalf("request %d: unknown although its upstream answered", r.id)
+		}
 		t.Logf("request %d: unknown after %d attempts, ran %d times, reason %q", r.id, len(r.attempts), total, r.reason)
 	}
 }
@@ -435,8 +444,8 @@
 	}
 }
 
-func snapshot(t require.TestingT, v config.Version, d *config.Document) *config.Snapshot {
-	s, err := config.NewSnapshot(v, d)
+func snapshot(t require.TestingT, d *config.Document) *config.Snapshot {
+	s, err := config.NewSnapshot(1, d)
 	require.NoError(t, err)
 	return s
 }
--- a/balancer/retrier_test.go
+++ b/balancer/retrier_test.go
@@ -58,11 +58,14 @@
 			}
 			answered, offered := make(map[uint64]bool), 0
 			w.receive = func(_ netip.AddrPort, m *message) {
-				if m.verdict == verdict.Answered {
-					answered[binary.BigEndian.Uint64(m.content[5:])] = true
+				if m.verdict != verdict.Answered {
+					return
 				}
+				id := binary.BigEndian.Uint64(m.content[5:])
+				require.Equal(t, binary.BigEndian.Uint64(m.token.Bytes[:]), id, "the answer to another request")
+				answered[id] = true
 			}
-			w.install(snapshot(t, 1, document()), 0)
+			w.install(snapshot(t, document()), 0)
 			const seconds = 60
 			for offered < c.rate*seconds {
 				id := uint64(offered)
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -36,6 +36,9 @@
 		return
 	}
 	u, placed, reason := b.upstreamFor(h, t, s, r)
+	if u != nil && placed && t != nil && h.Later {
+		u, reason = nil, verdict.ReasonNoUpstream
+	}
 	if u == nil {
 		b.refuse(h, verdict.NotRun, reason)
 		return
@@ -181,6 +184,10 @@
 		if reason == verdict.ReasonNone {
 			return
 		}
+		if t != nil && d.Header.Later {
+			b.refuse(d.Header, verdict.NotRun, reason)
+			return
+		}
 		next := b.next(d.Header, s, u.ID, r)
 		if next == nil || reason == verdict.ReasonDeadline || !b.budget(now, s.ID).Spend(now) {
 			b.refuse(d.Header, verdict.NotRun, reason)
--- a/coap/parser_test.go
+++ b/coap/parser_test.go
@@ -98,6 +98,22 @@
 	}
 }
 
+// TestRequestLater states which requests belong to an answer in progress.
+func TestRequestLater(t *testing.T) {
+	for value, later := range map[string]bool{
+		"":         false,
+		"\x06":     false,
+		"\x16":     true,
+		"\x01\x06": true,
+	} {
+		m := post(option(message.Block2, value))
+		m.Code = codes.GET
+		var h packet.Header
+		require.NoError(t, coap.NewParser().Request(encode(t, m), 1, caller, &h))
+		require.Equal(t, later, h.Later, "%x", value)
+	}
+}
+
 func TestPrefix(t *testing.T) {
 	var h packet.Header
 	require.True(t, coap.Prefix(encode(t, post()), 1, caller, &h))
--- a/standin/caller/internal/flow/request.go
+++ b/standin/caller/internal/flow/request.go
@@ -21,6 +21,8 @@
 	maxRetries = 3
 	// maxChallenges is the number of 4.01 answers that a request follows.
 	maxChallenges = 3
+	// maxFetches is the number of times that an answer in blocks is begun.
+	maxFetches = 3
 	// defaultMaxAge is waited after a refusal without Max-Age.
 	defaultMaxAge = time.Second
 )
@@ -123,35 +125,54 @@
 	return upstream
 }
 
-// photo fetches a photo block by block and checks it.
+// photo fetches a photo block by block and checks it. Where the upstream of the
+// first block can't serve a later one, it starts again at another.
 func (s *socket) photo(ctx, retry context.Context, service, number string, t *Tally) {
 	t.Opened++
+	for range maxFetches {
+		content, lost := s.blocks(ctx, retry, number, t)
+		if lost {
+			continue
+		}
+		if content == nil {
+			return
+		}
+		if !bytes.Equal(content, standin.Photo(service, number)) {
+			t.Wrong++
+			return
+		}
+		t.Answered++
+		return
+	}
+}
+
+// blocks fetches the blocks of a photo, all from one upstream. The content is
+// nil where a failure was counted; lost tells that a later block was refused.
+func (s *socket) blocks(ctx, retry context.Context, number string, t *Tally) (content []byte, lost bool) {
 	r := &request{
 		code:  codes.GET,
 		path:  "/photos/" + number,
 		retry: retry,
 	}
-	var content []byte
 	for block := range uint32(standin.PhotoBlocks) {
 		r.options = message.Options{standin.Uint(message.Block2, block<<4|standin.PhotoBlockExponent)}
 		a := s.do(ctx, r, t)
-		if a == nil || count(a, codes.Content, t) {
-			return
+		if a == nil {
+			return nil, block > 0 && retry.Err() == nil
+		}
+		if count(a, codes.Content, t) {
+			return nil, false
 		}
 		if !a.Blocked || a.Block>>4 != block {
 			t.Wrong++
-			return
+			return nil, false
 		}
 		content = append(content, a.Payload...)
 		if a.Block&8 == 0 {
 			break
 		}
 	}
-	if !bytes.Equal(content, standin.Photo(service, number)) {
-		t.Wrong++
-		return
-	}
-	t.Answered++
+	return content, false
 }
 
 // count counts an answer that is not of the wanted code, and reports whether
