--- a/keeper/once_test.go
+++ b/keeper/once_test.go
@@ -14,8 +14,6 @@
 	"filbertworks.example/filbertworks/timer"
 )
 
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
 // An outlet keeps what a keeper last sent.
 type outlet struct {
 	sealer    *ticket.Sealer
