refactor: route a flow in a function of its own

Cause: merging blocks and moving flows took route over the linter's bound. Change: a ticket that gives no right to an execution is dropped where tickets are opened; the way of flows is routeFlow.

--- a/balancer/route.go
+++ b/balancer/route.go
@@ -31,18 +31,19 @@
 		b.refuse(h, verdict.MayHaveRun, reason)
 		return
 	}
-	if h.Kind == packet.KindOnce && t != nil && !t.Executes() {
-		// The ticket names a flow and no execution.
-		t = nil
-	}
-	if h.Kind == packet.KindOnce && t != nil {
+	switch {
+	case h.Kind == packet.KindOnce && t != nil:
 		b.routeOnce(now, h, t, s, r, datagram)
-		return
-	}
-	if b.outdated(t) {
+	case b.outdated(t):
 		b.passOn(h, t, r, datagram)
-		return
+	default:
+		b.routeFlow(now, h, t, s, r, datagram)
 	}
+}
+
+// routeFlow sends a datagram that may go to any upstream, or to that of its
+// ticket t, to the keeper of the upstream.
+func (b *Balancer) routeFlow(now time.Time, h *packet.Header, t *ticket.Ticket, s *config.Service, r *wire.Relay, datagram []byte) {
 	u, placed, reason := b.upstreamFor(h, t, s, r)
 	if u != nil && placed && t != nil && h.Later {
 		u, reason = nil, verdict.ReasonNoUpstream
@@ -64,7 +65,8 @@
 	b.offer(now, d, t, s, u, r, datagram)
 }
 
-// open returns the ticket of h, nil where it has none, or why it is refused.
+// open returns the ticket of h, nil where it has none that h can use, or why it
+// is refused.
 func (b *Balancer) open(h *packet.Header) (*ticket.Ticket, verdict.Reason) {
 	if len(h.Ticket) == 0 {
 		return nil, verdict.ReasonNone
@@ -73,6 +75,10 @@
 	if err != nil || t.Service != h.Service {
 		return nil, verdict.ReasonInvalidTicket
 	}
+	if h.Kind == packet.KindOnce && !t.Executes() {
+		// The ticket names a flow and no execution.
+		return nil, verdict.ReasonNone
+	}
 	b.opened = t
 	return &b.opened, verdict.ReasonNone
 }
