--- a/balancer/route.go
+++ b/balancer/route.go
@@ -31,15 +31,31 @@
 		b.refuse(h, verdict.MayHaveRun, reason)
 		return
 	}
-	if h.Kind == packet.KindOnce && t != nil {
+	switch {
+	case h.Kind == packet.KindOnce && t != nil:
 		b.routeOnce(now, h, t, s, r, datagram)
-		return
+	case b.outdated(t):
+		b.passOn(h, t, r, datagram)
+	default:
+		b.routeFlow(now, h, t, s, r, datagram)
 	}
+}
+
+// routeFlow sends a datagram that may go to any upstream, or to that of its
+// ticket t, to the keeper of the upstream.
+func (b *Balancer) routeFlow(now time.Time, h *packet.Header, t *ticket.Ticket, s *config.Service, r *wire.Relay, datagram []byte) {
 	u, placed, reason := b.upstreamFor(h, t, s, r)
+	if u != nil && placed && t != nil && h.Later {
+		u, reason = nil, verdict.ReasonNoUpstream
+	}
 	if u == nil {
 		b.refuse(h, verdict.NotRun, reason)
 		return
 	}
+	if !b.mayKeep(h, t, u, r) {
+		b.drop(h, verdict.ReasonUnsettled)
+		return
+	}
 	d := &Decision{
 		Header:   h,
 		Upstream: u.ID,
@@ -49,7 +65,8 @@
 	b.offer(now, d, t, s, u, r, datagram)
 }
 
-// open returns the ticket of h, nil where it has none, or why it is refused.
+// open returns the ticket of h, nil where it has none that h can use, or why it
+// is refused.
 func (b *Balancer) open(h *packet.Header) (*ticket.Ticket, verdict.Reason) {
 	if len(h.Ticket) == 0 {
 		return nil, verdict.ReasonNone
@@ -58,6 +75,10 @@
 	if err != nil || t.Service != h.Service {
 		return nil, verdict.ReasonInvalidTicket
 	}
+	if h.Kind == packet.KindOnce && !t.Executes() {
+		// The ticket names a flow and no execution.
+		return nil, verdict.ReasonNone
+	}
 	b.opened = t
 	return &b.opened, verdict.ReasonNone
 }
@@ -181,6 +202,10 @@
 		if reason == verdict.ReasonNone {
 			return
 		}
+		if t != nil && d.Header.Later {
+			b.refuse(d.Header, verdict.NotRun, reason)
+			return
+		}
 		next := b.next(d.Header, s, u.ID, r)
 		if next == nil || reason == verdict.ReasonDeadline || !b.budget(now, s.ID).Spend(now) {
 			b.refuse(d.Header, verdict.NotRun, reason)
--- a/config/advance.go
+++ b/config/advance.go
@@ -25,13 +25,15 @@
 // An advance is a snapshot in the making, which shares what it doesn't change
 // with the one before.
 type advance struct {
-	next *Snapshot
+	before *Snapshot
+	next   *Snapshot
 	// copied marks the services whose upstreams are not shared.
 	copied map[int]bool
 }
 
 func newAdvance(s *Snapshot) *advance {
 	a := &advance{
+		before: s,
 		next: &Snapshot{
 			Version: s.Version + 1,
 			Document: &Document{
@@ -85,7 +87,7 @@
 
 func (a *advance) putUpstream(p *PutUpstream) bool {
 	i, ok := a.next.byName[p.Service]
-	if !ok || !a.valid(&p.Upstream) {
+	if !ok || !a.valid(&p.Upstream) || a.reused(i, &p.Upstream) {
 		return false
 	}
 	u := p.Upstream
@@ -134,6 +136,19 @@
 	return true
 }
 
+// reused reports whether the id or address of u may have belonged to another
+// service than the one at index i before; see CheckReuse.
+func (a *advance) reused(i int, u *Upstream) bool {
+	if at, known := a.before.upstreams.get(u.ID); known && at.service != i {
+		return true
+	}
+	if _, taken := a.before.claims.get(addressClaim(u.Address)); !taken {
+		return false
+	}
+	own := func(o Upstream) bool { return o.Address == u.Address }
+	return !slices.ContainsFunc(a.before.Document.Services[i].Upstreams, own)
+}
+
 // service returns a service whose upstreams may be changed.
 func (a *advance) service(i int) *Service {
 	s := &a.next.Document.Services[i]
--- a/config/advance_test.go
+++ b/config/advance_test.go
@@ -19,7 +19,7 @@
 				Operations: rapid.SliceOfN(rapid.Custom(drawOperation), 0, 3).Draw(t, "operations"),
 			}
 			if len(s.Document.Zones) > 0 && rapid.Bool().Draw(t, "valid") {
-				p.Operations = []Operation{drawChange(t, s.Document)}
+				p.Operations = []Operation{drawChange(t, s.Document), drawChange(t, s.Document)}
 			}
 			before := encoded(t, s.Document)
 			next, err := s.Apply(p)
@@ -88,8 +88,10 @@
 		u.ID += 1000
 		u.Name += "-added"
 	}
+	// An upstream may be put into another service than its own.
+	to := rapid.SampledFrom(d.Services).Draw(t, "to")
 	return Operation{PutUpstream: &PutUpstream{
-		Service:  s.Name,
+		Service:  to.Name,
 		Upstream: u,
 	}}
 }
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -141,6 +141,8 @@
 		Limits:      o.Limits,
 		Rand:        mathrand.New(mathrand.NewPCG(d.incarnation, 0)),
 		Outlet:      d.outlet,
+		Releaser:    d.outlet,
+		Settle:      settleTime,
 	})
 	d.outlet.balancer = d.balancer
 	if err := d.counters.observe(o.Meter); err != nil {
@@ -152,7 +154,7 @@
 	return d, nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends or a graceful leave is over.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -162,6 +164,7 @@
 	duties.Go(func() { d.followConfig(ctx) })
 	duties.Go(func() { d.followVMs(ctx) })
 	duties.Go(func() { d.serveControl(ctx) })
+	duties.Go(func() { d.runLeave(ctx, cancel) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
 	var senders sync.WaitGroup
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -44,6 +44,7 @@
 	d.balancer.SetMembers(d.tracker.Table(), d.tracker.Settled(now))
 	if trusted {
 		d.balancer.Advance(now)
+		d.beatPaths(now)
 	}
 	d.pull(now)
 }
@@ -92,6 +93,10 @@
 		d.counters.add("drop", "unknown-peer")
 		return
 	}
+	if wire.IsRelease(e.buffer.data()) {
+		d.released(now, e.buffer.data())
+		return
+	}
 	var r wire.Relay
 	datagram, err := wire.ParseRelay(e.buffer.data(), &r)
 	if err != nil {
@@ -112,7 +117,11 @@
 		d.counters.add("drop", err.Error())
 		return
 	}
-	if r.Reset() || r.Acknowledgement() {
+	if r.Reset() {
+		d.pathAnswered(e.path, r.Message)
+		return
+	}
+	if r.Acknowledgement() {
 		return
 	}
 	known := d.balancer.Answer(now, e.id, &keeper.Answer{
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -163,6 +163,11 @@
 	t.say()
 }
 
+// Leaving reports whether this process leaves.
+func (t *Tracker) Leaving() bool {
+	return t.self.State == Leaving
+}
+
 // Members returns all processes of the view, this one first.
 func (t *Tracker) Members() []Member {
 	members := make([]Member, 0, len(t.order)+1)
