--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -80,6 +80,7 @@
 	duties sync.WaitGroup
 	// installed is when the configuration in force came into force here.
 	installed time.Time
+	started   time.Time
 	drainOnce sync.Once
 	// draining is closed when a graceful leave begins.
 	draining chan struct{}
@@ -107,6 +108,7 @@
 		journal:     newJournal(o.Log),
 		relay:       relay,
 		control:     control,
+		started:     now,
 		trust:       member.NewTrust(now),
 		history:     &rollout.History{},
 		puller:      &rollout.Puller{},
--- a/filbertd/internal/daemon/follow.go
+++ b/filbertd/internal/daemon/follow.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/rollout"
 )
 
@@ -22,6 +23,10 @@
 	roleInterval = 500 * time.Millisecond
 )
 
+// smallFleet is the number of VMs up to which a balancer without a
+// configuration asks those of all zones for one.
+const smallFleet = 64
+
 // followConfig reads published configurations while this process is one of its
 // zone's readers, or has none in force.
 func (d *Daemon) followConfig(ctx context.Context) {
@@ -107,6 +112,8 @@
 			default:
 				d.call(ctx, func(now time.Time) {
 					d.tracker.PlatformAnswered(now)
+					c := d.balancer.Config()
+					vms = rollout.Region(c, d.options.Zone, vms, len(vms) <= smallFleet || now.Sub(d.started) >= member.DeadAfter)
 					d.tracker.Seed(now, vms)
 				})
 				if !introduced {
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -191,6 +191,16 @@
 	return up
 }
 
+// running reports whether the process of a name runs.
+func (f *fleet) running(name string) bool {
+	for _, p := range f.up() {
+		if p.self.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // converged reports whether all running processes take exactly each other for
 // living.
 func (f *fleet) converged() bool {
--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -64,6 +64,40 @@
 	}
 }
 
+// Two balancers that disagree on a keeper do so for a bounded time after a
+// death and after a start.
+func TestKeepersAgreeInTime(t *testing.T) {
+	agree := func(f *fleet) func() bool {
+		return func() bool {
+			for id := range uint32(30) {
+				var keeper string
+				for _, p := range f.up() {
+					m, _ := p.tracker.Table().Keeper(id, "zone-1")
+					if keeper == "" {
+						keeper = m.Name
+					}
+					if m.Name != keeper || !f.running(m.Name) {
+						return false
+					}
+				}
+			}
+			return true
+		}
+	}
+	for seed := range uint64(10) {
+		f := newFleet(seed, 3, 9)
+		f.loss = 0.02
+		f.run(5 * time.Second)
+		f.processes[1].down = true
+		require.LessOrEqual(t, f.until(2*deathTarget, agree(f)), deathTarget, "death, seed %d", seed)
+		fresh := f.start("lb-new", 1, 50)
+		f.seed()
+		fresh.tracker.Seed(f.now, f.list())
+		f.run(JoinDelay)
+		require.LessOrEqual(t, f.until(2*deathTarget, agree(f)), spreadTarget, "start, seed %d", seed)
+	}
+}
+
 func TestNoFalseDeathUnderLossAndDelay(t *testing.T) {
 	f := newFleet(1, 3, 9)
 	f.loss = 0.05
