perf: decisions on open flows allocate nothing

Cause: each datagram of an open flow allocated one to five objects. Ruled out: pools (the decisions run in one goroutine). Change: scratch space in balancer and keeper; two index entries per exchange.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -91,6 +91,16 @@
 	budgets map[uint32]*retry.Budget
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
+	// scratch is space for what the decision in hand passes on.
+	scratch scratch
+}
+
+// A scratch holds what would be allocated for each datagram otherwise.
+type scratch struct {
+	relay    wire.Relay
+	decision Decision
+	request  keeper.Request
+	member   member.Member
 }
 
 // New returns a balancer without a configuration: it drops every datagram until
@@ -122,10 +132,11 @@
 
 // Caller takes a datagram that a caller sent to this balancer.
 func (b *Balancer) Caller(now time.Time, h *packet.Header, datagram []byte) {
-	b.route(now, h, &wire.Relay{
+	b.scratch.relay = wire.Relay{
 		Caller:  h.Caller,
 		Service: h.Service,
-	}, datagram)
+	}
+	b.route(now, h, &b.scratch.relay, datagram)
 }
 
 // Config returns the configuration in force, or nil.
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -52,7 +52,8 @@
 		b.drop(h, verdict.ReasonUnsettled)
 		return
 	}
-	d := &Decision{
+	d := &b.scratch.decision
+	*d = Decision{
 		Header:   h,
 		Upstream: u.ID,
 		Placed:   placed,
@@ -175,10 +176,11 @@
 		d.Keeper = m.Name
 		b.outlet.Routed(d)
 		if m.Incarnation != b.options.Incarnation && r.Hops < MaxHops {
-			b.relay(&m, r, u.ID, datagram)
+			b.scratch.member = m
+			b.relay(&b.scratch.member, r, u.ID, datagram)
 			return
 		}
-		reason := b.keeper.Request(now, &keeper.Request{
+		b.scratch.request = keeper.Request{
 			Header:   d.Header,
 			Ticket:   t,
 			Service:  s,
@@ -189,7 +191,8 @@
 				Excluded: r.Excluded,
 			},
 			Elapsed: r.Elapsed,
-		})
+		}
+		reason := b.keeper.Request(now, &b.scratch.request)
 		if reason == verdict.ReasonNone {
 			return
 		}
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"filbertworks.example/filbertworks/config"
 	"filbertworks.example/filbertworks/keeper"
 	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/ring"
 	"filbertworks.example/filbertworks/wire"
 )
@@ -66,9 +67,11 @@
 	listeners *listeners
 	paths     *pathSet
 	parser    *coap.Parser
-	outlet    *outlet
-	balancer  *balancer.Balancer
-	tracker   *member.Tracker
+	// header is that of the datagram in hand.
+	header   packet.Header
+	outlet   *outlet
+	balancer *balancer.Balancer
+	tracker  *member.Tracker
 	// installed is when the configuration in force came into force here.
 	installed time.Time
 	drainOnce sync.Once
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -57,16 +57,16 @@
 }
 
 func (d *Daemon) fromCaller(now time.Time, e *event) {
-	var h packet.Header
-	if err := d.parser.Request(e.buffer.data(), e.id, e.from, &h); err != nil {
-		d.reject(e, &h, err)
+	h := &d.header
+	if err := d.parser.Request(e.buffer.data(), e.id, e.from, h); err != nil {
+		d.reject(e, h, err)
 		return
 	}
 	if h.Kind == packet.KindPing {
 		d.outlet.toCaller(e.id, e.from, d.outlet.writer.Empty(message.Reset, h.Message))
 		return
 	}
-	d.balancer.Caller(now, &h, e.buffer.data())
+	d.balancer.Caller(now, h, e.buffer.data())
 }
 
 func (d *Daemon) fromPeer(now time.Time, e *event) {
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -75,6 +75,9 @@
 	expires time.Duration
 }
 
+// bucketsPerExchange keeps chains short: a link is a cache miss.
+const bucketsPerExchange = 2
+
 // pageSize is the number of exchanges that are allocated together.
 const pageSize = 1024
 
@@ -94,7 +97,7 @@
 
 func newExchangeTable(limit int, seed uint64) *exchangeTable {
 	n := 1
-	for n < limit {
+	for n < bucketsPerExchange*limit {
 		n *= 2
 	}
 	return &exchangeTable{
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -106,6 +106,9 @@
 	message  uint16
 	messages map[uint32]uint16
 	sealed   [ticket.Size]byte
+	// forwarding and delivery are scratch space for the outlet's arguments.
+	forwarding Forward
+	delivery   Delivery
 }
 
 // New returns a keeper of a process that started at start under a random
@@ -271,13 +274,14 @@
 
 // forward sends r to its upstream as the exchange at a place.
 func (k *Keeper) forward(now time.Time, place uint32, e *exchange, r *Request) {
-	k.outlet.Forward(&Forward{
+	k.forwarding = Forward{
 		Upstream:    e.upstream,
 		Token:       k.exchanges.token(place),
 		Message:     e.forwarded,
 		Confirmable: e.kind != packet.KindOnce,
 		Deadline:    e.expires - now.Sub(k.start),
-	}, r.Datagram)
+	}
+	k.outlet.Forward(&k.forwarding, r.Datagram)
 }
 
 // grant returns a sealed ticket with the right to one execution, valid until
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -150,7 +150,8 @@
 		Serial:      e.serial,
 		Version:     k.version,
 	}, caller.Addr())
-	d := &Delivery{
+	d := &k.delivery
+	*d = Delivery{
 		Service:     e.service,
 		Caller:      caller,
 		Token:       e.key.token,
@@ -167,12 +168,13 @@
 
 // notify passes a notification on.
 func (k *Keeper) notify(e *exchange, datagram []byte) {
-	k.outlet.Deliver(&Delivery{
+	k.delivery = Delivery{
 		Service: e.service,
 		Caller:  e.key.caller(),
 		Token:   e.key.token,
 		Message: k.nextMessage(),
-	}, datagram)
+	}
+	k.outlet.Deliver(&k.delivery, datagram)
 }
 
 func (k *Keeper) endWatch(now time.Time, place uint32, e *exchange) {
