test: compare ways to keep flows at their upstreams

Cause: the choice of tickets had no figures. Ruled out: timing bounds. Change: a benchmark of hashing, hashing with exceptions and tickets.

--- /dev/null
+++ b/balancer/ways_test.go
@@ -0,0 +1,154 @@
+package balancer_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/placement"
+)
+
+// Sizes of the comparison.
+const (
+	waysFlows     = 100_000
+	waysCores     = 8
+	waysUpstreams = 14
+	// exceptionSize is that of an exception: caller, token and upstream.
+	exceptionSize = 32
+	// controlRate is what one balancer may send for control, in bytes a second.
+	controlRate = 4096
+	// refreshSeconds is the time in which each flow sends a packet.
+	refreshSeconds = 30
+)
+
+// An outcome is what a way of keeping flows together costs at one change.
+type outcome struct {
+	broken, control, state int
+}
+
+func (o *outcome) report(b *testing.B) {
+	b.ReportMetric(float64(o.broken), "broken")
+	b.ReportMetric(float64(o.control), "control-bytes")
+	b.ReportMetric(float64(o.state), "state-bytes")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkWays compares the ways to keep flows at their upstreams: rendezvous
+// hashing alone, hashing with a table of exceptions at each balancer, and
+// tickets carried by the packets.
+func BenchmarkWays(b *testing.B) {
+	kinds := []change{
+		changes[0],
+		changes[1],
+		{
+			name:  "upstream re-weighted",
+			apply: func(s *flowSystem) { s.service().Upstreams[0].Share *= 2 },
+		},
+		{
+			name: changes[4].name,
+			apply: func(s *flowSystem) {
+				slices.SortFunc(s.cores, func(x, y *flowCore) int {
+					return y.balancer.Keeper().Exchanges() - x.balancer.Keeper().Exchanges()
+				})
+				changes[4].apply(s)
+			},
+		},
+	}
+	for _, k := range kinds {
+		b.Run(k.name+"/hashing", func(b *testing.B) {
+			for b.Loop() {
+				moved := movedBy(b, k)
+				o := outcome{broken: len(moved)}
+				o.report(b)
+			}
+		})
+		b.Run(k.name+"/exceptions", func(b *testing.B) {
+			for b.Loop() {
+				o := exceptions(b, k)
+				o.report(b)
+			}
+		})
+		b.Run(k.name+"/tickets", func(b *testing.B) {
+			for b.Loop() {
+				s := newFlowSystem(b, 1, waysCores, waysUpstreams)
+				s.grow(waysFlows)
+				s.step(k)
+				o := outcome{
+					broken:  s.broken,
+					control: s.control,
+				}
+				o.report(b)
+			}
+		})
+	}
+}
+
+// movedBy returns the flows that hashing sends to another upstream after a
+// change.
+func movedBy(t require.TestingT, k change) []int {
+	s := newFlowSystem(t, 1, 1, waysUpstreams)
+	before := hashed(s)
+	k.apply(s)
+	s.publish()
+	after := hashed(s)
+	var moved []int
+	for i := range before {
+		if before[i] != after[i] {
+			moved = append(moved, i)
+		}
+	}
+	return moved
+}
+
+// hashed returns the upstreams of all flows by hashing alone.
+func hashed(s *flowSystem) []uint32 {
+	p := placement.NewPicker("a", unknown{}, s.random)
+	service := s.current.Service(calendar)
+	flows := rand.New(rand.NewPCG(3, 3))
+	upstreams := make([]uint32, waysFlows)
+	for i := range upstreams {
+		upstreams[i] = p.Pick(s.current, service, placement.Query{
+			Flow:  flows.Uint64(),
+			Watch: true,
+		}).ID
+	}
+	return upstreams
+}
+
+// unknown knows no upstream's load.
+type unknown struct{}
+
+func (unknown) Load(uint32) (placement.Load, bool) { return placement.Load{}, false }
+
+// exceptions returns what exceptions cost: each balancer tells the others of
+// its share of the moved flows, as fast as its control rate allows; a flow
+// breaks where its next packet comes before its exception. A balancer that is
+// replaced needs the exceptions of an earlier change, here an added upstream.
+func exceptions(t require.TestingT, k change) outcome {
+	r := rand.New(rand.NewPCG(4, 4))
+	replaced := k.name == changes[4].name
+	if replaced {
+		k = changes[0]
+	}
+	moved := movedBy(t, k)
+	o := outcome{state: len(moved) * exceptionSize * waysCores}
+	receivers := waysCores - 1
+	if replaced {
+		receivers = 1
+	}
+	o.control = len(moved) * exceptionSize * receivers
+	perSecond := float64(controlRate) / float64(exceptionSize*receivers)
+	for i := range moved {
+		arrival := float64(i/waysCores) / perSecond
+		packet := refreshSeconds * r.Float64()
+		// One of all balancers is the one that replaces another; in the other
+		// cases all but one lack the exception.
+		lacking := r.IntN(waysCores) < receivers
+		if lacking && packet < arrival {
+			o.broken++
+		}
+	}
+	return o
+}
