feat: gates that start careful and learn from outcomes, bounded queues

Cause: a gate grew with every answer, trusted its limit after a silent restart and knew nothing of an earlier keeper's work; work beyond the slots was refused. Change: at most two requests are sent since the last answer, growth by eight answers a step, pauses after sheds, signs of restart, down and retry; a new keeper counts all slots as taken for the service's deadline; a queue per upstream.

--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -39,6 +39,7 @@
 func (d *Daemon) advance(now time.Time) {
 	d.balancer.Advance(now)
 	d.balancer.SetMembers(d.tracker.Table(now), d.tracker.Settled(now))
+	d.balancer.Review(now)
 }
 
 func (d *Daemon) handle(now time.Time, e *event) {
--- a/filbertd/internal/daemon/status.go
+++ b/filbertd/internal/daemon/status.go
@@ -163,6 +163,7 @@
 		s.Requests = int(g.Requests())
 		s.Connections = int(g.Watches())
 		s.Sheds = g.Sheds()
+		s.Queued = d.balancer.Keeper().Queued(u.ID)
 	}
 	return s
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -61,6 +61,11 @@
 	exchanges   *exchangeTable
 	ledger      *ledger
 	gates       map[uint32]*upstream.Gate
+	queues      map[uint32]*queue
+	// resigned are the upstreams with a gate that another balancer keeps.
+	resigned map[uint32]bool
+	// config is nil before the first configuration.
+	config *config.Snapshot
 	// message numbers the messages that the keeper sends by itself.
 	message uint16
 	sealed  [ticket.Size]byte
@@ -78,6 +83,8 @@
 		exchanges:   newExchangeTable(limits.Exchanges),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
 		gates:       make(map[uint32]*upstream.Gate),
+		queues:      make(map[uint32]*queue),
+		resigned:    make(map[uint32]bool),
 	}
 }
 
@@ -105,6 +112,8 @@
 // Configure follows a new configuration: exchanges at upstreams that are gone
 // or lie in zones taken out end.
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
+	k.config = c
+	k.flushUnusable(c)
 	for id, g := range k.gates {
 		if p := c.Upstream(id); p.Upstream != nil {
 			g.Configure(p.Upstream)
@@ -153,16 +162,6 @@
 	}
 }
 
-// Gate returns the gate of an upstream.
-func (k *Keeper) Gate(u *config.Upstream) *upstream.Gate {
-	g := k.gates[u.ID]
-	if g == nil {
-		g = upstream.NewGate(u)
-		k.gates[u.ID] = g
-	}
-	return g
-}
-
 // Request takes a caller's datagram. The result is ReasonNone where the keeper
 // has dealt with it; otherwise nothing was done, the request has not run, and
 // it may be offered to another upstream.
@@ -196,6 +195,20 @@
 	}
 }
 
+// begin sends an idempotent request if its upstream has a slot.
+func (k *Keeper) begin(now time.Time, r *Request) verdict.Reason {
+	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
+		return reason
+	}
+	place, e := k.open(now, keyOf(r.Header.Caller, r.Header.Token), r, deadline(r))
+	if e == nil {
+		k.Gate(r.Upstream).EndRequest(now, upstream.ResultCancelled, 0)
+		return verdict.ReasonLedgerFull
+	}
+	k.forward(now, place, e, r)
+	return verdict.ReasonNone
+}
+
 func (k *Keeper) cancel(place uint32, e *exchange) {
 	k.outlet.Cancel(&Cancel{
 		Upstream: e.upstream,
@@ -229,7 +242,9 @@
 func (k *Keeper) endRequest(now time.Time, place uint32, e *exchange, result upstream.Result) {
 	latency := now.Sub(k.start) - e.sent
 	k.gates[e.upstream].EndRequest(now, result, latency)
+	id := e.upstream
 	k.exchanges.remove(place)
+	k.dequeue(now, id)
 }
 
 // forward sends r to its upstream as the exchange at a place.
@@ -266,16 +281,10 @@
 		}
 		k.supersede(now, place, e)
 	}
-	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
-		return reason
-	}
-	place, e := k.open(now, key, r, deadline(r))
-	if e == nil {
-		k.Gate(r.Upstream).EndRequest(now, upstream.ResultCancelled, 0)
-		return verdict.ReasonLedgerFull
+	if k.Gate(r.Upstream).Refusal(now) == verdict.ReasonBusy && k.await(now, r) {
+		return verdict.ReasonNone
 	}
-	k.forward(now, place, e, r)
-	return verdict.ReasonNone
+	return k.begin(now, r)
 }
 
 // nextMessage returns a message id for a message of the keeper's own.
--- a/keeper/once.go
+++ b/keeper/once.go
@@ -72,9 +72,8 @@
 // grantOnce answers a request without a ticket with one, if the upstream could
 // take the request now.
 func (k *Keeper) grantOnce(now time.Time, r *Request) verdict.Reason {
-	g := k.Gate(r.Upstream)
-	if g.Requests() >= g.Limit() {
-		return verdict.ReasonBusy
+	if reason := k.Gate(r.Upstream).Refusal(now); reason != verdict.ReasonNone {
+		return reason
 	}
 	f := newRefusal(verdict.NotRun, verdict.ReasonTicketNeeded, 0)
 	f.Ticket = k.grant(now, r.Service.ID, r.Upstream.ID, r.Header.Caller.Addr())
--- /dev/null
+++ b/keeper/tenure.go
@@ -0,0 +1,59 @@
+package keeper
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/upstream"
+	"filbertworks.example/filbertworks/verdict"
+)
+
+// Gate returns the gate of an upstream. A new one counts all slots as taken
+// until the deadline of the service has passed: an earlier keeper's work may
+// still be in flight.
+func (k *Keeper) Gate(u *config.Upstream) *upstream.Gate {
+	g := k.gates[u.ID]
+	if g == nil {
+		g = upstream.NewGate(u, upstream.WithHold(k.holdOf(u.ID)))
+		k.gates[u.ID] = g
+	}
+	return g
+}
+
+// Review follows a change of the member view: keeps tells whether this balancer
+// keeps an upstream. Upstreams that are another's take no new work here, and
+// are held anew once they come back.
+func (k *Keeper) Review(now time.Time, keeps func(id uint32) bool) {
+	for id, g := range k.gates {
+		switch kept := keeps(id); {
+		case !kept && !k.resigned[id]:
+			k.resigned[id] = true
+			k.flush(id, verdict.ReasonNotKeeper)
+		case kept && k.resigned[id]:
+			delete(k.resigned, id)
+			g.Hold(now, k.holdOf(id))
+		}
+	}
+}
+
+// holdOf returns how long an upstream's slots count as taken.
+func (k *Keeper) holdOf(id uint32) time.Duration {
+	if k.config == nil {
+		return 0
+	}
+	p := k.config.Upstream(id)
+	if p.Service == nil {
+		return 0
+	}
+	return time.Duration(p.Service.Deadline)
+}
+
+// admitWatch takes a connection. A ticket that names the upstream tells that
+// the watch, or one that the caller holds, is there already.
+func (k *Keeper) admitWatch(now time.Time, r *Request) verdict.Reason {
+	g := k.Gate(r.Upstream)
+	if r.Ticket != nil && r.Ticket.Upstream == r.Upstream.ID {
+		return g.ReadmitWatch(now)
+	}
+	return g.AdmitWatch(now)
+}
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -18,7 +18,7 @@
 		}
 		k.supersede(now, place, e)
 	}
-	if reason := k.Gate(r.Upstream).AdmitWatch(now); reason != verdict.ReasonNone {
+	if reason := k.admitWatch(now, r); reason != verdict.ReasonNone {
 		return reason
 	}
 	place, e := k.open(now, key, r, lifetime)
@@ -72,6 +72,7 @@
 		Message: k.nextMessage(),
 	}, datagram)
 	if !a.Observed {
+		k.gates[e.upstream].WatchReset(now)
 		k.endWatch(now, place, e)
 	}
 }
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -8,6 +8,24 @@
 	"filbertworks.example/filbertworks/verdict"
 )
 
+// Limits of a gate's pace.
+const (
+	// GrowthAnswers is the number of answers after which a gate that is used up
+	// to its limit admits one request more.
+	GrowthAnswers = 8
+	// MaxGrowthAnswers bounds the number after repeated sheds.
+	MaxGrowthAnswers = 64
+	// MaxUnproven is the greatest number of requests sent since the last answer.
+	// An upstream that has restarted without a sign sees at most this many.
+	MaxUnproven = 2
+	// Calm is the time without a shed after which a shed is taken for the sign
+	// of a restart.
+	Calm = 10 * time.Second
+	// MinShedPause and MaxShedPause bound the pause after a shed.
+	MinShedPause = 100 * time.Millisecond
+	MaxShedPause = 2 * time.Second
+)
+
 // A Result is how a request at an upstream ended.
 type Result uint8
 
@@ -23,42 +41,89 @@
 	ResultCancelled
 )
 
-// A Gate admits requests and watches to one upstream.
+// A Gate admits requests and watches to one upstream. It starts with one
+// request in flight, whatever the slots, and learns from outcomes how many the
+// upstream bears.
 type Gate struct {
 	slots       uint32
 	connections uint32
 	// limit is 1 to slots.
 	limit uint32
-	// successes counts answers since the limit last changed.
-	successes uint32
+	// answers counts those since the limit last changed.
+	answers uint32
+	// growth is the number of answers that raise limit, GrowthAnswers to
+	// MaxGrowthAnswers.
+	growth uint32
+	// peaked tells that requests reached limit since limit last changed.
+	peaked bool
 
 	// requests never exceeds limit at an admission.
 	requests uint32
-	// watches never exceeds connections at an admission.
+	// unproven counts the requests in flight that were sent after the last
+	// answer; it is at most MaxUnproven and at most requests.
+	unproven uint32
+	// watches never exceeds connections at an admission of a new watch.
 	watches uint32
-	sheds   uint64
+
+	sheds uint64
+	// shedRun counts sheds since the last answer.
+	shedRun  uint32
+	lastShed time.Time
+	// pausedUntil is the end of the pause after a shed.
+	pausedUntil time.Time
+
+	hold    hold
+	latency latency
+	life    life
+	report  report
+	restart restart
+}
+
+// A GateOption changes how a gate starts.
+type GateOption func(*Gate)
+
+// WithHold makes a gate count all slots as taken for a time after its first use.
+func WithHold(d time.Duration) GateOption {
+	return func(g *Gate) { g.hold.arm(d) }
 }
 
 // NewGate returns the gate of an upstream of which nothing is known: it admits
 // one request at first.
-func NewGate(u *config.Upstream) *Gate {
-	g := &Gate{limit: 1}
+func NewGate(u *config.Upstream, options ...GateOption) *Gate {
+	g := &Gate{
+		limit:  1,
+		growth: GrowthAnswers,
+		report: newReport(),
+	}
+	for _, o := range options {
+		o(g)
+	}
 	g.Configure(u)
 	return g
 }
 
 // AdmitRequest takes a slot, or returns why it doesn't.
-func (g *Gate) AdmitRequest(_ time.Time) verdict.Reason {
-	if g.requests >= g.limit {
-		return verdict.ReasonBusy
+func (g *Gate) AdmitRequest(now time.Time) verdict.Reason {
+	if reason := g.Refusal(now); reason != verdict.ReasonNone {
+		return reason
 	}
 	g.requests++
+	g.unproven++
+	g.report.sent(g.requests)
+	if g.requests >= g.limit {
+		g.peaked = true
+	}
 	return verdict.ReasonNone
 }
 
-// AdmitWatch takes a connection, or returns why it doesn't.
-func (g *Gate) AdmitWatch(_ time.Time) verdict.Reason {
-	if g.watches >= g.connections {
+// AdmitWatch takes a connection for a new watch, or returns why it doesn't.
+func (g *Gate) AdmitWatch(now time.Time) verdict.Reason {
+	switch {
+	case g.hold.active(now):
+		return verdict.ReasonCold
+	case g.life.down():
+		return verdict.ReasonNoUpstream
+	case max(g.watches, g.report.watches()) >= g.connections:
 		return verdict.ReasonConnections
 	}
 	g.watches++
@@ -73,24 +138,18 @@
 }
 
 // EndRequest gives back a slot. latency is the time from sending to the answer.
-func (g *Gate) EndRequest(_ time.Time, r Result, _ time.Duration) {
+func (g *Gate) EndRequest(now time.Time, r Result, latency time.Duration) {
 	g.requests--
 	switch r {
 	case ResultAnswered:
-		g.successes++
-		if g.successes >= g.limit && g.limit < g.slots {
-			g.limit++
-			g.successes = 0
-		}
+		g.answered(latency)
 	case ResultShed:
-		g.sheds++
-		g.limit = max(1, g.limit/2)
-		g.successes = 0
+		g.shed(now)
 	case ResultTimeout:
-		g.limit = max(1, g.limit/2)
-		g.successes = 0
+		g.timedOut(now, latency)
 	case ResultCancelled:
 	}
+	g.unproven = min(g.unproven, g.requests)
 }
 
 // EndWatch gives back a connection.
@@ -98,16 +157,64 @@
 	g.watches--
 }
 
-// Limit returns how many requests are admitted at present.
+// Hold counts all slots as taken for a time from now on; a longer hold stays.
+func (g *Gate) Hold(now time.Time, d time.Duration) {
+	g.hold.extend(now, d)
+}
+
+// Limit returns how many requests the upstream is believed to bear.
 func (g *Gate) Limit() uint32 {
 	return g.limit
 }
 
+// Load returns the requests in flight and how many are admitted at now.
+func (g *Gate) Load(now time.Time) (used, limit uint32) {
+	if g.hold.active(now) || g.life.down() || now.Before(g.pausedUntil) {
+		return g.requests, 0
+	}
+	return g.requests, g.allowance()
+}
+
+// ReadmitWatch takes a connection for a watch that the upstream holds already,
+// through another keeper. It is not delayed by a hold.
+func (g *Gate) ReadmitWatch(_ time.Time) verdict.Reason {
+	if g.watches >= g.connections {
+		return verdict.ReasonConnections
+	}
+	g.watches++
+	return verdict.ReasonNone
+}
+
+// Refusal returns why a request would not be admitted, or ReasonNone.
+func (g *Gate) Refusal(now time.Time) verdict.Reason {
+	switch {
+	case g.hold.active(now):
+		return verdict.ReasonCold
+	case g.life.down() && !g.life.retry(now, g.requests):
+		return verdict.ReasonNoUpstream
+	case now.Before(g.pausedUntil):
+		return verdict.ReasonShed
+	case g.requests >= g.allowance() || g.unproven >= MaxUnproven:
+		return verdict.ReasonBusy
+	}
+	return verdict.ReasonNone
+}
+
 // Requests returns the number of requests in flight.
 func (g *Gate) Requests() uint32 {
 	return g.requests
 }
 
+// ResumeAt returns when a pause or hold ends that is in force at now; ok is
+// false where there is none.
+func (g *Gate) ResumeAt(now time.Time) (at time.Time, ok bool) {
+	at = g.pausedUntil
+	if g.hold.active(now) && g.hold.until.After(at) {
+		at = g.hold.until
+	}
+	return at, at.After(now)
+}
+
 // Sheds returns how many requests the upstream refused so far.
 func (g *Gate) Sheds() uint64 {
 	return g.sheds
@@ -117,3 +224,74 @@
 func (g *Gate) Watches() uint32 {
 	return g.watches
 }
+
+// allowance returns the limit less the slots that others are believed to use;
+// it is at least one.
+func (g *Gate) allowance() uint32 {
+	foreign := g.report.foreign()
+	if foreign >= g.limit {
+		return 1
+	}
+	return g.limit - foreign
+}
+
+func (g *Gate) answered(sample time.Duration) {
+	g.unproven = 0
+	g.shedRun = 0
+	g.life.answered()
+	g.restart.resets = 0
+	g.latency.add(sample)
+	g.report.outcome(!g.latency.risen())
+	g.answers++
+	switch {
+	case g.answers%GrowthAnswers == 0 && g.latency.risen():
+		g.limit = max(1, g.limit-1)
+		g.changed()
+	case g.answers >= g.growth && g.peaked && g.limit < g.slots:
+		g.limit++
+		g.growth = max(GrowthAnswers, g.growth/2)
+		g.changed()
+	}
+}
+
+// changed starts the count towards the next change of the limit.
+func (g *Gate) changed() {
+	g.answers = 0
+	g.peaked = g.requests >= g.limit
+}
+
+// shed halves the limit, or starts anew where the upstream was calm: it refuses
+// what it has borne so far.
+func (g *Gate) shed(now time.Time) {
+	calm := g.lastShed.IsZero() || now.Sub(g.lastShed) > Calm
+	g.sheds++
+	g.shedRun++
+	g.lastShed = now
+	g.growth = min(MaxGrowthAnswers, 2*g.growth)
+	g.limit = max(1, g.limit/2)
+	if calm {
+		g.limit = 1
+	}
+	g.changed()
+	g.pausedUntil = now.Add(g.shedPause())
+}
+
+// shedPause doubles with each shed since the last answer; it spans at least two
+// usual answers, so that the upstream sees the sheds apart.
+func (g *Gate) shedPause() time.Duration {
+	pause := max(MinShedPause, 2*g.latency.usual())
+	for range min(g.shedRun, 8) - 1 {
+		pause *= 2
+	}
+	return min(pause, MaxShedPause)
+}
+
+// timedOut halves the limit where the upstream had the time for an answer.
+func (g *Gate) timedOut(now time.Time, waited time.Duration) {
+	if waited < g.latency.patience() {
+		return
+	}
+	g.life.lose(now)
+	g.limit = max(1, g.limit/2)
+	g.changed()
+}
--- /dev/null
+++ b/upstream/hold.go
@@ -0,0 +1,30 @@
+package upstream
+
+import "time"
+
+// A hold is a time in which all slots count as taken.
+type hold struct {
+	// pending is a hold that begins with the first use.
+	pending time.Duration
+	until   time.Time
+}
+
+// active reports whether the hold is in force at now.
+func (h *hold) active(now time.Time) bool {
+	if h.pending > 0 {
+		h.extend(now, h.pending)
+		h.pending = 0
+	}
+	return now.Before(h.until)
+}
+
+// arm begins a hold with the first use.
+func (h *hold) arm(d time.Duration) {
+	h.pending = d
+}
+
+func (h *hold) extend(now time.Time, d time.Duration) {
+	if end := now.Add(d); end.After(h.until) {
+		h.until = end
+	}
+}
