--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/placement"
+	"filbertworks.example/filbertworks/retry"
 	"filbertworks.example/filbertworks/ticket"
 	"filbertworks.example/filbertworks/timer"
 	"filbertworks.example/filbertworks/verdict"
@@ -76,9 +77,15 @@
 	// config is nil until the first configuration is in force.
 	config *config.Snapshot
 	sealer *ticket.Sealer
-	table  *member.Table
+	// sealing is the key with which sealer seals.
+	sealing config.Key
+	table   *member.Table
 	// settled tells that members not in table are gone.
 	settled bool
+	// budgets are those of the services' retries.
+	budgets map[uint32]*retry.Budget
+	// reviewed is the version at the last review of the upstreams kept.
+	reviewed config.Version
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
 }
@@ -91,8 +98,9 @@
 		outlet:  o.Outlet,
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
+		budgets: make(map[uint32]*retry.Budget),
 	}
-	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet)
+	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b))
 	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
 	return b
 }
@@ -127,16 +135,10 @@
 	if b.config != nil && c.Version <= b.config.Version {
 		return false
 	}
+	b.setKeys(now, b.config, c)
 	b.config = c
-	keys := make([]ticket.Key, 0, len(c.Document.Keys))
-	for _, k := range c.Document.Keys {
-		keys = append(keys, ticket.Key{
-			ID:     k.ID,
-			Secret: k.Secret,
-		})
-	}
-	b.sealer = ticket.NewSealer(keys...)
 	b.keeper.Configure(now, c)
+	b.Review(now)
 	return true
 }
 
--- a/keeper/queue.go
+++ b/keeper/queue.go
@@ -18,6 +18,10 @@
 	service  *config.Service
 	upstream *config.Upstream
 	datagram []byte
+	tried    Tried
+	// arrived is when the keeper took the request, elapsed its age then.
+	arrived time.Time
+	elapsed time.Duration
 	// expires is the end of the request's deadline, which counts from its
 	// arrival.
 	expires time.Time
@@ -80,12 +84,9 @@
 // limit is reached.
 func (q *queue) push(w waiting, limit int) bool {
 	if old := q.find(keyOf(w.header.Caller, w.header.Token)); old != nil {
-		expires := old.expires
 		if old.header.Message != w.header.Message {
-			expires = w.expires
+			*old = w
 		}
-		*old = w
-		old.expires = expires
 		return true
 	}
 	if len(q.entries) >= limit {
@@ -104,8 +105,7 @@
 }
 
 // await queues a request that its upstream has no slot for, and reports whether
-// it did. An upstream that takes no work now has no queue: another one may do
-// the work sooner.
+// it did.
 func (k *Keeper) await(now time.Time, r *Request) bool {
 	q := k.queues[r.Upstream.ID]
 	if q == nil {
@@ -117,6 +117,9 @@
 		service:  r.Service,
 		upstream: r.Upstream,
 		datagram: append([]byte(nil), r.Datagram...),
+		tried:    r.Tried,
+		arrived:  now,
+		elapsed:  r.Elapsed,
 		expires:  now.Add(deadline(r)),
 	}
 	w.header.Ticket = nil
@@ -124,6 +127,9 @@
 		return false
 	}
 	k.timers.Subscribe(w.expires, (*queueTimer)(k), uint64(r.Upstream.ID))
+	if at, ok := k.gates[r.Upstream.ID].ResumeAt(now); ok {
+		k.timers.Subscribe(at, (*queueTimer)(k), uint64(r.Upstream.ID))
+	}
 	return true
 }
 
@@ -175,6 +181,17 @@
 	}
 }
 
+// passing reports whether what a reason tells of is over by itself within the
+// deadline of a request.
+func passing(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonBusy, verdict.ReasonCold, verdict.ReasonShed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (k *Keeper) refuseWaiting(w *waiting, reason verdict.Reason) {
 	k.outlet.Refuse(&w.header, newRefusal(verdict.NotRun, reason, RetryAfter))
 }
@@ -182,12 +199,13 @@
 // startWaiting sends a request that has waited, with what is left of its
 // deadline.
 func (k *Keeper) startWaiting(now time.Time, w *waiting) {
-	w.header.Deadline = w.expires.Sub(now)
 	reason := k.begin(now, &Request{
 		Header:   &w.header,
 		Service:  w.service,
 		Upstream: w.upstream,
 		Datagram: w.datagram,
+		Tried:    w.tried,
+		Elapsed:  w.elapsed + now.Sub(w.arrived),
 	})
 	if reason != verdict.ReasonNone {
 		k.refuseWaiting(w, reason)
--- a/keeper/queue_test.go
+++ b/keeper/queue_test.go
@@ -60,7 +60,7 @@
 	l.keeper = keeper.New(l.now, 1, keeper.Limits{
 		Exchanges: 1000,
 		Entries:   1000,
-	}, l.timers, l, l)
+	}, l.timers, l, l, l)
 	return l
 }
 
@@ -92,6 +92,10 @@
 	l.resolved[h.Token]++
 }
 
+func (l *load) Retry(time.Time, *keeper.Retry) bool { return false }
+
+func (l *load) Succeed(time.Time, uint32) {}
+
 func (l *load) Seal([]byte, ticket.Ticket, netip.Addr) {}
 
 // offer sends a new request.
--- a/keeper/tenure.go
+++ b/keeper/tenure.go
@@ -20,6 +20,14 @@
 	return g
 }
 
+// Keep begins the hold of an upstream that this balancer keeps from now on; one
+// that it kept already is left as it is.
+func (k *Keeper) Keep(now time.Time, u *config.Upstream) *upstream.Gate {
+	g := k.Gate(u)
+	g.Refusal(now)
+	return g
+}
+
 // Review follows a change of the member view: keeps tells whether this balancer
 // keeps an upstream. Upstreams that are another's take no new work here, and
 // are held anew once they come back.
