feat: placement by index and last-known loads, load digests, probes

Cause: placement scanned all upstreams up to three times and knew no loads; the daemon asked upstreams for nothing.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -84,6 +84,7 @@
 	settled bool
 	// budgets are those of the services' retries.
 	budgets map[uint32]*retry.Budget
+	loads   *placement.Table
 	// reviewed is the version at the last review of the upstreams kept.
 	reviewed config.Version
 	// opened is scratch space for the ticket of the datagram in hand.
@@ -99,14 +100,16 @@
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
 		budgets: make(map[uint32]*retry.Budget),
+		loads:   placement.NewTable(),
 	}
 	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b))
-	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
+	b.picker = placement.NewPicker(o.Zone, b.loads, o.Rand)
 	return b
 }
 
 // Advance runs the timers due at now.
 func (b *Balancer) Advance(now time.Time) {
+	b.loads.Advance(now)
 	b.timers.Advance(now)
 }
 
--- /dev/null
+++ b/balancer/digester.go
@@ -0,0 +1,110 @@
+package balancer
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/wire"
+)
+
+// Pace of load digests.
+const (
+	// DigestInterval is the time between two looks at the loads.
+	DigestInterval = 250 * time.Millisecond
+	// digestRefresh is the time after which an unchanged load is told again; it
+	// lies below placement.Lifetime, so that a lost digest does no harm.
+	digestRefresh = 2 * time.Second
+	// digestChange is the change of a level that is told at once.
+	digestChange = 10
+	// digestBudget is the greatest rate of digests, in bytes a second with
+	// headers.
+	digestBudget = 4000
+	// digestBurst is the greatest number of bytes sent at once.
+	digestBurst = 4000
+	// datagramOverhead is the size of the headers of IP and UDP, in bytes.
+	datagramOverhead = 28
+)
+
+// A Digester decides which loads are told to how many peers, and when. A pass
+// tells the loads that have changed to one peer after the other, as fast as the
+// budget allows; the next one begins when it is over.
+type Digester struct {
+	told map[uint32]told
+	// datagram is that of the pass in hand, empty where there is none.
+	datagram []byte
+	cursor   int
+	// tokens is the number of bytes that may be sent now.
+	tokens float64
+	last   time.Time
+	fresh  []wire.Load
+}
+
+// told is a load as last told to peers.
+type told struct {
+	load wire.Load
+	at   time.Time
+}
+
+// NewDigester returns a digester that has told nothing.
+func NewDigester() *Digester {
+	return &Digester{told: make(map[uint32]told)}
+}
+
+// Next returns a datagram and the range of peers, ordered alike at each call,
+// that it goes to now. It is valid until the next call.
+func (d *Digester) Next(now time.Time, loads []wire.Load, peers int) (datagram []byte, first, end int) {
+	d.refill(now)
+	if len(d.datagram) == 0 {
+		d.begin(now, loads)
+	}
+	if len(d.datagram) == 0 {
+		return nil, 0, 0
+	}
+	size := float64(len(d.datagram) + datagramOverhead)
+	first = min(d.cursor, peers)
+	end = min(peers, first+int(d.tokens/size))
+	d.tokens -= float64(end-first) * size
+	d.cursor = end
+	datagram = d.datagram
+	if end == peers {
+		d.datagram = d.datagram[:0]
+		d.cursor = 0
+	}
+	return datagram, first, end
+}
+
+// begin starts a pass with the loads that have changed or are due.
+func (d *Digester) begin(now time.Time, loads []wire.Load) {
+	d.fresh = d.fresh[:0]
+	for _, l := range loads {
+		t, ok := d.told[l.Upstream]
+		if ok && now.Sub(t.at) < digestRefresh && !changed(l.Requests, t.load.Requests) && !changed(l.Watches, t.load.Watches) {
+			continue
+		}
+		if len(d.fresh) == wire.MaxLoads {
+			break
+		}
+		d.fresh = append(d.fresh, l)
+		d.told[l.Upstream] = told{
+			load: l,
+			at:   now,
+		}
+	}
+	if len(d.fresh) > 0 {
+		d.datagram = wire.AppendLoads(d.datagram[:0], d.fresh)
+	}
+}
+
+func (d *Digester) refill(now time.Time) {
+	if !d.last.IsZero() {
+		d.tokens += now.Sub(d.last).Seconds() * digestBudget
+	} else {
+		d.tokens = digestBurst
+	}
+	d.tokens = min(d.tokens, digestBurst)
+	d.last = now
+}
+
+// changed reports whether a level differs materially from the one told.
+func changed(a, b wire.Level) bool {
+	return max(a, b)-min(a, b) >= digestChange
+}
--- /dev/null
+++ b/balancer/digester_test.go
@@ -0,0 +1,91 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"filbertworks.example/filbertworks/balancer"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// controlBudget is what a daemon may use for control, in bytes a second.
+const controlBudget = 29000
+
+func TestDigesterKeepsItsBudget(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		d := balancer.NewDigester()
+		peers := rapid.IntRange(0, 1000).Draw(r, "peers")
+		loads := make([]wire.Load, rapid.IntRange(0, 150).Draw(r, "upstreams"))
+		for i := range loads {
+			loads[i].Upstream = uint32(i + 1)
+		}
+		bytes := 0
+		const seconds = 20
+		next := 0
+		for now := epoch; now.Before(epoch.Add(seconds * time.Second)); now = now.Add(balancer.DigestInterval) {
+			for i := range loads {
+				loads[i].Requests = wire.Level(rapid.Byte().Draw(r, "level"))
+			}
+			b, first, end := d.Next(now, loads, peers)
+			bytes += (end - first) * (len(b) + 28)
+			if end > first {
+				require.Equal(r, next, first, "each peer in its turn")
+				next = end % peers
+			}
+		}
+		require.LessOrEqual(r, bytes, controlBudget*seconds)
+	})
+}
+
+func TestDigesterTellsChanges(t *testing.T) {
+	d := balancer.NewDigester()
+	tests := []struct {
+		name  string
+		after time.Duration
+		level wire.Level
+		told  bool
+	}{
+		{
+			name:  "new",
+			level: 50,
+			told:  true,
+		},
+		{
+			name:  "small change",
+			after: time.Second,
+			level: 55,
+		},
+		{
+			name:  "material change",
+			after: time.Second,
+			level: 65,
+			told:  true,
+		},
+		{
+			name:  "unchanged",
+			after: 2500 * time.Millisecond,
+			level: 65,
+		},
+		{
+			name:  "unchanged for long",
+			after: 3500 * time.Millisecond,
+			level: 65,
+			told:  true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b, first, end := d.Next(epoch.Add(test.after), []wire.Load{{
+				Upstream: 1,
+				Requests: test.level,
+			}}, 8)
+			require.Equal(t, test.told, len(b) > 0)
+			if test.told {
+				require.Equal(t, 8, end-first)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/balancer/loads.go
@@ -0,0 +1,54 @@
+package balancer
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/upstream"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// refusing is the pressure of an upstream that takes no new work.
+const refusing = 2
+
+// HearLoads takes the loads of the upstreams that a peer keeps.
+func (b *Balancer) HearLoads(now time.Time, loads []wire.Load) {
+	for _, l := range loads {
+		b.loads.Hear(now, l.Upstream, l.Requests.Pressure(), l.Watches.Pressure())
+	}
+}
+
+// Loads appends the loads of the upstreams that this balancer keeps.
+func (b *Balancer) Loads(now time.Time, loads []wire.Load) []wire.Load {
+	b.Kept(now, func(_ *config.Service, u *config.Upstream, g *upstream.Gate) {
+		requests, watches := b.pressures(now, u, g)
+		loads = append(loads, wire.Load{
+			Upstream: u.ID,
+			Requests: wire.LevelOf(requests),
+			Watches:  wire.LevelOf(watches),
+		})
+		b.loads.Hear(now, u.ID, requests, watches)
+	})
+	return loads
+}
+
+// placed adds the load of new work until its keeper's word comes.
+func (b *Balancer) placed(h *packet.Header, u *config.Upstream) {
+	if h.Kind == packet.KindWatchOpen {
+		b.loads.Placed(u.ID, true, 1/float32(u.Connections))
+		return
+	}
+	b.loads.Placed(u.ID, false, 1/float32(u.Slots))
+}
+
+// pressures returns the requests and watches of an upstream kept here as
+// fractions of what it bears.
+func (b *Balancer) pressures(now time.Time, u *config.Upstream, g *upstream.Gate) (requests, watches float32) {
+	used, limit := g.Load(now)
+	if limit == 0 {
+		return refusing, refusing
+	}
+	used += uint32(b.keeper.Queued(u.ID))
+	return float32(used) / float32(limit), float32(g.Watches()) / float32(u.Connections)
+}
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -40,6 +40,9 @@
 		b.refuse(h, verdict.NotRun, reason)
 		return
 	}
+	if placed {
+		b.placed(h, u)
+	}
 	d := &Decision{
 		Header:   h,
 		Upstream: u.ID,
@@ -222,14 +225,6 @@
 	s.sealer.Seal(out, t, caller)
 }
 
-// loads tells of the loads that this balancer knows.
-type loads Balancer
-
-// Load returns the load of an upstream that this balancer keeps itself.
-func (l *loads) Load(uint32) (placement.Load, bool) {
-	return placement.Load{}, false
-}
-
 // flowOf returns a hash that is equal for all datagrams of a flow whose caller
 // keeps its address and token.
 func flowOf(h *packet.Header) uint64 {
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -69,6 +69,8 @@
 	outlet    *outlet
 	balancer  *balancer.Balancer
 	tracker   *member.Tracker
+	prober    *prober
+	sharer    *loadSharer
 	// installed is when the configuration in force came into force here.
 	installed time.Time
 	drainOnce sync.Once
@@ -124,6 +126,8 @@
 		Outlet:      d.outlet,
 	})
 	d.outlet.balancer = d.balancer
+	d.prober = newProber(mathrand.New(mathrand.NewPCG(d.incarnation, 1)))
+	d.sharer = newLoadSharer()
 	if err := d.counters.observe(o.Meter); err != nil {
 		return nil, err
 	}
@@ -142,6 +146,8 @@
 	duties.Go(func() { d.followConfig(ctx) })
 	duties.Go(func() { d.followVMs(ctx) })
 	duties.Go(func() { d.heartbeat(ctx) })
+	duties.Go(func() { d.probe(ctx) })
+	duties.Go(func() { d.shareLoads(ctx) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
 	var senders sync.WaitGroup
--- /dev/null
+++ b/filbertd/internal/daemon/loads.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"filbertworks.example/filbertworks/balancer"
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// A loadSharer tells peers how much work the upstreams kept here have, and
+// takes what they tell. It belongs to the loop's goroutine.
+type loadSharer struct {
+	digester *balancer.Digester
+	loads    []wire.Load
+	heard    []wire.Load
+	peers    []netip.AddrPort
+}
+
+func newLoadSharer() *loadSharer {
+	return &loadSharer{digester: balancer.NewDigester()}
+}
+
+// shareLoads tells the peers of this region of the loads at a fixed interval.
+func (d *Daemon) shareLoads(ctx context.Context) {
+	ticker := time.NewTicker(balancer.DigestInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.call(ctx, d.sendLoads)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) hearLoads(now time.Time, data []byte) {
+	s := d.sharer
+	var err error
+	if s.heard, err = wire.ParseLoads(data, s.heard[:0]); err != nil {
+		d.counters.add("drop", err.Error())
+		return
+	}
+	d.balancer.HearLoads(now, s.heard)
+}
+
+func (d *Daemon) sendLoads(now time.Time) {
+	s := d.sharer
+	s.loads = d.balancer.Loads(now, s.loads[:0])
+	s.findPeers(d.balancer.Config(), d.balancer.Members().Members(), d.options.Name, d.options.Zone)
+	datagram, first, end := s.digester.Next(now, s.loads, len(s.peers))
+	for _, a := range s.peers[first:end] {
+		d.counters.add("loads", "sent")
+		if _, err := d.relay.WriteToUDPAddrPort(datagram, a); err != nil {
+			d.counters.add("loads", "send")
+		}
+	}
+}
+
+// findPeers sets the living peers of the region, those of the own zone first.
+func (s *loadSharer) findPeers(c *config.Snapshot, members []member.Member, self, zone string) {
+	s.peers = s.peers[:0]
+	if c == nil {
+		return
+	}
+	regions := make(map[string]string, len(c.Document.Zones))
+	for _, z := range c.Document.Zones {
+		regions[z.Name] = z.Region
+	}
+	own := 0
+	for _, m := range members {
+		if m.Name == self || m.State != member.Alive || regions[m.Zone] != regions[zone] {
+			continue
+		}
+		s.peers = append(s.peers, m.Relay)
+		if last := len(s.peers) - 1; m.Zone == zone {
+			s.peers[own], s.peers[last] = s.peers[last], s.peers[own]
+			own++
+		}
+	}
+	byAddress := func(a, b netip.AddrPort) int {
+		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
+	}
+	slices.SortFunc(s.peers[:own], byAddress)
+	slices.SortFunc(s.peers[own:], byAddress)
+}
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -78,6 +78,10 @@
 		d.counters.add("drop", "unknown-peer")
 		return
 	}
+	if wire.IsLoads(e.buffer.data()) {
+		d.hearLoads(now, e.buffer.data())
+		return
+	}
 	var r wire.Relay
 	datagram, err := wire.ParseRelay(e.buffer.data(), &r)
 	if err != nil {
@@ -98,7 +102,7 @@
 		d.counters.add("drop", err.Error())
 		return
 	}
-	if r.Reset() || r.Acknowledgement() {
+	if r.Reset() || r.Acknowledgement() || d.probeAnswer(now, e.id, &r) {
 		return
 	}
 	known := d.balancer.Answer(now, e.id, &keeper.Answer{
--- a/keeper/tenure.go
+++ b/keeper/tenure.go
@@ -28,6 +28,12 @@
 	return g
 }
 
+// NextForwarded returns a message id for a message to an upstream that belongs
+// to no exchange.
+func (k *Keeper) NextForwarded(id uint32) uint16 {
+	return k.nextForwarded(id)
+}
+
 // Review follows a change of the member view: keeps tells whether this balancer
 // keeps an upstream. Upstreams that are another's take no new work here, and
 // are held anew once they come back.
--- /dev/null
+++ b/placement/index.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+
+	"filbertworks.example/filbertworks/config"
+)
+
+// An index finds the upstreams of one service that take new work, under one
+// configuration.
+type index struct {
+	all   drawing
+	local drawing
+	root  node
+}
+
+func newIndex(c *config.Snapshot, s *config.Service, zone string) *index {
+	x := &index{}
+	for i := range s.Upstreams {
+		u := &s.Upstreams[i]
+		if u.State != config.UpstreamActive || !c.ZoneIn(u.Zone) {
+			continue
+		}
+		x.all.add(u)
+		if u.Zone == zone {
+			x.local.add(u)
+		}
+	}
+	if len(x.all.upstreams) > 0 {
+		x.root = newTree(x.all.upstreams)
+	}
+	return x
+}
+
+// rendezvous returns the choice of a flow and the flow to ask with for another
+// one; nil where all upstreams are excluded.
+func (x *index) rendezvous(flow uint64, excluded []uint32) (*config.Upstream, uint64) {
+	for range maxDraws {
+		u := x.root.find(flow)
+		flow = mix(flow + 1)
+		if !slices.Contains(excluded, u.ID) {
+			return u, flow
+		}
+	}
+	return x.all.first(excluded), flow
+}
+
+// A drawing draws upstreams with probabilities in proportion to their shares.
+type drawing struct {
+	upstreams []*config.Upstream
+	// sums are the shares up to and with the upstream of the same place.
+	sums []uint64
+}
+
+func (d *drawing) add(u *config.Upstream) {
+	d.upstreams = append(d.upstreams, u)
+	d.sums = append(d.sums, d.sum()+uint64(u.Share))
+}
+
+// draw returns an upstream that is not excluded, or nil.
+func (d *drawing) draw(r *rand.Rand, excluded []uint32) *config.Upstream {
+	if len(d.upstreams) == 0 {
+		return nil
+	}
+	for range maxDraws {
+		n := r.Uint64N(d.sum())
+		u := d.upstreams[sort.Search(len(d.sums), func(i int) bool { return n < d.sums[i] })]
+		if !slices.Contains(excluded, u.ID) {
+			return u
+		}
+	}
+	return d.first(excluded)
+}
+
+// first returns the first upstream that is not excluded, or nil.
+func (d *drawing) first(excluded []uint32) *config.Upstream {
+	for _, u := range d.upstreams {
+		if !slices.Contains(excluded, u.ID) {
+			return u
+		}
+	}
+	return nil
+}
+
+func (d *drawing) sum() uint64 {
+	if len(d.sums) == 0 {
+		return 0
+	}
+	return d.sums[len(d.sums)-1]
+}
+
+// Shape of a tree.
+const (
+	// fanBits is the number of bits of an upstream's key for each level.
+	fanBits = 4
+	// maxDepth is the number of levels above the leaves.
+	maxDepth = 3
+)
+
+// A node is part of a tree of upstreams. At each level the choice between its
+// children is a weighted rendezvous, so that a change of one upstream moves
+// flows only along its way to the root.
+type node struct {
+	salt   uint64
+	weight float64
+	// upstream is set on leaves, children on the others.
+	upstream *config.Upstream
+	children []node
+}
+
+// newTree returns the tree of at least one upstream; an upstream's place
+// depends on its id alone.
+func newTree(upstreams []*config.Upstream) node {
+	sorted := slices.Clone(upstreams)
+	slices.SortFunc(sorted, func(a, b *config.Upstream) int {
+		if mix(uint64(a.ID)) < mix(uint64(b.ID)) {
+			return -1
+		}
+		return 1
+	})
+	return newNode(sorted, 0, 0)
+}
+
+func newNode(sorted []*config.Upstream, depth int, salt uint64) node {
+	n := node{salt: salt}
+	for _, u := range sorted {
+		n.weight += float64(u.Share)
+	}
+	if len(sorted) == 1 {
+		n.upstream = sorted[0]
+		return n
+	}
+	for len(sorted) > 0 {
+		size := 1
+		salt := mix(uint64(sorted[0].ID))
+		if depth < maxDepth {
+			prefix := prefixOf(sorted[0], depth)
+			size = sort.Search(len(sorted), func(i int) bool { return prefixOf(sorted[i], depth) > prefix })
+			salt = mix(prefix<<fanBits | uint64(depth) + 1)
+		}
+		n.children = append(n.children, newNode(sorted[:size], depth+1, salt))
+		sorted = sorted[size:]
+	}
+	return n
+}
+
+// find returns the choice of a flow.
+func (n *node) find(flow uint64) *config.Upstream {
+	for n.upstream == nil {
+		best := &n.children[0]
+		if len(n.children) > 1 {
+			best = n.best(flow)
+		}
+		n = best
+	}
+	return n.upstream
+}
+
+func (n *node) best(flow uint64) *node {
+	var best *node
+	high := math.Inf(-1)
+	for i := range n.children {
+		child := &n.children[i]
+		unit := (float64(mix(flow^child.salt)>>11) + 0.5) / (1 << 53)
+		if score := child.weight / -math.Log(unit); score > high {
+			best, high = child, score
+		}
+	}
+	return best
+}
+
+// prefixOf returns the bits of u's key that decide at a depth.
+func prefixOf(u *config.Upstream, depth int) uint64 {
+	return mix(uint64(u.ID)) >> (64 - fanBits*(depth+1))
+}
+
+// mix returns a bijective scrambling of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -2,24 +2,29 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
 
 	"filbertworks.example/filbertworks/config"
 )
 
-// A Load is what is last known of an upstream's load.
-type Load struct {
-	// Used is the work in progress: requests or watches, by the kind asked for.
-	Used uint32
-	// Limit is how much the upstream bears at present; zero refuses work.
-	Limit uint32
-}
+// Bounds of a choice between two upstreams.
+const (
+	// zoneBias is how much more pressure an upstream of the own zone may have
+	// than one of another zone and still be chosen.
+	zoneBias = 0.05
+	// flowBias is how much more pressure the first choice of a watch may have
+	// than the second: a caller without a ticket moves only for this much.
+	flowBias = 0.1
+	// maxDraws is the number of draws that may meet excluded upstreams.
+	maxDraws = 8
+)
 
 // Loads tells the last known load of upstreams.
 type Loads interface {
-	// Load reports ok as false where nothing is known of the upstream.
-	Load(upstream uint32) (l Load, ok bool)
+	// Pressure returns an upstream's requests, or its watches, as a fraction of
+	// what it bears: one is full, above one refuses. ok is false where nothing
+	// is known.
+	Pressure(upstream uint32, watch bool) (pressure float32, ok bool)
 }
 
 // A Picker chooses upstreams for one balancer. It is not safe for concurrent
@@ -28,16 +33,18 @@
 	zone  string
 	loads Loads
 	rand  *rand.Rand
-	// candidates is scratch space of Pick.
-	candidates []*config.Upstream
+	// version is that of the configuration of indexes.
+	version config.Version
+	indexes map[uint32]*index
 }
 
 // NewPicker returns a picker for a balancer in a zone.
 func NewPicker(zone string, loads Loads, r *rand.Rand) *Picker {
 	return &Picker{
-		zone:  zone,
-		loads: loads,
-		rand:  r,
+		zone:    zone,
+		loads:   loads,
+		rand:    r,
+		indexes: make(map[uint32]*index),
 	}
 }
 
@@ -53,93 +60,66 @@
 
 // Pick returns an upstream for new work of service s under configuration c, or
 // nil. Upstreams that drain, lie in zones taken out, or are excluded are never
-// returned. A watch goes to the rendezvous choice of its flow, so that a caller
-// without a ticket finds it again; of two upstreams drawn by share the one with
-// the lower known load takes a request.
+// returned. A watch goes to the first of the two rendezvous choices of its flow
+// unless the second has clearly less load, so that a caller without a ticket
+// finds it again. A request goes to an upstream of the own zone unless one of
+// all zones, both drawn by share, has clearly less load.
 func (p *Picker) Pick(c *config.Snapshot, s *config.Service, q Query) *config.Upstream {
-	p.collect(c, s, q.Excluded)
-	if len(p.candidates) == 0 {
+	x := p.index(c, s)
+	if len(x.all.upstreams) == 0 {
 		return nil
 	}
 	if q.Watch {
-		return p.rendezvous(q.Flow)
-	}
-	a := p.draw()
-	b := p.draw()
-	if p.pressure(b) < p.pressure(a) {
-		return b
-	}
-	return a
-}
-
-// collect sets the candidates.
-func (p *Picker) collect(c *config.Snapshot, s *config.Service, excluded []uint32) {
-	p.candidates = p.candidates[:0]
-	for i := range s.Upstreams {
-		u := &s.Upstreams[i]
-		if u.State == config.UpstreamActive && c.ZoneIn(u.Zone) && !contains(excluded, u.ID) {
-			p.candidates = append(p.candidates, u)
-		}
-	}
-}
-
-// draw returns a candidate with a probability in proportion to its share.
-func (p *Picker) draw() *config.Upstream {
-	var sum uint64
-	for _, u := range p.candidates {
-		sum += uint64(u.Share)
+		return p.pickWatch(x, &q)
 	}
-	n := p.rand.Uint64N(sum)
-	for _, u := range p.candidates {
-		if n < uint64(u.Share) {
-			return u
-		}
-		n -= uint64(u.Share)
-	}
-	return p.candidates[0]
+	return p.pickRequest(x, &q)
 }
 
-// pressure returns the known load of u as a fraction of its limit.
-func (p *Picker) pressure(u *config.Upstream) float64 {
-	l, ok := p.loads.Load(u.ID)
-	if !ok {
-		return 0
+// index returns the index of s under c.
+func (p *Picker) index(c *config.Snapshot, s *config.Service) *index {
+	if p.version != c.Version {
+		p.version = c.Version
+		clear(p.indexes)
 	}
-	if l.Limit == 0 {
-		return float64(l.Used) + 1
+	x := p.indexes[s.ID]
+	if x == nil {
+		x = newIndex(c, s, p.zone)
+		p.indexes[s.ID] = x
 	}
-	return float64(l.Used) / float64(l.Limit)
+	return x
 }
 
-// rendezvous returns the candidate with the highest weighted score for a flow.
-func (p *Picker) rendezvous(flow uint64) *config.Upstream {
-	var best *config.Upstream
-	high := math.Inf(-1)
-	for _, u := range p.candidates {
-		h := mix(flow ^ mix(uint64(u.ID)))
-		unit := (float64(h>>11) + 0.5) / (1 << 53)
-		if score := float64(u.Share) / -math.Log(unit); score > high {
-			best, high = u, score
-		}
+func (p *Picker) pickRequest(x *index, q *Query) *config.Upstream {
+	first := x.local.draw(p.rand, q.Excluded)
+	second := x.all.draw(p.rand, q.Excluded)
+	switch {
+	case first == nil:
+		first = x.all.draw(p.rand, q.Excluded)
+	case second.Zone != first.Zone:
+		return p.choose(first, second, false, zoneBias)
 	}
-	return best
+	return p.choose(first, second, false, 0)
 }
 
-// mix returns a bijective scrambling of x (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
+func (p *Picker) pickWatch(x *index, q *Query) *config.Upstream {
+	first, next := x.rendezvous(q.Flow, q.Excluded)
+	second, _ := x.rendezvous(next, q.Excluded)
+	return p.choose(first, second, true, flowBias)
 }
 
-func contains(ids []uint32, id uint32) bool {
-	for _, v := range ids {
-		if v == id {
-			return true
-		}
+// choose returns first unless second is known to have less pressure by more
+// than bias.
+func (p *Picker) choose(first, second *config.Upstream, watch bool, bias float32) *config.Upstream {
+	if first == second || first == nil || second == nil {
+		return first
+	}
+	a, known := p.loads.Pressure(first.ID, watch)
+	if !known {
+		return first
+	}
+	b, known := p.loads.Pressure(second.ID, watch)
+	if known && b+bias < a {
+		return second
 	}
-	return false
+	return first
 }
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,63 @@
+package placement
+
+import "time"
+
+// Lifetime is how long a load stays known.
+const Lifetime = 5 * time.Second
+
+// A Table holds the last known loads of upstreams that other balancers keep. It
+// is not safe for concurrent use.
+type Table struct {
+	now   time.Time
+	loads map[uint32]known
+}
+
+type known struct {
+	requests, watches float32
+	heard             time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{loads: make(map[uint32]known)}
+}
+
+// Advance sets the time by which loads are judged.
+func (t *Table) Advance(now time.Time) {
+	t.now = now
+}
+
+// Hear takes the loads of an upstream as fractions of what it bears.
+func (t *Table) Hear(now time.Time, upstream uint32, requests, watches float32) {
+	t.loads[upstream] = known{
+		requests: requests,
+		watches:  watches,
+		heard:    now,
+	}
+}
+
+// Placed adds the load of work that this balancer has just placed.
+func (t *Table) Placed(upstream uint32, watch bool, load float32) {
+	k, ok := t.loads[upstream]
+	if !ok {
+		return
+	}
+	if watch {
+		k.watches += load
+	} else {
+		k.requests += load
+	}
+	t.loads[upstream] = k
+}
+
+// Pressure implements Loads.
+func (t *Table) Pressure(upstream uint32, watch bool) (float32, bool) {
+	k, ok := t.loads[upstream]
+	if !ok || t.now.Sub(k.heard) > Lifetime {
+		return 0, false
+	}
+	if watch {
+		return k.watches, true
+	}
+	return k.requests, true
+}
--- a/upstream/host_test.go
+++ b/upstream/host_test.go
@@ -70,14 +70,14 @@
 // A trial drives a gate and a host on a clock of its own, one millisecond a
 // step.
 type trial struct {
-	gate                             *upstream.Gate
-	host                             *host
-	rand                             *rand.Rand
-	now                              time.Time
-	work, deadline                   time.Duration
-	flights                          []flight
-	offered, done, shed, lost, extra int
-	maxFlights                       int
+	gate                      *upstream.Gate
+	host                      *host
+	rand                      *rand.Rand
+	now                       time.Time
+	work, deadline            time.Duration
+	flights                   []flight
+	offered, done, shed, lost int
+	maxFlights                int
 }
 
 func newTrial(seed uint64, slots int, work time.Duration) *trial {
