--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -64,6 +64,11 @@
 	// Rand makes the random choices of placement.
 	Rand   *rand.Rand
 	Outlet Outlet
+	// Releaser may be nil: watches that move then stay with their former keeper
+	// until its lease ends.
+	Releaser Releaser
+	// Settle is the time after Start in which no rights to executions are given.
+	Settle time.Duration
 }
 
 // A Balancer routes datagrams under the configuration and member view in force.
@@ -102,7 +107,8 @@
 		budgets: make(map[uint32]*retry.Budget),
 		loads:   placement.NewTable(),
 	}
-	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b))
+	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b),
+		keeper.WithReleaser((*releasing)(b)), keeper.WithSettle(o.Settle))
 	b.picker = placement.NewPicker(o.Zone, b.loads, o.Rand)
 	return b
 }
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -31,15 +31,30 @@
 		b.refuse(h, verdict.MayHaveRun, reason)
 		return
 	}
+	if h.Kind == packet.KindOnce && t != nil && !t.Executes() {
+		// The ticket names a flow and no execution.
+		t = nil
+	}
 	if h.Kind == packet.KindOnce && t != nil {
 		b.routeOnce(now, h, t, s, r, datagram)
 		return
 	}
+	if b.outdated(t) {
+		b.passOn(h, t, r, datagram)
+		return
+	}
 	u, placed, reason := b.upstreamFor(h, t, s, r)
+	if u != nil && placed && t != nil && h.Later {
+		u, reason = nil, verdict.ReasonNoUpstream
+	}
 	if u == nil {
 		b.refuse(h, verdict.NotRun, reason)
 		return
 	}
+	if !b.mayKeep(h, t, u, r) {
+		b.drop(h, verdict.ReasonUnsettled)
+		return
+	}
 	if placed {
 		b.placed(h, u)
 	}
@@ -184,6 +199,10 @@
 		if reason == verdict.ReasonNone {
 			return
 		}
+		if t != nil && d.Header.Later {
+			b.refuse(d.Header, verdict.NotRun, reason)
+			return
+		}
 		next := b.next(d.Header, s, u.ID, r)
 		if next == nil || reason == verdict.ReasonDeadline || !b.budget(now, s.ID).Spend(now) {
 			b.refuse(d.Header, verdict.NotRun, reason)
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -124,6 +124,8 @@
 		Limits:      o.Limits,
 		Rand:        mathrand.New(mathrand.NewPCG(d.incarnation, 0)),
 		Outlet:      d.outlet,
+		Releaser:    d.outlet,
+		Settle:      settleTime,
 	})
 	d.outlet.balancer = d.balancer
 	d.prober = newProber(mathrand.New(mathrand.NewPCG(d.incarnation, 1)))
@@ -137,7 +139,7 @@
 	return d, nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends or a graceful leave is over.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -148,6 +150,7 @@
 	duties.Go(func() { d.heartbeat(ctx) })
 	duties.Go(func() { d.probe(ctx) })
 	duties.Go(func() { d.shareLoads(ctx) })
+	duties.Go(func() { d.runLeave(ctx, cancel) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
 	var senders sync.WaitGroup
@@ -193,7 +196,10 @@
 }
 
 func (d *Daemon) sendHeartbeats(time.Time) {
-	h := &wire.Heartbeat{Incarnation: d.incarnation}
+	h := &wire.Heartbeat{
+		Incarnation: d.incarnation,
+		Leaving:     d.tracker.Leaving(),
+	}
 	if c := d.balancer.Config(); c != nil {
 		h.Version = c.Version
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -57,6 +57,21 @@
 	Entries int
 }
 
+// An Option changes a keeper.
+type Option func(*Keeper)
+
+// WithReleaser makes a keeper tell former keepers of the watches that it takes
+// over.
+func WithReleaser(r Releaser) Option {
+	return func(k *Keeper) { k.releaser = r }
+}
+
+// WithSettle makes a keeper give no rights to executions for a time after its
+// start: other balancers must have heard of the process that they name.
+func WithSettle(d time.Duration) Option {
+	return func(k *Keeper) { k.settle = d }
+}
+
 // A Keeper decides on the work of the upstreams that one balancer keeps. It is
 // not safe for concurrent use.
 type Keeper struct {
@@ -75,6 +90,21 @@
 	resigned map[uint32]bool
 	// config is nil before the first configuration.
 	config *config.Snapshot
+	// registrations are the requests by which watches were opened.
+	registrations *registrations
+	// leases hold the watches; leasesArmed tells that they are looked at.
+	leases      *timer.Wheel
+	leasesArmed bool
+	// sweeps are under way where there are any.
+	sweeps   []sweep
+	releaser Releaser
+	leaving  bool
+	// settle is the time after start in which no rights are given.
+	settle time.Duration
+	// rights is when the last right to an execution ends, from start.
+	rights time.Duration
+	// version is that of the configuration in force.
+	version uint32
 	// message is the last message id towards callers, messages that towards each
 	// upstream. They start at random, since receivers take a repeated id for a
 	// duplicate (RFC 7252, section 4.5), and callers hear several keepers.
@@ -85,14 +115,14 @@
 
 // New returns a keeper of a process that started at start under a random
 // incarnation.
-func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet, retrier Retrier) *Keeper {
-	return &Keeper{
+func New(start time.Time, incarnation uint64, limits Limits, timers *timer.Queue, sealer Sealer, outlet Outlet, retrier Retrier, options ...Option) *Keeper {
+	k := &Keeper{
 		incarnation: incarnation,
 		start:       start,
 		sealer:      sealer,
 		outlet:      outlet,
 		timers:      timers,
-		exchanges:   newExchangeTable(limits.Exchanges),
+		exchanges:   newExchangeTable(limits.Exchanges, incarnation),
 		ledger:      newLedger(limits.Entries, AnswerRetention),
 		retention:   newRetention(),
 		retrier:     retrier,
@@ -102,6 +132,12 @@
 		message:     uint16(incarnation),
 		messages:    make(map[uint32]uint16),
 	}
+	k.registrations = newRegistrations()
+	k.leases = timer.NewWheel(k.exchanges, leaseTick, leaseSlots)
+	for _, o := range options {
+		o(k)
+	}
+	return k
 }
 
 // Answer takes an upstream's message and reports whether it belongs to an open
@@ -138,21 +174,13 @@
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
 	k.config = c
 	k.flushUnusable(c)
+	k.version = uint32(c.Version)
 	for id, g := range k.gates {
 		if p := c.Upstream(id); p.Upstream != nil {
 			g.Configure(p.Upstream)
 		}
 	}
-	for place := range k.exchanges.places {
-		e := &k.exchanges.places[place]
-		if e.generation%2 == 0 {
-			continue
-		}
-		p := c.Upstream(e.upstream)
-		if p.Upstream == nil || p.Service.ID != e.service || !c.ZoneIn(p.Upstream.Zone) {
-			k.abandon(now, uint32(place), e)
-		}
-	}
+	k.closeAt(now, c)
 }
 
 // Exchanges returns the number of open watches and requests.
@@ -172,9 +200,6 @@
 		return
 	}
 	switch e.kind {
-	case packet.KindWatchOpen:
-		k.cancel(place, e)
-		k.endWatch(now, place, e)
 	case packet.KindOnce:
 		k.onceTimeout(now, place, e)
 	default:
@@ -202,19 +227,6 @@
 	}
 }
 
-// abandon ends an exchange at an upstream that may not be sent to any more.
-func (k *Keeper) abandon(now time.Time, place uint32, e *exchange) {
-	switch e.kind {
-	case packet.KindWatchOpen:
-		k.endWatch(now, place, e)
-	case packet.KindOnce:
-		// The answer is on its way, and nothing is sent to receive it.
-		e.closed = true
-	default:
-		k.endRequest(now, place, e, upstream.ResultCancelled)
-	}
-}
-
 // begin sends an idempotent request if its upstream has a slot.
 func (k *Keeper) begin(now time.Time, r *Request) verdict.Reason {
 	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
@@ -230,7 +242,11 @@
 	return verdict.ReasonNone
 }
 
+// cancel ends an exchange at its upstream, unless that may not be sent to.
 func (k *Keeper) cancel(place uint32, e *exchange) {
+	if e.closed {
+		return
+	}
 	k.outlet.Cancel(&Cancel{
 		Upstream: e.upstream,
 		Kind:     e.kind,
@@ -281,15 +297,21 @@
 }
 
 // grant returns a sealed ticket with the right to one execution, valid until
-// the next call.
+// the next call. Where the keeper gives no rights, it names the flow only.
 func (k *Keeper) grant(now time.Time, service, id uint32, caller netip.Addr) []byte {
-	k.sealer.Seal(k.sealed[:], ticket.Ticket{
+	t := ticket.Ticket{
 		Service:     service,
 		Upstream:    id,
 		Incarnation: k.incarnation,
 		Serial:      k.ledger.issue(),
-		Expiry:      now.Sub(k.start) + ExecutionLifetime,
-	}, caller)
+	}
+	if k.grants(now) {
+		t.Expiry = now.Sub(k.start) + ExecutionLifetime
+		k.rights = t.Expiry
+	} else {
+		t.Version = k.version
+	}
+	k.sealer.Seal(k.sealed[:], t, caller)
 	return k.sealed[:]
 }
 
@@ -336,7 +358,7 @@
 	if !ok {
 		return 0, nil
 	}
-	e := &k.exchanges.places[place]
+	e := k.exchanges.entry(place)
 	e.kind = r.Header.Kind
 	e.confirmable = r.Header.Confirmable
 	e.message = r.Header.Message
@@ -345,7 +367,11 @@
 	e.upstream = r.Upstream.ID
 	e.sent = now.Sub(k.start)
 	e.expires = e.sent + lifetime
-	k.timers.Subscribe(now.Add(lifetime), k, k.exchanges.timerKey(place))
+	if e.kind == packet.KindWatchOpen {
+		k.setLease(now, place, e.expires)
+	} else {
+		k.timers.Subscribe(now.Add(lifetime), k, k.exchanges.timerKey(place))
+	}
 	return place, e
 }
 
--- a/keeper/queue.go
+++ b/keeper/queue.go
@@ -140,7 +140,7 @@
 		return
 	}
 	for _, w := range q.expire(now) {
-		k.refuseWaiting(&w, verdict.ReasonDeadline)
+		k.refuseWaiting(&w, verdict.ReasonBusy)
 	}
 	g := k.gates[id]
 	for len(q.entries) > 0 && g.Refusal(now) == verdict.ReasonNone {
--- a/keeper/tenure.go
+++ b/keeper/tenure.go
@@ -14,7 +14,7 @@
 func (k *Keeper) Gate(u *config.Upstream) *upstream.Gate {
 	g := k.gates[u.ID]
 	if g == nil {
-		g = upstream.NewGate(u, upstream.WithHold(k.holdOf(u.ID)))
+		g = upstream.NewGate(u, upstream.WithHold(k.holdsOf(u.ID)))
 		k.gates[u.ID] = g
 	}
 	return g
@@ -45,29 +45,22 @@
 			k.flush(id, verdict.ReasonNotKeeper)
 		case kept && k.resigned[id]:
 			delete(k.resigned, id)
-			g.Hold(now, k.holdOf(id))
+			slots, watches := k.holdsOf(id)
+			g.Hold(now, slots, watches)
 		}
 	}
 }
 
-// holdOf returns how long an upstream's slots count as taken.
-func (k *Keeper) holdOf(id uint32) time.Duration {
+// holdsOf returns how long an upstream's slots count as taken and its new
+// watches are few: an earlier keeper's requests end by the deadline, and its
+// watches come back with their refreshes.
+func (k *Keeper) holdsOf(id uint32) (slots, watches time.Duration) {
 	if k.config == nil {
-		return 0
+		return 0, 0
 	}
-	p := k.config.Upstream(id)
-	if p.Service == nil {
-		return 0
+	s := k.config.Upstream(id).Service
+	if s == nil {
+		return 0, 0
 	}
-	return time.Duration(p.Service.Deadline)
-}
-
-// admitWatch takes a connection. A ticket that names the upstream tells that
-// the watch, or one that the caller holds, is there already.
-func (k *Keeper) admitWatch(now time.Time, r *Request) verdict.Reason {
-	g := k.Gate(r.Upstream)
-	if r.Ticket != nil && r.Ticket.Upstream == r.Upstream.ID {
-		return g.ReadmitWatch(now)
-	}
-	return g.AdmitWatch(now)
+	return time.Duration(s.Deadline), time.Duration(s.Refresh) * 11 / 10
 }
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -24,6 +24,10 @@
 	// MinShedPause and MaxShedPause bound the pause after a shed.
 	MinShedPause = 100 * time.Millisecond
 	MaxShedPause = 2 * time.Second
+
+	// heldConnections is the divisor of the connections that a new keeper gives
+	// to new watches while an earlier keeper's may not have come back.
+	heldConnections = 4
 )
 
 // A Result is how a request at an upstream ended.
@@ -72,19 +76,27 @@
 	// pausedUntil is the end of the pause after a shed.
 	pausedUntil time.Time
 
-	hold    hold
-	latency latency
-	life    life
-	report  report
-	restart restart
+	hold hold
+	// watchHold bounds the new watches while those of an earlier keeper may not
+	// have come back yet; opened counts them since it began.
+	watchHold hold
+	opened    uint32
+	latency   latency
+	life      life
+	report    report
+	restart   restart
 }
 
 // A GateOption changes how a gate starts.
 type GateOption func(*Gate)
 
-// WithHold makes a gate count all slots as taken for a time after its first use.
-func WithHold(d time.Duration) GateOption {
-	return func(g *Gate) { g.hold.arm(d) }
+// WithHold makes a gate count all slots as taken for a time after its first use,
+// and admit few new watches for another.
+func WithHold(slots, watches time.Duration) GateOption {
+	return func(g *Gate) {
+		g.hold.arm(slots)
+		g.watchHold.arm(watches)
+	}
 }
 
 // NewGate returns the gate of an upstream of which nothing is known: it admits
@@ -119,14 +131,15 @@
 // AdmitWatch takes a connection for a new watch, or returns why it doesn't.
 func (g *Gate) AdmitWatch(now time.Time) verdict.Reason {
 	switch {
-	case g.hold.active(now):
-		return verdict.ReasonCold
 	case g.life.down():
 		return verdict.ReasonNoUpstream
 	case max(g.watches, g.report.watches()) >= g.connections:
 		return verdict.ReasonConnections
+	case g.watchHold.active(now) && g.opened >= max(1, g.connections/heldConnections):
+		return verdict.ReasonConnections
 	}
 	g.watches++
+	g.opened++
 	return verdict.ReasonNone
 }
 
@@ -157,9 +170,12 @@
 	g.watches--
 }
 
-// Hold counts all slots as taken for a time from now on; a longer hold stays.
-func (g *Gate) Hold(now time.Time, d time.Duration) {
-	g.hold.extend(now, d)
+// Hold counts all slots as taken for a time from now on, and admits few new
+// watches for another; longer holds stay.
+func (g *Gate) Hold(now time.Time, slots, watches time.Duration) {
+	g.hold.extend(now, slots)
+	g.watchHold.extend(now, watches)
+	g.opened = 0
 }
 
 // Limit returns how many requests the upstream is believed to bear.
@@ -176,9 +192,11 @@
 }
 
 // ReadmitWatch takes a connection for a watch that the upstream holds already,
-// through another keeper. It is not delayed by a hold.
+// through another keeper, or returns why it doesn't. As the former keeper may
+// have filled all connections while this one admitted new watches, it refuses
+// from twice the connections on.
 func (g *Gate) ReadmitWatch(_ time.Time) verdict.Reason {
-	if g.watches >= g.connections {
+	if g.watches >= 2*g.connections {
 		return verdict.ReasonConnections
 	}
 	g.watches++
