--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -85,6 +85,11 @@
 	retention   *retention
 	retrier     Retrier
 	gates       map[uint32]*upstream.Gate
+	queues      map[uint32]*queue
+	// resigned are the upstreams with a gate that another balancer keeps.
+	resigned map[uint32]bool
+	// config is nil before the first configuration.
+	config *config.Snapshot
 	// registrations are the requests by which watches were opened.
 	registrations *registrations
 	// leases hold the watches; leasesArmed tells that they are looked at.
@@ -129,6 +134,8 @@
 		retention:   newRetention(),
 		retrier:     retrier,
 		gates:       make(map[uint32]*upstream.Gate),
+		queues:      make(map[uint32]*queue),
+		resigned:    make(map[uint32]bool),
 		message:     uint16(incarnation),
 		messages:    make(map[uint32]uint16),
 	}
@@ -173,6 +180,8 @@
 // Configure follows a new configuration: exchanges at upstreams that are gone
 // or lie in zones taken out end.
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
+	k.config = c
+	k.flushUnusable(c)
 	k.version = uint32(c.Version)
 	for id, g := range k.gates {
 		if p := c.Upstream(id); p.Upstream != nil {
@@ -207,16 +216,6 @@
 	}
 }
 
-// Gate returns the gate of an upstream.
-func (k *Keeper) Gate(u *config.Upstream) *upstream.Gate {
-	g := k.gates[u.ID]
-	if g == nil {
-		g = upstream.NewGate(u)
-		k.gates[u.ID] = g
-	}
-	return g
-}
-
 // Request takes a caller's datagram. The result is ReasonNone where the keeper
 // has dealt with it; otherwise nothing was done, the request has not run, and
 // it may be offered to another upstream.
@@ -236,6 +235,21 @@
 	}
 }
 
+// begin sends an idempotent request if its upstream has a slot.
+func (k *Keeper) begin(now time.Time, r *Request) verdict.Reason {
+	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
+		return reason
+	}
+	place, e := k.open(now, keyOf(r.Header.Caller, r.Header.Token), r, deadline(r))
+	if e == nil {
+		k.Gate(r.Upstream).EndRequest(now, upstream.ResultCancelled, 0)
+		return verdict.ReasonLedgerFull
+	}
+	k.retention.hold(place, r)
+	k.forward(now, place, e, r)
+	return verdict.ReasonNone
+}
+
 // cancel ends an exchange at its upstream, unless that may not be sent to.
 func (k *Keeper) cancel(place uint32, e *exchange) {
 	if e.closed {
@@ -274,7 +288,9 @@
 	latency := now.Sub(k.start) - e.sent
 	k.gates[e.upstream].EndRequest(now, result, latency)
 	k.retention.drop(place)
+	id := e.upstream
 	k.exchanges.remove(place)
+	k.dequeue(now, id)
 }
 
 // forward sends r to its upstream as the exchange at a place.
@@ -321,17 +337,10 @@
 	if deadline(r) <= 0 {
 		return verdict.ReasonDeadline
 	}
-	if reason := k.Gate(r.Upstream).AdmitRequest(now); reason != verdict.ReasonNone {
-		return reason
-	}
-	place, e := k.open(now, key, r, deadline(r))
-	if e == nil {
-		k.Gate(r.Upstream).EndRequest(now, upstream.ResultCancelled, 0)
-		return verdict.ReasonLedgerFull
+	if passing(k.Gate(r.Upstream).Refusal(now)) && k.await(now, r) {
+		return verdict.ReasonNone
 	}
-	k.retention.hold(place, r)
-	k.forward(now, place, e, r)
-	return verdict.ReasonNone
+	return k.begin(now, r)
 }
 
 // nextForwarded returns a message id for a message to an upstream.
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -135,6 +135,9 @@
 	}
 	e.repaired = e.repaired && !a.Acknowledged
 	if !a.Observed {
+		if !a.Acknowledged {
+			k.gates[e.upstream].WatchReset(now)
+		}
 		k.endWatch(now, place, e)
 	}
 }
--- a/keeper/watch_test.go
+++ b/keeper/watch_test.go
@@ -56,7 +56,11 @@
 		Entries:   100,
 	}
 	b.keeper = keeper.New(epoch, incarnation, limits, b.timers, b, b, b, keeper.WithReleaser(b))
+	// A gate from before the configuration holds nothing back for an earlier
+	// keeper.
+	g := b.keeper.Gate(b.upstream)
 	b.keeper.Configure(b.now, snapshot(t, config.ZoneIn, b.upstream.ID))
+	g.Configure(b.upstream)
 	return b
 }
 
