--- a/balancer/once_test.go
+++ b/balancer/once_test.go
@@ -181,6 +181,7 @@
 	}
 	w.run(epoch.Add(15 * time.Minute))
 	require.Zero(t, w.wrong, "datagrams at a host of another service")
+	require.Zero(t, w.outside, "datagrams to upstreams gone or in zones out")
 	for _, r := range d.requests {
 		d.judge(t, r, n)
 	}
--- a/balancer/service_test.go
+++ b/balancer/service_test.go
@@ -80,6 +80,7 @@
 		*packetsSeed, *packets, w.arrived, w.wrong, w.config.Version)
 	require.Greater(t, w.arrived, *packets/10)
 	require.Zero(t, w.wrong)
+	require.Zero(t, w.outside)
 }
 
 // reuse moves a host to the other service, as the guide says: its address is
--- a/balancer/world_test.go
+++ b/balancer/world_test.go
@@ -50,6 +50,9 @@
 	wrong int
 	// retried counts offers of refused requests to other upstreams.
 	retried int
+	// outside counts datagrams sent to upstreams that are gone or in zones taken
+	// out, as their sender knows.
+	outside int
 	// arrived counts datagrams that reached a host.
 	arrived int
 }
@@ -228,7 +231,7 @@
 	})
 }
 
-func (c *core) Cancel(*keeper.Cancel) {}
+func (c *core) Cancel(q *keeper.Cancel) { c.reach(q.Upstream) }
 
 func (c *core) Deliver(d *keeper.Delivery, datagram []byte) {
 	m := &message{
@@ -246,7 +249,7 @@
 func (c *core) Drop(*packet.Header, verdict.Reason) {}
 
 func (c *core) Forward(f *keeper.Forward, datagram []byte) {
-	u := c.balancer.Config().Upstream(f.Upstream).Upstream
+	u := c.reach(f.Upstream)
 	if u == nil {
 		return
 	}
@@ -321,6 +324,17 @@
 	}
 }
 
+// reach returns the upstream of an id, or counts that it may not be sent to.
+func (c *core) reach(id uint32) *config.Upstream {
+	s := c.balancer.Config()
+	u := s.Upstream(id).Upstream
+	if u == nil || !s.ZoneIn(u.Zone) {
+		c.world.outside++
+		return nil
+	}
+	return u
+}
+
 // relayed takes a relay as another core sent it.
 func (c *core) relayed(frame []byte) {
 	var r wire.Relay
--- a/keeper/once_test.go
+++ b/keeper/once_test.go
@@ -20,13 +20,14 @@
 type outlet struct {
 	sealer    *ticket.Sealer
 	forwarded []keeper.Forward
+	delivered []keeper.Delivery
 	canceled  int
 	refused   int
 }
 
 func (o *outlet) Cancel(*keeper.Cancel) { o.canceled++ }
 
-func (o *outlet) Deliver(*keeper.Delivery, []byte) {}
+func (o *outlet) Deliver(d *keeper.Delivery, _ []byte) { o.delivered = append(o.delivered, *d) }
 
 func (o *outlet) Forward(f *keeper.Forward, _ []byte) { o.forwarded = append(o.forwarded[:0], *f) }
 
@@ -49,7 +50,7 @@
 }
 
 // hold returns a non-idempotent request under a serial.
-func hold(serial uint64, now time.Duration) *keeper.Request {
+func hold(serial uint64) *keeper.Request {
 	return &keeper.Request{
 		Header: &packet.Header{
 			Service: 1,
@@ -62,15 +63,16 @@
 			Upstream:    10,
 			Incarnation: 1,
 			Serial:      serial,
-			Expiry:      now + keeper.ExecutionLifetime,
+			Expiry:      keeper.ExecutionLifetime,
 		},
 		Service: &config.Service{
 			ID:       1,
 			Deadline: config.Duration(2 * time.Second),
 		},
 		Upstream: &config.Upstream{
-			ID:    10,
-			Slots: 4,
+			ID:          10,
+			Slots:       4,
+			Connections: 1,
 		},
 		Datagram: []byte("hold"),
 	}
@@ -80,7 +82,7 @@
 // is told when it has passed.
 func TestOnceDeadline(t *testing.T) {
 	k, o, q := newKeeper(10)
-	r := hold(1, 0)
+	r := hold(1)
 	r.Header.Deadline = 700 * time.Millisecond
 	k.Request(epoch, r)
 	require.Equal(t, 700*time.Millisecond, o.forwarded[0].Deadline)
@@ -91,15 +93,84 @@
 	require.Zero(t, k.Exchanges())
 }
 
+// TestOnceReusedToken states that a request in progress outlives another one that
+// comes under its token, and that its answer is kept for a retransmission.
+func TestOnceReusedToken(t *testing.T) {
+	cases := []struct {
+		name string
+		kind packet.Kind
+		// serial is that of a non-idempotent request.
+		serial uint64
+	}{
+		{
+			name: "idempotent request",
+			kind: packet.KindIdempotent,
+		},
+		{
+			name: "watch",
+			kind: packet.KindWatchOpen,
+		},
+		{
+			name:   "another non-idempotent request",
+			kind:   packet.KindOnce,
+			serial: 2,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			k, o, _ := newKeeper(10)
+			// One answer opens the gate for two requests.
+			k.Request(epoch, hold(9))
+			k.Answer(epoch, 10, &keeper.Answer{Token: o.forwarded[0].Token}, nil)
+			first := hold(1)
+			k.Request(epoch, first)
+			token := o.forwarded[0].Token
+			other := hold(c.serial)
+			other.Header.Kind = c.kind
+			other.Header.Message = 7
+			k.Request(epoch, other)
+			require.NotEqual(t, token, o.forwarded[0].Token)
+			require.Zero(t, o.canceled)
+			require.Equal(t, 2, k.Exchanges())
+			o.delivered = nil
+			require.True(t, k.Answer(epoch, 10, &keeper.Answer{Token: token}, []byte("answer")))
+			require.Empty(t, o.delivered, "an answer under the token of another request")
+			k.Request(epoch, first)
+			require.Len(t, o.delivered, 1)
+			require.Equal(t, first.Header.Message, o.delivered[0].Message)
+		})
+	}
+}
+
+// TestMessageIDs states that a process neither starts where another one did nor
+// uses up the message ids of one upstream for another.
+func TestMessageIDs(t *testing.T) {
+	k, o, _ := newKeeper(10)
+	k.Request(epoch, hold(1))
+	first := o.forwarded[0].Message
+	other := hold(2)
+	other.Header.Token = packet.TokenOf([]byte{2})
+	other.Upstream.ID = 11
+	k.Request(epoch, other)
+	require.Equal(t, first, o.forwarded[0].Message)
+	limits := keeper.Limits{Exchanges: 1, Entries: 1}
+	k = keeper.New(epoch, 12345, limits, timer.NewQueue(), o, o, o)
+	r := hold(1)
+	r.Ticket.Incarnation = 12345
+	k.Request(epoch, r)
+	require.NotEqual(t, first, o.forwarded[0].Message)
+}
+
 // BenchmarkOnce measures a non-idempotent request from its datagram to its
 // answer and the end of its entry.
 func BenchmarkOnce(b *testing.B) {
 	k, o, q := newKeeper(1 << 20)
-	r := hold(0, 0)
+	r := hold(0)
 	answer := make([]byte, 64)
 	now := time.Duration(0)
 	b.ReportAllocs()
 	for b.Loop() {
+		o.delivered = o.delivered[:0]
 		now += time.Millisecond
 		r.Ticket.Serial++
 		r.Ticket.Expiry = now + keeper.ExecutionLifetime
