--- a/keeper/ledger_test.go
+++ b/keeper/ledger_test.go
@@ -73,8 +73,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			x := newExchangeTable(1)
-			x.places = []exchange{{generation: c.generation}}
+			x := newExchangeTable(1, 0)
+			x.entry(x.grow()).generation = c.generation
 			x.free = []uint32{0}
 			seen := map[packet.Token]bool{}
 			for range 4 {
