--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -93,7 +93,11 @@
 	// sweeps are under way where there are any.
 	sweeps   []sweep
 	releaser Releaser
-	leaving  bool
+	// releases are serials that wait to be passed on, by incarnation.
+	releases map[uint64][]uint64
+	// epoch makes the serials of watches differ.
+	epoch   uint16
+	leaving bool
 	// settle is the time after start in which no rights are given.
 	settle time.Duration
 	// rights is when the last right to an execution ends, from start.
@@ -107,6 +111,9 @@
 	message  uint16
 	messages map[uint32]uint16
 	sealed   [ticket.Size]byte
+	// forwarding and delivery are scratch space for the outlet's arguments.
+	forwarding Forward
+	delivery   Delivery
 }
 
 // New returns a keeper of a process that started at start under a random
@@ -127,6 +134,7 @@
 		messages:    make(map[uint32]uint16),
 	}
 	k.registrations = newRegistrations()
+	k.releases = make(map[uint64][]uint64)
 	k.leases = timer.NewWheel(k.exchanges, leaseTick, leaseSlots)
 	for _, o := range options {
 		o(k)
@@ -272,13 +280,14 @@
 
 // forward sends r to its upstream as the exchange at a place.
 func (k *Keeper) forward(now time.Time, place uint32, e *exchange, r *Request) {
-	k.outlet.Forward(&Forward{
+	k.forwarding = Forward{
 		Upstream:    e.upstream,
 		Token:       k.exchanges.token(place),
 		Message:     e.forwarded,
 		Confirmable: e.kind != packet.KindOnce,
 		Deadline:    e.expires - now.Sub(k.start),
-	}, r.Datagram)
+	}
+	k.outlet.Forward(&k.forwarding, r.Datagram)
 }
 
 // grant returns a sealed ticket with the right to one execution, valid until
