--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,8 +89,21 @@
 	settled bool
 	// budgets are those of the services' retries.
 	budgets map[uint32]*retry.Budget
+	loads   *placement.Table
+	// reviewed is the version at the last review of the upstreams kept.
+	reviewed config.Version
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
+	// scratch is space for what the decision in hand passes on.
+	scratch scratch
+}
+
+// A scratch holds what would be allocated for each datagram otherwise.
+type scratch struct {
+	relay    wire.Relay
+	decision Decision
+	request  keeper.Request
+	member   member.Member
 }
 
 // New returns a balancer without a configuration: it drops every datagram until
@@ -102,15 +115,17 @@
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
 		budgets: make(map[uint32]*retry.Budget),
+		loads:   placement.NewTable(),
 	}
 	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b),
 		keeper.WithReleaser((*releasing)(b)), keeper.WithSettle(o.Settle))
-	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
+	b.picker = placement.NewPicker(o.Zone, b.loads, o.Rand)
 	return b
 }
 
 // Advance runs the timers due at now.
 func (b *Balancer) Advance(now time.Time) {
+	b.loads.Advance(now)
 	b.timers.Advance(now)
 }
 
@@ -122,10 +137,11 @@
 
 // Caller takes a datagram that a caller sent to this balancer.
 func (b *Balancer) Caller(now time.Time, h *packet.Header, datagram []byte) {
-	b.route(now, h, &wire.Relay{
+	b.scratch.relay = wire.Relay{
 		Caller:  h.Caller,
 		Service: h.Service,
-	}, datagram)
+	}
+	b.route(now, h, &b.scratch.relay, datagram)
 }
 
 // Config returns the configuration in force, or nil.
@@ -142,6 +158,7 @@
 	b.setKeys(now, b.config, c)
 	b.config = c
 	b.keeper.Configure(now, c)
+	b.Review(now)
 	return true
 }
 
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -45,9 +45,6 @@
 // ticket t, to the keeper of the upstream.
 func (b *Balancer) routeFlow(now time.Time, h *packet.Header, t *ticket.Ticket, s *config.Service, r *wire.Relay, datagram []byte) {
 	u, placed, reason := b.upstreamFor(h, t, s, r)
-	if u != nil && placed && t != nil && h.Later {
-		u, reason = nil, verdict.ReasonNoUpstream
-	}
 	if u == nil {
 		b.refuse(h, verdict.NotRun, reason)
 		return
@@ -56,7 +53,11 @@
 		b.drop(h, verdict.ReasonUnsettled)
 		return
 	}
-	d := &Decision{
+	if placed {
+		b.placed(h, u)
+	}
+	d := &b.scratch.decision
+	*d = Decision{
 		Header:   h,
 		Upstream: u.ID,
 		Placed:   placed,
@@ -150,6 +151,9 @@
 			return u, false, verdict.ReasonNone
 		}
 	}
+	if t != nil && h.Later {
+		return nil, false, verdict.ReasonNoUpstream
+	}
 	u := b.picker.Pick(b.config, s, placement.Query{
 		Flow:     flowOf(h),
 		Watch:    h.Kind == packet.KindWatchOpen || h.Kind == packet.KindWatchClose,
@@ -184,10 +188,11 @@
 		d.Keeper = m.Name
 		b.outlet.Routed(d)
 		if m.Incarnation != b.options.Incarnation && r.Hops < MaxHops {
-			b.relay(&m, r, u.ID, datagram)
+			b.scratch.member = m
+			b.relay(&b.scratch.member, r, u.ID, datagram)
 			return
 		}
-		reason := b.keeper.Request(now, &keeper.Request{
+		b.scratch.request = keeper.Request{
 			Header:   d.Header,
 			Ticket:   t,
 			Service:  s,
@@ -198,7 +203,8 @@
 				Excluded: r.Excluded,
 			},
 			Elapsed: r.Elapsed,
-		})
+		}
+		reason := b.keeper.Request(now, &b.scratch.request)
 		if reason == verdict.ReasonNone {
 			return
 		}
@@ -247,14 +253,6 @@
 	s.sealer.Seal(out, t, caller)
 }
 
-// loads tells of the loads that this balancer knows.
-type loads Balancer
-
-// Load returns the load of an upstream that this balancer keeps itself.
-func (l *loads) Load(uint32) (placement.Load, bool) {
-	return placement.Load{}, false
-}
-
 // flowOf returns a hash that is equal for all datagrams of a flow whose caller
 // keeps its address and token.
 func flowOf(h *packet.Header) uint64 {
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"filbertworks.example/filbertworks/config"
 	"filbertworks.example/filbertworks/keeper"
 	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/ring"
 	"filbertworks.example/filbertworks/rollout"
 )
@@ -66,13 +67,18 @@
 	listeners *listeners
 	paths     *pathSet
 	parser    *coap.Parser
-	outlet    *outlet
-	balancer  *balancer.Balancer
-	tracker   *member.Tracker
-	trust     *member.Trust
-	history   *rollout.History
-	puller    *rollout.Puller
-	control   net.Listener
+	// header and release are those of the datagram in hand.
+	release  keeper.Release
+	header   packet.Header
+	outlet   *outlet
+	balancer *balancer.Balancer
+	tracker  *member.Tracker
+	prober   *prober
+	sharer   *loadSharer
+	trust    *member.Trust
+	history  *rollout.History
+	puller   *rollout.Puller
+	control  net.Listener
 	// frame is scratch space for heartbeats.
 	frame []byte
 	// ctx ends with Run, duties are what Run waits for.
@@ -147,6 +153,8 @@
 		Settle:      settleTime,
 	})
 	d.outlet.balancer = d.balancer
+	d.prober = newProber(mathrand.New(mathrand.NewPCG(d.incarnation, 1)))
+	d.sharer = newLoadSharer()
 	if err := d.counters.observe(o.Meter); err != nil {
 		return nil, err
 	}
@@ -166,6 +174,8 @@
 	duties.Go(func() { d.followConfig(ctx) })
 	duties.Go(func() { d.followVMs(ctx) })
 	duties.Go(func() { d.serveControl(ctx) })
+	duties.Go(func() { d.probe(ctx) })
+	duties.Go(func() { d.shareLoads(ctx) })
 	duties.Go(func() { d.runLeave(ctx, cancel) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -28,6 +28,7 @@
 			e.buffer.release()
 		case f := <-d.calls:
 			d.outlet.now = time.Now()
+			d.watchful(d.outlet.now)
 			f(d.outlet.now)
 		case now := <-ticker.C:
 			d.advance(now)
@@ -45,6 +46,7 @@
 	if trusted {
 		d.balancer.Advance(now)
 		d.beatPaths(now)
+		d.balancer.Review(now)
 	}
 	d.pull(now)
 }
@@ -68,16 +70,16 @@
 		d.counters.add("drop", "distrust")
 		return
 	}
-	var h packet.Header
-	if err := d.parser.Request(e.buffer.data(), e.id, e.from, &h); err != nil {
-		d.reject(e, &h, err)
+	h := &d.header
+	if err := d.parser.Request(e.buffer.data(), e.id, e.from, h); err != nil {
+		d.reject(e, h, err)
 		return
 	}
 	if h.Kind == packet.KindPing {
 		d.outlet.toCaller(e.id, e.from, d.outlet.writer.Empty(message.Reset, h.Message))
 		return
 	}
-	d.balancer.Caller(now, &h, e.buffer.data())
+	d.balancer.Caller(now, h, e.buffer.data())
 }
 
 func (d *Daemon) fromPeer(now time.Time, e *event) {
@@ -93,6 +95,10 @@
 		d.counters.add("drop", "unknown-peer")
 		return
 	}
+	if wire.IsLoads(e.buffer.data()) {
+		d.hearLoads(now, e.buffer.data())
+		return
+	}
 	if wire.IsRelease(e.buffer.data()) {
 		d.released(now, e.buffer.data())
 		return
@@ -121,7 +127,7 @@
 		d.pathAnswered(e.path, r.Message)
 		return
 	}
-	if r.Acknowledgement() {
+	if r.Acknowledgement() || d.probeAnswer(now, e.id, &r) {
 		return
 	}
 	known := d.balancer.Answer(now, e.id, &keeper.Answer{
