--- a/member/fleet_bench_test.go
+++ b/member/fleet_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -140,3 +141,30 @@
 		})
 	}
 }
+
+// BenchmarkView reports the memory of the view of a region, with its table.
+func BenchmarkView(b *testing.B) {
+	const size = 2000
+	f := newFleet(1, 4, size)
+	vms := f.list()
+	records := make([]Record, 0, size)
+	for _, p := range f.processes {
+		records = append(records, p.tracker.self)
+	}
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		t := NewTracker(f.now, f.processes[0].self, f.rand)
+		t.Seed(f.now, vms)
+		for i := range records {
+			t.Merge(f.now, &records[i])
+		}
+		t.Tick(f.now)
+		t.Table()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		runtime.KeepAlive(t)
+	}
+}
