fix: requests that wait for an upstream end when its id passes to another service

Cause: merging queues and ids that pass to another service left two fields for the configuration, and a queue did not look at the service.

--- a/balancer/moved_test.go
+++ b/balancer/moved_test.go
@@ -28,14 +28,18 @@
 			w.receive = func(netip.AddrPort, *message) {}
 			w.install(snapshot(t, first), 0)
 			w.run(w.now)
-			b := datagramOf(holds, kind, 1, 0, 1, nil)
-			send := func() {
+			send := func(kind packet.Kind, token uint64) {
+				b := datagramOf(holds, kind, 1, 0, token, nil)
 				h := headerOf(b)
 				h.Caller = netip.MustParseAddrPort("10.0.0.1:5683")
 				w.fabric(h, b)
 				w.run(w.now.Add(time.Second / 2))
 			}
-			send()
+			// The new keeper holds requests back until the deadline has passed.
+			send(packet.KindIdempotent, 2)
+			w.run(w.now.Add(holdDeadline))
+			w.arrived = 0
+			send(kind, 1)
 			require.Equal(t, 1, w.arrived)
 			second := document()
 			second.Services[1].Upstreams = first.Services[0].Upstreams
@@ -46,7 +50,7 @@
 			w.install(s, 0)
 			w.run(w.now)
 			canceled := w.canceled
-			send()
+			send(kind, 1)
 			w.run(w.now.Add(5 * time.Minute))
 			require.Zero(t, w.wrong)
 			require.Equal(t, canceled, w.canceled, "a cancel at the other service")
--- a/keeper/queue.go
+++ b/keeper/queue.go
@@ -168,12 +168,12 @@
 }
 
 // flushUnusable refuses the requests that wait for upstreams which take no new
-// work under c.
-func (k *Keeper) flushUnusable(c *config.Snapshot) {
+// work under c; gone are those that may not be sent to at all.
+func (k *Keeper) flushUnusable(c *config.Snapshot, gone map[uint32]bool) {
 	for id := range k.queues {
 		p := c.Upstream(id)
 		switch {
-		case p.Upstream == nil || !c.ZoneIn(p.Upstream.Zone):
+		case gone[id]:
 			k.flush(id, verdict.ReasonZoneOut)
 		case p.Upstream.State != config.UpstreamActive:
 			k.flush(id, verdict.ReasonDraining)
--- a/keeper/sweep.go
+++ b/keeper/sweep.go
@@ -42,11 +42,8 @@
 	})
 }
 
-// closeAt closes the work at upstreams that may not be sent to any more, which
-// c tells.
-func (k *Keeper) closeAt(now time.Time, c *config.Snapshot) {
-	gone := k.gone(k.config, c)
-	k.config = c
+// closeAt closes the work at upstreams that may not be sent to any more.
+func (k *Keeper) closeAt(now time.Time, gone map[uint32]bool) {
 	if len(gone) == 0 {
 		return
 	}
