fix: peers' calls are for known hosts only

Cause: the control address served the configuration, with the keys of tickets, to anyone who could connect. Ruled out: keys of their own for peers (nothing hands them out); a check in each call (the caller's address is not at hand there). Change: connections are accepted from the control IP addresses of listed VMs and members, and made from a process's own. A process that starts asks up to three peers at a time for their view until one answers. Figures: TestControlIsForKnownHosts failed before, passes after. Conclusion: what relays demand of a peer's address, calls demand too.

--- a/filbertd/internal/daemon/control.go
+++ b/filbertd/internal/daemon/control.go
@@ -28,6 +28,9 @@
 	maxPublication = 64 << 20
 )
 
+// introductions is the number of peers that are asked for their view at a time.
+const introductions = 3
+
 // introductionTimeout bounds the call that asks a peer for its view.
 const introductionTimeout = 2 * time.Second
 
@@ -77,7 +80,7 @@
 		d.log.WithError(err).Error("control: can't register")
 		return
 	}
-	if err := drpcserver.New(mux).Serve(ctx, d.control); err != nil && ctx.Err() == nil {
+	if err := drpcserver.New(mux).Serve(ctx, d.guard(ctx)); err != nil && ctx.Err() == nil {
 		d.log.WithError(err).Error("control: can't serve")
 	}
 }
@@ -96,7 +99,7 @@
 func (d *Daemon) pullFrom(peer netip.AddrPort, current *config.Snapshot, digest uint64) {
 	ctx, cancel := context.WithTimeout(d.ctx, rollout.PullTimeout)
 	defer cancel()
-	next, patches, err := fetch(ctx, peer, current, digest)
+	next, patches, err := fetch(ctx, d.options.Control.Addr(), peer, current, digest)
 	if err != nil {
 		d.counters.add("pull", "failed")
 		d.log.WithError(err).Warnf("config: can't get a newer version from %v", peer)
@@ -118,9 +121,10 @@
 	return "document"
 }
 
-// fetch returns the version in force at a peer, or nil where it is not newer.
-func fetch(ctx context.Context, peer netip.AddrPort, current *config.Snapshot, digest uint64) (*config.Snapshot, []config.Patch, error) {
-	client, stop, err := dial(ctx, peer)
+// fetch returns the version in force at a peer, or nil where it is not newer;
+// local is the address that the peer knows this process by.
+func fetch(ctx context.Context, local netip.Addr, peer netip.AddrPort, current *config.Snapshot, digest uint64) (*config.Snapshot, []config.Patch, error) {
+	client, stop, err := dial(ctx, local, peer)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -149,8 +153,8 @@
 }
 
 // dial returns a client of a peer and what closes it.
-func dial(ctx context.Context, peer netip.AddrPort) (wire.DRPCPeerClient, func(), error) {
-	var dialer net.Dialer
+func dial(ctx context.Context, local netip.Addr, peer netip.AddrPort) (wire.DRPCPeerClient, func(), error) {
+	dialer := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
 	socket, err := dialer.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "dial peer")
@@ -208,23 +212,30 @@
 	return p, p.Check()
 }
 
-// introduce takes the view of one of the listed VMs.
-func (d *Daemon) introduce(ctx context.Context, vms []config.VM) {
+// introduce takes the view of one of the listed VMs and reports whether there
+// was one to take.
+func (d *Daemon) introduce(ctx context.Context, vms []config.VM) bool {
+	tried := 0
 	for i := range vms {
 		if vms[i].Name == d.options.Name || vms[i].State != config.VMLive {
 			continue
 		}
 		if err := d.introduceBy(ctx, vms[i].Control); err == nil || ctx.Err() != nil {
-			return
+			return true
 		}
 		d.counters.add("introduction", "failed")
+		tried++
+		if tried == introductions {
+			return false
+		}
 	}
+	return tried == 0
 }
 
 func (d *Daemon) introduceBy(ctx context.Context, peer netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
 	defer cancel()
-	client, stop, err := dial(ctx, peer)
+	client, stop, err := dial(ctx, d.options.Control.Addr(), peer)
 	if err != nil {
 		return err
 	}
--- a/filbertd/internal/daemon/control_test.go
+++ b/filbertd/internal/daemon/control_test.go
@@ -15,6 +15,8 @@
 	"filbertworks.example/filbertworks/wire"
 )
 
+var loopback = netip.MustParseAddr("127.0.0.1")
+
 // A fakePeer answers Since with fixed pages.
 type fakePeer struct {
 	wire.DRPCPeerUnimplementedServer
@@ -123,7 +125,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			peer := servePeer(t, tt.pages...)
-			next, _, err := fetch(t.Context(), peer, current, current.Document.Digest())
+			next, _, err := fetch(t.Context(), loopback, peer, current, current.Document.Digest())
 			require.Equal(t, tt.failed, err != nil, "%v", err)
 			if tt.want == 0 {
 				require.Nil(t, next)
@@ -139,6 +141,24 @@
 	require.NoError(t, err)
 	peer := netip.MustParseAddrPort(l.Addr().String())
 	require.NoError(t, l.Close())
-	_, _, err = fetch(t.Context(), peer, nil, 0)
+	_, _, err = fetch(t.Context(), loopback, peer, nil, 0)
+	require.Error(t, err)
+}
+
+// Only hosts that are listed or members get an answer.
+func TestControlIsForKnownHosts(t *testing.T) {
+	vm := testVM(t, "lb-1", "bolzano")
+	other := testVM(t, "lb-2", "bolzano")
+	other.Control = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), 1)
+	d := runDaemon(t, &vm, &scriptedPlatform{
+		version: 2,
+		vms:     []config.VM{vm, other},
+	})
+	require.Eventually(t, func() bool { return d.Status().Version == 2 }, spreadWait, spreadPoll)
+	require.Eventually(t, func() bool {
+		next, _, err := fetch(t.Context(), other.Control.Addr(), vm.Control, nil, 0)
+		return err == nil && next.Version == 2
+	}, spreadWait, spreadPoll)
+	_, _, err := fetch(t.Context(), netip.MustParseAddr("127.0.0.3"), vm.Control, nil, 0)
 	require.Error(t, err)
 }
--- a/filbertd/internal/daemon/follow.go
+++ b/filbertd/internal/daemon/follow.go
@@ -116,10 +116,7 @@
 					vms = rollout.Region(c, d.options.Zone, vms, len(vms) <= smallFleet || now.Sub(d.started) >= member.DeadAfter)
 					d.tracker.Seed(now, vms)
 				})
-				if !introduced {
-					introduced = true
-					d.introduce(ctx, vms)
-				}
+				introduced = introduced || d.introduce(ctx, vms)
 			}
 		}
 		pause(ctx, vmInterval)
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -154,6 +154,22 @@
 	return known || t.seeds[from] != nil
 }
 
+// KnownHost reports whether a listed VM or a member has a control address of an
+// IP address.
+func (t *Tracker) KnownHost(ip netip.Addr) bool {
+	for _, s := range t.seeds {
+		if s.member.Control.Addr() == ip {
+			return true
+		}
+	}
+	for _, p := range t.members {
+		if p.record.Control.Addr() == ip {
+			return true
+		}
+	}
+	return false
+}
+
 // Leave announces that this process leaves.
 func (t *Tracker) Leave() {
 	if t.self.State == Leaving {
