perf: refreshes of open flows are recognized without opening their tickets

Cause: a refresh took 1,125 to 1,313 ns at 500,000 flows, a third of it the ticket's code. Ruled out: comparing the code alone (a damaged body would pass); padding exchanges to cache lines (24 bytes a flow). Change: the keeper keeps a stamp of the last ticket and compares all its bytes.

--- a/balancer/affinity.go
+++ b/balancer/affinity.go
@@ -85,3 +85,33 @@
 	m, ok := b.table.Keeper(u.ID, u.Zone)
 	return ok && m.Incarnation != b.options.Incarnation
 }
+
+// refresh extends a flow that this balancer keeps and whose ticket it gave last,
+// and reports whether h belongs to such a flow.
+func (b *Balancer) refresh(now time.Time, h *packet.Header, s *config.Service, datagram []byte) bool {
+	place, id, ok := b.keeper.Known(h)
+	if !ok {
+		return false
+	}
+	u := b.followable(id, s)
+	if u == nil {
+		return false
+	}
+	if m, ok := b.table.Keeper(u.ID, u.Zone); !ok || m.Incarnation != b.options.Incarnation {
+		return false
+	}
+	b.scratch.decision = Decision{
+		Header:   h,
+		Upstream: u.ID,
+		Keeper:   b.options.Name,
+	}
+	b.outlet.Routed(&b.scratch.decision)
+	b.scratch.request = keeper.Request{
+		Header:   h,
+		Service:  s,
+		Upstream: u,
+		Datagram: datagram,
+	}
+	b.keeper.Refresh(now, place, &b.scratch.request)
+	return true
+}
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -26,6 +26,9 @@
 		b.drop(h, verdict.ReasonUnknown)
 		return
 	}
+	if b.refresh(now, h, s, datagram) {
+		return
+	}
 	t, reason := b.open(h)
 	if reason != verdict.ReasonNone {
 		b.refuse(h, verdict.MayHaveRun, reason)
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/ticket"
 	"filbertworks.example/filbertworks/timer"
 )
 
@@ -49,6 +50,8 @@
 	settled bool
 	// repaired tells that the registration in flight is the keeper's own.
 	repaired bool
+	// stamp is that of the ticket last given for a watch.
+	stamp ticket.Stamp
 	// message is the caller's latest message id, forwarded the one used
 	// towards the upstream.
 	message   uint16
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -67,6 +67,7 @@
 	if t := r.Ticket; r.reopens() && !t.Executes() && t.Incarnation != k.incarnation {
 		e.former = t.Incarnation
 		e.serial = t.Serial
+		e.stamp = ticket.Stamp{}
 	}
 }
 
@@ -162,6 +163,8 @@
 	if e.former != 0 {
 		// The caller's ticket still names the keeper that is to be released.
 		d.Ticket = nil
+	} else {
+		e.stamp = ticket.StampOf(k.sealed[:])
 	}
 	k.outlet.Deliver(d, datagram)
 }
--- /dev/null
+++ b/ticket/stamp_test.go
@@ -0,0 +1,38 @@
+package ticket_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/ticket"
+)
+
+func TestStamp(t *testing.T) {
+	s := ticket.NewSealer(ticket.Key{
+		ID:     9,
+		Secret: make([]byte, 32),
+	})
+	flow := ticket.Ticket{
+		Service:     1,
+		Upstream:    2,
+		Incarnation: 3,
+		Serial:      4,
+		Version:     5,
+	}
+	data := make([]byte, ticket.Size)
+	s.Seal(data, flow, netip.MustParseAddr("10.0.0.1"))
+	stamp := ticket.StampOf(data)
+	known := flow
+	known.Version = 0
+	require.True(t, stamp.Recognizes(data, &known))
+	require.False(t, stamp.Recognizes(data[1:], &known))
+	for i := range data {
+		damaged := append([]byte(nil), data...)
+		damaged[i] ^= 1
+		require.False(t, stamp.Recognizes(damaged, &known), "byte %d", i)
+	}
+	var none ticket.Stamp
+	require.False(t, none.Recognizes(data, &known))
+}
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -136,18 +136,7 @@
 func (s *Sealer) Seal(out []byte, t Ticket, caller netip.Addr) {
 	k := &s.keys[0]
 	out = out[:Size]
-	out[offsetKey] = k.id
-	out[offsetFormat] = formatExecution
-	binary.BigEndian.PutUint32(out[offsetService:], t.Service)
-	binary.BigEndian.PutUint32(out[offsetUpstream:], t.Upstream)
-	binary.BigEndian.PutUint64(out[offsetIncarnation:], t.Incarnation)
-	putUint48(out[offsetSerial:], t.Serial)
-	last := uint32(t.Expiry / expiryUnit)
-	if !t.Executes() {
-		out[offsetFormat] = formatFlow
-		last = t.Version
-	}
-	binary.BigEndian.PutUint32(out[offsetExpiry:], last)
+	putBody(out, k.id, &t)
 	copy(out[offsetMAC:], s.mac(k, out, caller))
 }
 
@@ -171,6 +160,22 @@
 	return k.hash.Sum(s.sum[:0])[:macSize]
 }
 
+// putBody writes a ticket without its code.
+func putBody(out []byte, key uint8, t *Ticket) {
+	out[offsetKey] = key
+	out[offsetFormat] = formatExecution
+	binary.BigEndian.PutUint32(out[offsetService:], t.Service)
+	binary.BigEndian.PutUint32(out[offsetUpstream:], t.Upstream)
+	binary.BigEndian.PutUint64(out[offsetIncarnation:], t.Incarnation)
+	putUint48(out[offsetSerial:], t.Serial)
+	last := uint32(t.Expiry / expiryUnit)
+	if !t.Executes() {
+		out[offsetFormat] = formatFlow
+		last = t.Version
+	}
+	binary.BigEndian.PutUint32(out[offsetExpiry:], last)
+}
+
 func putUint48(b []byte, v uint64) {
 	binary.BigEndian.PutUint16(b, uint16(v>>32))
 	binary.BigEndian.PutUint32(b[2:], uint32(v))
