fix: a late answer of a dropped port is no heartbeat of the path

Cause: an answer from a fresh port that had been dropped counted for the old path, which delayed the next comparison by one heartbeat. Ruled out: keeping dropped ports open.

--- a/balancer/flows_test.go
+++ b/balancer/flows_test.go
@@ -24,6 +24,9 @@
 // (RFC 7252, MAX_RETRANSMIT).
 const retransmissions = 5
 
+// upstreamsAtFirst is the number of upstreams before any change.
+const upstreamsAtFirst = 14
+
 // calendar is the service of the flows.
 const calendar = 1
 
@@ -73,7 +76,7 @@
 	balancer *balancer.Balancer
 }
 
-func newFlowSystem(t require.TestingT, seed uint64, cores, upstreams int) *flowSystem {
+func newFlowSystem(t require.TestingT, seed uint64, cores int) *flowSystem {
 	s := &flowSystem{
 		t:      t,
 		random: rand.New(rand.NewPCG(seed, 2)),
@@ -99,7 +102,7 @@
 			Refresh:  config.Duration(30 * time.Second),
 		}},
 	}
-	for range upstreams {
+	for range upstreamsAtFirst {
 		s.addUpstream()
 	}
 	for range cores {
--- a/balancer/ways_test.go
+++ b/balancer/ways_test.go
@@ -12,9 +12,8 @@
 
 // Sizes of the comparison.
 const (
-	waysFlows     = 100_000
-	waysCores     = 8
-	waysUpstreams = 14
+	waysFlows = 100_000
+	waysCores = 8
 	// exceptionSize is that of an exception: caller, token and upstream.
 	exceptionSize = 32
 	// controlRate is what one balancer may send for control, in bytes a second.
@@ -72,7 +71,7 @@
 		})
 		b.Run(k.name+"/tickets", func(b *testing.B) {
 			for b.Loop() {
-				s := newFlowSystem(b, 1, waysCores, waysUpstreams)
+				s := newFlowSystem(b, 1, waysCores)
 				s.grow(waysFlows)
 				s.step(k)
 				o := outcome{
@@ -88,7 +87,7 @@
 // movedBy returns the flows that hashing sends to another upstream after a
 // change.
 func movedBy(t require.TestingT, k change) []int {
-	s := newFlowSystem(t, 1, 1, waysUpstreams)
+	s := newFlowSystem(t, 1, 1)
 	before := hashed(s)
 	k.apply(s)
 	s.publish()
--- a/filbertd/internal/daemon/beat.go
+++ b/filbertd/internal/daemon/beat.go
@@ -69,8 +69,13 @@
 		return
 	}
 	p.pinged = false
-	if current := d.paths.paths[p.upstream]; current != nil {
-		current.monitor.Answered(current.fresh == p)
+	current := d.paths.paths[p.upstream]
+	switch {
+	case current == nil:
+	case current == p:
+		current.monitor.Answered(false)
+	case current.fresh == p:
+		current.monitor.Answered(true)
 	}
 }
 
