--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -88,8 +88,6 @@
 	queues      map[uint32]*queue
 	// resigned are the upstreams with a gate that another balancer keeps.
 	resigned map[uint32]bool
-	// config is nil before the first configuration.
-	config *config.Snapshot
 	// registrations are the requests by which watches were opened.
 	registrations *registrations
 	// leases hold the watches; leasesArmed tells that they are looked at.
@@ -181,7 +179,6 @@
 // Configure follows a new configuration: exchanges at upstreams that are gone
 // or lie in zones taken out end.
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
-	k.config = c
 	k.flushUnusable(c)
 	k.version = uint32(c.Version)
 	for id, g := range k.gates {
--- a/keeper/queue.go
+++ b/keeper/queue.go
@@ -170,10 +170,11 @@
 // flushUnusable refuses the requests that wait for upstreams which take no new
 // work under c.
 func (k *Keeper) flushUnusable(c *config.Snapshot) {
-	for id := range k.queues {
+	for id, q := range k.queues {
 		p := c.Upstream(id)
 		switch {
-		case p.Upstream == nil || !c.ZoneIn(p.Upstream.Zone):
+		case len(q.entries) == 0:
+		case p.Upstream == nil || p.Service.ID != q.entries[0].service.ID || !c.ZoneIn(p.Upstream.Zone):
 			k.flush(id, verdict.ReasonZoneOut)
 		case p.Upstream.State != config.UpstreamActive:
 			k.flush(id, verdict.ReasonDraining)
