--- a/keeper/once_test.go
+++ b/keeper/once_test.go
@@ -117,10 +117,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k, o, _ := newKeeper(10)
-			// So many answers open the gate for two requests.
-			for i := range uint64(upstream.GrowthAnswers) {
-				k.Request(epoch, hold(9+i))
+			k, o, _ := newKeeper(100)
+			// Answers open the gate for two requests.
+			for serial := range uint64(upstream.GrowthAnswers) {
+				k.Request(epoch, hold(10+serial))
 				k.Answer(epoch, 10, &keeper.Answer{Token: o.forwarded[0].Token}, nil)
 			}
 			first := hold(1)
