--- a/filbertd/internal/daemon/prober.go
+++ b/filbertd/internal/daemon/prober.go
@@ -44,6 +44,8 @@
 	round uint32
 	// pending tells that the probe of this round has no answer yet.
 	pending bool
+	// limit is that of the gate at the last probe.
+	limit uint32
 	// seen tells that the upstream was kept here at the last look.
 	seen bool
 }
@@ -168,6 +170,10 @@
 		if q == nil {
 			return
 		}
+		if limit := g.Limit(); limit != q.limit {
+			d.log.Infof("upstream: %s is given up to %d requests at once, %d before", u.Name, limit, q.limit)
+			q.limit = limit
+		}
 		d.counters.add("probe", "sent")
 		id := d.balancer.Keeper().NextForwarded(u.ID)
 		b, err := d.outlet.writer.Probe(id, q.token(), q.path())
--- /dev/null
+++ b/filbertd/internal/daemon/prober_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/upstream"
+)
+
+func TestProberBoundsItsRate(t *testing.T) {
+	const upstreams, seconds = 50, 60
+	p := newProber(rand.New(rand.NewPCG(1, 1)))
+	gates := make([]*upstream.Gate, upstreams)
+	for i := range gates {
+		gates[i] = upstream.NewGate(&config.Upstream{Slots: 4})
+	}
+	start := time.Unix(0, 0)
+	sent, most := 0, 0
+	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(probeLook) {
+		at := 0
+		for id, g := range gates {
+			if q := p.next(now, uint32(id), g); q != nil {
+				q.pending = false
+				at++
+			}
+		}
+		sent += at
+		most = max(most, at)
+	}
+	// Once a second on average, never more than twice, and never all at once.
+	require.LessOrEqual(t, sent, 2*upstreams*seconds)
+	require.GreaterOrEqual(t, sent, upstreams*seconds/2)
+	require.Less(t, most, upstreams/2)
+	for _, g := range gates {
+		require.False(t, g.Down())
+	}
+}
+
+func TestProberNoticesSilence(t *testing.T) {
+	p := newProber(rand.New(rand.NewPCG(1, 1)))
+	g := upstream.NewGate(&config.Upstream{Slots: 4})
+	start := time.Unix(0, 0)
+	// The first probe goes out within one interval and each later one, which
+	// tells that the one before is lost, within one and a half.
+	due := probeInterval + upstream.DownAfter*probeInterval*3/2 + upstream.DownAfter*probeLook
+	for now := start; !now.After(start.Add(due + probeLook)); now = now.Add(probeLook) {
+		p.next(now, 1, g)
+	}
+	require.True(t, g.Down())
+	p.sweep()
+	p.sweep()
+	require.Empty(t, p.probes)
+}
--- /dev/null
+++ b/upstream/fleet_test.go
@@ -0,0 +1,80 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/upstream"
+)
+
+// TestAllColdAtOnce restarts all upstreams of a service in silence under load:
+// none falls over, and the service is back at 0.9 of what it did before within
+// the deadline of what was lost, the wait of an upstream that is down and the
+// time to full share, doubled for sheds.
+func TestAllColdAtOnce(t *testing.T) {
+	const hosts, slots, work = 14, 4, 20 * time.Millisecond
+	for _, load := range []float64{0.7, 3} {
+		fleet := make([]*trial, hosts)
+		run := func(d time.Duration) int {
+			done := 0
+			for seed, b := range fleet {
+				if b == nil {
+					b = newTrial(uint64(seed), slots, work)
+					fleet[seed] = b
+				}
+				before := b.done
+				b.run(d, load*b.capacity())
+				done += b.done - before
+			}
+			return done
+		}
+		run(10 * time.Second)
+		before := run(5 * time.Second)
+		for _, b := range fleet {
+			b.host.restart()
+		}
+		due := fleet[0].deadline + upstream.MinDownRetry
+		for n := 1; n < slots; n++ {
+			due += 2 * 2 * upstream.GrowthAnswers * work / time.Duration(n)
+		}
+		run(due)
+		after := run(5 * time.Second)
+		require.GreaterOrEqual(t, float64(after), 0.9*float64(before), "load %v", load)
+		for _, b := range fleet {
+			require.Zero(t, b.host.overloads)
+		}
+	}
+}
+
+// TestTwoKeepers lets two keepers give work to one warm upstream. While the new
+// one holds all slots there is no excess; after that it is at most the slots.
+func TestTwoKeepers(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(r, "slots")
+		load := rapid.Float64Range(0.1, 3).Draw(r, "load")
+		old := newTrial(rapid.Uint64().Draw(r, "seed"), slots, 20*time.Millisecond)
+		old.run(5*time.Second, load*old.capacity())
+		next := newTrial(rapid.Uint64().Draw(r, "other seed"), slots, 20*time.Millisecond)
+		next.now = old.now
+		next.host = old.host
+		next.gate = upstream.NewGate(&config.Upstream{Slots: uint32(slots)}, upstream.WithHold(old.deadline, 0))
+		flying := 0
+		run := func(d time.Duration) {
+			flying = 0
+			for range d / time.Millisecond {
+				old.run(time.Millisecond, load*old.capacity())
+				next.run(time.Millisecond, load*old.capacity())
+				flying = max(flying, len(old.flights)+len(next.flights))
+			}
+		}
+		run(old.deadline)
+		require.LessOrEqual(r, flying, slots)
+		run(10 * time.Second)
+		require.LessOrEqual(r, flying, 2*slots)
+		require.Zero(r, old.host.overloads)
+	})
+}
