perf: records of refusals end with their tickets

Cause: at overload refusals fill the ledger for 155 s each, so that requests are refused as ledger-full that could run. Ruled out: no record of a refusal, which lets a delayed duplicate run. Change: a refusal is recorded until its ticket expires; from then on the expiry bars the serial.

--- a/keeper/once.go
+++ b/keeper/once.go
@@ -34,8 +34,10 @@
 	return verdict.ReasonNone
 }
 
-// bar refuses a request for good: its serial never begins.
+// bar refuses a request for good: its serial never begins. The record is needed
+// until the ticket expires, which bars the serial as well.
 func (k *Keeper) bar(r *Request, reason verdict.Reason) {
+	k.timers.Subscribe(k.start.Add(r.Ticket.Expiry), (*ledgerExpiry)(k), r.Ticket.Serial)
 	k.ledger.refuse(r.Ticket.Serial, r.Header.Digest, reason)
 	k.refuse(r, verdict.NotRun, reason)
 }
@@ -43,8 +45,6 @@
 // execute sends a request whose serial has not begun, or bars the serial.
 func (k *Keeper) execute(now time.Time, r *Request) {
 	serial := r.Ticket.Serial
-	retained := r.Ticket.Expiry + k.ledger.retention
-	k.timers.Subscribe(k.start.Add(retained), (*ledgerExpiry)(k), serial)
 	if r.Upstream == nil {
 		k.bar(r, verdict.ReasonNoUpstream)
 		return
@@ -64,6 +64,8 @@
 		return
 	}
 	e.serial = serial
+	retained := r.Ticket.Expiry + k.ledger.retention
+	k.timers.Subscribe(k.start.Add(retained), (*ledgerExpiry)(k), serial)
 	k.ledger.begin(serial, r.Header.Digest, r.Upstream.ID, k.exchanges.token(place))
 	k.forward(now, place, e, r)
 }
--- a/keeper/once_test.go
+++ b/keeper/once_test.go
@@ -140,6 +140,52 @@
 	}
 }
 
+// TestLedgerRoom states how long records take room: those of refusals until the
+// ticket expires, those of executions until their retention ends.
+func TestLedgerRoom(t *testing.T) {
+	cases := []struct {
+		name string
+		// upstream is nil where requests are refused.
+		upstream bool
+		room     time.Duration
+	}{
+		{
+			name: "refused",
+			room: keeper.ExecutionLifetime,
+		},
+		{
+			name:     "executed",
+			upstream: true,
+			room:     keeper.ExecutionLifetime + keeper.AnswerRetention,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			k, o, q := newKeeper(1)
+			r := hold(1)
+			if !c.upstream {
+				r.Upstream = nil
+			}
+			k.Request(epoch, r)
+			o.forwarded = nil
+			for _, early := range []bool{true, false} {
+				at := epoch.Add(c.room)
+				if early {
+					at = at.Add(-time.Millisecond)
+				}
+				q.Advance(at)
+				next := hold(2)
+				if !early {
+					next = hold(3)
+				}
+				next.Ticket.Expiry = at.Sub(epoch) + time.Second
+				k.Request(at, next)
+				require.Equal(t, early, len(o.forwarded) == 0)
+			}
+		})
+	}
+}
+
 // TestMessageIDs states that a process neither starts where another one did nor
 // uses up the message ids of one upstream for another.
 func TestMessageIDs(t *testing.T) {
