--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,6 +89,9 @@
 	settled bool
 	// budgets are those of the services' retries.
 	budgets map[uint32]*retry.Budget
+	loads   *placement.Table
+	// reviewed is the version at the last review of the upstreams kept.
+	reviewed config.Version
 	// opened is scratch space for the ticket of the datagram in hand.
 	opened ticket.Ticket
 	// scratch is space for what the decision in hand passes on.
@@ -112,15 +115,17 @@
 		timers:  timer.NewQueue(),
 		table:   member.NewTable(nil),
 		budgets: make(map[uint32]*retry.Budget),
+		loads:   placement.NewTable(),
 	}
 	b.keeper = keeper.New(o.Start, o.Incarnation, o.Limits, b.timers, (*sealing)(b), o.Outlet, (*retrier)(b),
 		keeper.WithReleaser((*releasing)(b)), keeper.WithSettle(o.Settle))
-	b.picker = placement.NewPicker(o.Zone, (*loads)(b), o.Rand)
+	b.picker = placement.NewPicker(o.Zone, b.loads, o.Rand)
 	return b
 }
 
 // Advance runs the timers due at now.
 func (b *Balancer) Advance(now time.Time) {
+	b.loads.Advance(now)
 	b.timers.Advance(now)
 }
 
@@ -153,6 +158,7 @@
 	b.setKeys(now, b.config, c)
 	b.config = c
 	b.keeper.Configure(now, c)
+	b.Review(now)
 	return true
 }
 
--- /dev/null
+++ b/balancer/review.go
@@ -0,0 +1,48 @@
+package balancer
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/upstream"
+)
+
+// Kept calls f with each upstream that this balancer keeps and its gate.
+func (b *Balancer) Kept(now time.Time, f func(s *config.Service, u *config.Upstream, g *upstream.Gate)) {
+	if b.config == nil {
+		return
+	}
+	services := b.config.Document.Services
+	for i := range services {
+		s := &services[i]
+		for j := range s.Upstreams {
+			u := &s.Upstreams[j]
+			if b.config.ZoneIn(u.Zone) && b.keeps(u.ID) {
+				f(s, u, b.keeper.Keep(now, u))
+			}
+		}
+	}
+}
+
+// Review tells the keeper which upstreams are this balancer's by the view in
+// force.
+func (b *Balancer) Review(now time.Time) {
+	if b.config == nil {
+		return
+	}
+	b.keeper.Review(now, b.keeps)
+	if b.reviewed != b.config.Version {
+		b.reviewed = b.config.Version
+		b.Kept(now, func(*config.Service, *config.Upstream, *upstream.Gate) {})
+	}
+}
+
+// keeps reports whether this balancer keeps an upstream.
+func (b *Balancer) keeps(id uint32) bool {
+	u := b.config.Upstream(id).Upstream
+	if u == nil {
+		return false
+	}
+	m, ok := b.table.Keeper(id, u.Zone)
+	return ok && m.Incarnation == b.options.Incarnation
+}
--- a/balancer/route.go
+++ b/balancer/route.go
@@ -53,6 +53,9 @@
 		b.drop(h, verdict.ReasonUnsettled)
 		return
 	}
+	if placed {
+		b.placed(h, u)
+	}
 	d := &b.scratch.decision
 	*d = Decision{
 		Header:   h,
@@ -250,14 +253,6 @@
 	s.sealer.Seal(out, t, caller)
 }
 
-// loads tells of the loads that this balancer knows.
-type loads Balancer
-
-// Load returns the load of an upstream that this balancer keeps itself.
-func (l *loads) Load(uint32) (placement.Load, bool) {
-	return placement.Load{}, false
-}
-
 // flowOf returns a hash that is equal for all datagrams of a flow whose caller
 // keeps its address and token.
 func flowOf(h *packet.Header) uint64 {
