--- a/balancer/moved_test.go
+++ b/balancer/moved_test.go
@@ -27,7 +27,7 @@
 			}
 			w.receive = func(netip.AddrPort, *message) {}
 			w.install(snapshot(t, first), 0)
-			w.run(w.now)
+			w.run(epoch.Add(time.Minute))
 			b := datagramOf(holds, kind, 1, 0, 1, nil)
 			send := func() {
 				h := headerOf(b)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -107,9 +107,8 @@
 	settle time.Duration
 	// rights is when the last right to an execution ends, from start.
 	rights time.Duration
-	// version is that of config, the configuration in force or nil.
+	// version is that of the configuration in force.
 	version uint32
-	config  *config.Snapshot
 	// message is the last message id towards callers, messages that towards each
 	// upstream. They start at random, since receivers take a repeated id for a
 	// duplicate (RFC 7252, section 4.5), and callers hear several keepers.
@@ -181,6 +180,7 @@
 // Configure follows a new configuration: exchanges at upstreams that are gone
 // or lie in zones taken out end.
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
+	before := k.config
 	k.config = c
 	k.flushUnusable(c)
 	k.version = uint32(c.Version)
@@ -189,7 +189,7 @@
 			g.Configure(p.Upstream)
 		}
 	}
-	k.closeAt(now, c)
+	k.closeAt(now, before, c)
 }
 
 // Exchanges returns the number of open watches and requests.
--- a/keeper/once_test.go
+++ b/keeper/once_test.go
@@ -116,10 +116,13 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k, o, _ := newKeeper(10)
-			// One answer opens the gate for two requests.
-			k.Request(epoch, hold(9))
-			k.Answer(epoch, 10, &keeper.Answer{Token: o.forwarded[0].Token}, nil)
+			k, o, _ := newKeeper(200)
+			// Answers open the gate for two requests.
+			for serial := uint64(100); k.Gate(hold(0).Upstream).Limit() < 2; serial++ {
+				require.Less(t, serial, uint64(200))
+				k.Request(epoch, hold(serial))
+				k.Answer(epoch, 10, &keeper.Answer{Token: o.forwarded[0].Token}, nil)
+			}
 			first := hold(1)
 			k.Request(epoch, first)
 			token := o.forwarded[0].Token
--- a/keeper/sweep.go
+++ b/keeper/sweep.go
@@ -42,11 +42,10 @@
 	})
 }
 
-// closeAt closes the work at upstreams that may not be sent to any more, which
-// c tells.
-func (k *Keeper) closeAt(now time.Time, c *config.Snapshot) {
-	gone := k.gone(k.config, c)
-	k.config = c
+// closeAt closes the work at upstreams that may not be sent to any more under
+// c, which follows before.
+func (k *Keeper) closeAt(now time.Time, before, c *config.Snapshot) {
+	gone := k.gone(before, c)
 	if len(gone) == 0 {
 		return
 	}
