--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -88,8 +88,6 @@
 	queues      map[uint32]*queue
 	// resigned are the upstreams with a gate that another balancer keeps.
 	resigned map[uint32]bool
-	// config is nil before the first configuration.
-	config *config.Snapshot
 	// registrations are the requests by which watches were opened.
 	registrations *registrations
 	// leases hold the watches; leasesArmed tells that they are looked at.
@@ -107,8 +105,9 @@
 	settle time.Duration
 	// rights is when the last right to an execution ends, from start.
 	rights time.Duration
-	// version is that of the configuration in force.
+	// version is that of config, the configuration in force or nil.
 	version uint32
+	config  *config.Snapshot
 	// message is the last message id towards callers, messages that towards each
 	// upstream. They start at random, since receivers take a repeated id for a
 	// duplicate (RFC 7252, section 4.5), and callers hear several keepers.
@@ -180,16 +179,16 @@
 // Configure follows a new configuration: exchanges at upstreams that are gone
 // or lie in zones taken out end.
 func (k *Keeper) Configure(now time.Time, c *config.Snapshot) {
-	before := k.config
+	gone := k.gone(k.config, c)
 	k.config = c
-	k.flushUnusable(c)
+	k.flushUnusable(c, gone)
 	k.version = uint32(c.Version)
 	for id, g := range k.gates {
 		if p := c.Upstream(id); p.Upstream != nil {
 			g.Configure(p.Upstream)
 		}
 	}
-	k.closeAt(now, before, c)
+	k.closeAt(now, gone)
 }
 
 // Exchanges returns the number of open watches and requests.
--- a/keeper/once_test.go
+++ b/keeper/once_test.go
@@ -12,6 +12,7 @@
 	"filbertworks.example/filbertworks/packet"
 	"filbertworks.example/filbertworks/ticket"
 	"filbertworks.example/filbertworks/timer"
+	"filbertworks.example/filbertworks/upstream"
 )
 
 // An outlet keeps what a keeper last sent.
@@ -116,11 +117,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k, o, _ := newKeeper(200)
+			k, o, _ := newKeeper(100)
 			// Answers open the gate for two requests.
-			for serial := uint64(100); k.Gate(hold(0).Upstream).Limit() < 2; serial++ {
-				require.Less(t, serial, uint64(200))
-				k.Request(epoch, hold(serial))
+			for serial := range uint64(upstream.GrowthAnswers) {
+				k.Request(epoch, hold(10+serial))
 				k.Answer(epoch, 10, &keeper.Answer{Token: o.forwarded[0].Token}, nil)
 			}
 			first := hold(1)
--- a/keeper/sweep.go
+++ b/keeper/sweep.go
@@ -42,10 +42,8 @@
 	})
 }
 
-// closeAt closes the work at upstreams that may not be sent to any more under
-// c, which follows before.
-func (k *Keeper) closeAt(now time.Time, before, c *config.Snapshot) {
-	gone := k.gone(before, c)
+// closeAt closes the work at upstreams that may not be sent to any more.
+func (k *Keeper) closeAt(now time.Time, gone map[uint32]bool) {
 	if len(gone) == 0 {
 		return
 	}
