style: two faults that the linter finds

Cause: the linter found an append to another slice and a parameter with one value. Change: both are written as the linter wants; no change of behaviour. Ruled out: exceptions for the linter.

--- a/balancer/affinity_test.go
+++ b/balancer/affinity_test.go
@@ -123,7 +123,7 @@
 func TestAffinity(t *testing.T) {
 	const seed = 20261204
 	t.Logf("seed %d", seed)
-	s := newFlowSystem(t, seed, 4, 14)
+	s := newFlowSystem(t, seed, 4)
 	s.grow(population)
 	for i, a := range changes {
 		for _, b := range changes[i:] {
--- a/balancer/established_test.go
+++ b/balancer/established_test.go
@@ -79,7 +79,7 @@
 
 // newCrowd returns a balancer without flows, and room for them.
 func newCrowd(b *testing.B) *crowd {
-	s := newFlowSystem(b, 1, 0, 14)
+	s := newFlowSystem(b, 1, 0)
 	c := &crowd{
 		outlet:    &discard{},
 		now:       s.now,
--- a/balancer/flows_test.go
+++ b/balancer/flows_test.go
@@ -73,7 +73,7 @@
 	balancer *balancer.Balancer
 }
 
-func newFlowSystem(t require.TestingT, seed uint64, cores, upstreams int) *flowSystem {
+func newFlowSystem(t require.TestingT, seed uint64, cores int) *flowSystem {
 	s := &flowSystem{
 		t:      t,
 		random: rand.New(rand.NewPCG(seed, 2)),
@@ -99,7 +99,7 @@
 			Refresh:  config.Duration(30 * time.Second),
 		}},
 	}
-	for range upstreams {
+	for range waysUpstreams {
 		s.addUpstream()
 	}
 	for range cores {
--- a/balancer/ways_test.go
+++ b/balancer/ways_test.go
@@ -72,7 +72,7 @@
 		})
 		b.Run(k.name+"/tickets", func(b *testing.B) {
 			for b.Loop() {
-				s := newFlowSystem(b, 1, waysCores, waysUpstreams)
+				s := newFlowSystem(b, 1, waysCores)
 				s.grow(waysFlows)
 				s.step(k)
 				o := outcome{
@@ -88,7 +88,7 @@
 // movedBy returns the flows that hashing sends to another upstream after a
 // change.
 func movedBy(t require.TestingT, k change) []int {
-	s := newFlowSystem(t, 1, 1, waysUpstreams)
+	s := newFlowSystem(t, 1, 1)
 	before := hashed(s)
 	k.apply(s)
 	s.publish()
--- a/keeper/release.go
+++ b/keeper/release.go
@@ -70,7 +70,8 @@
 	if len(k.releases) == 0 {
 		k.timers.Subscribe(now.Add(ReleaseDelay), (*releaseTimer)(k), 0)
 	}
-	serials := append(k.releases[incarnation], serial)
+	serials := k.releases[incarnation]
+	serials = append(serials, serial)
 	if len(serials) >= MaxReleases {
 		k.releaser.Release(&Release{
 			Incarnation: incarnation,
