--- a/filbertd/internal/daemon/prober.go
+++ b/filbertd/internal/daemon/prober.go
@@ -160,6 +160,9 @@
 }
 
 func (d *Daemon) sendProbes(now time.Time) {
+	if d.outlet.muted {
+		return
+	}
 	d.balancer.Kept(now, func(_ *config.Service, u *config.Upstream, g *upstream.Gate) {
 		was := g.Down()
 		q := d.prober.next(now, u.ID, g)
