--- a/balancer/route.go
+++ b/balancer/route.go
@@ -48,9 +48,6 @@
 // ticket t, to the keeper of the upstream.
 func (b *Balancer) routeFlow(now time.Time, h *packet.Header, t *ticket.Ticket, s *config.Service, r *wire.Relay, datagram []byte) {
 	u, placed, reason := b.upstreamFor(h, t, s, r)
-	if u != nil && placed && t != nil && h.Later {
-		u, reason = nil, verdict.ReasonNoUpstream
-	}
 	if u == nil {
 		b.refuse(h, verdict.NotRun, reason)
 		return
@@ -59,6 +56,9 @@
 		b.drop(h, verdict.ReasonUnsettled)
 		return
 	}
+	if placed {
+		b.placed(h, u)
+	}
 	d := &b.scratch.decision
 	*d = Decision{
 		Header:   h,
@@ -154,6 +154,9 @@
 			return u, false, verdict.ReasonNone
 		}
 	}
+	if t != nil && h.Later {
+		return nil, false, verdict.ReasonNoUpstream
+	}
 	u := b.picker.Pick(b.config, s, placement.Query{
 		Flow:     flowOf(h),
 		Watch:    h.Kind == packet.KindWatchOpen || h.Kind == packet.KindWatchClose,
@@ -253,14 +256,6 @@
 	s.sealer.Seal(out, t, caller)
 }
 
-// loads tells of the loads that this balancer knows.
-type loads Balancer
-
-// Load returns the load of an upstream that this balancer keeps itself.
-func (l *loads) Load(uint32) (placement.Load, bool) {
-	return placement.Load{}, false
-}
-
 // flowOf returns a hash that is equal for all datagrams of a flow whose caller
 // keeps its address and token.
 func flowOf(h *packet.Header) uint64 {
--- a/balancer/world_test.go
+++ b/balancer/world_test.go
@@ -50,6 +50,11 @@
 	wrong int
 	// retried counts offers of refused requests to other upstreams.
 	retried int
+	// outside counts datagrams sent to upstreams that are gone or in zones taken
+	// out, as their sender knows.
+	outside int
+	// canceled counts cancels.
+	canceled int
 	// arrived counts datagrams that reached a host.
 	arrived int
 }
@@ -82,6 +87,8 @@
 	balancer *balancer.Balancer
 	dead     bool
 	leaving  bool
+	// exited is when a process that left ended.
+	exited time.Time
 	// wakes is when a paused process goes on.
 	wakes time.Time
 	armed time.Time
@@ -139,9 +146,9 @@
 }
 
 // spread refreshes all views, each at a time of its own.
-func (w *world) spread(within time.Duration) {
+func (w *world) spread() {
 	for _, c := range w.cores {
-		w.after(w.upTo(within), func() { c.do(func() { w.refresh(c) }) })
+		w.after(w.upTo(viewSpread), func() { c.do(func() { w.refresh(c) }) })
 	}
 }
 
@@ -194,10 +201,14 @@
 	w.now = until
 }
 
-// fabric hands a caller's datagram to any core.
+// fabric hands a caller's datagram to any core; it learns of one that has exited
+// as late as the views do.
 func (w *world) fabric(h packet.Header, datagram []byte) {
 	w.send(func() {
 		c := w.cores[w.random.IntN(len(w.cores))]
+		for c.dead && w.now.Sub(c.exited) > viewSpread {
+			c = w.cores[w.random.IntN(len(w.cores))]
+		}
 		h := h
 		c.do(func() { c.balancer.Caller(w.now, &h, datagram) })
 	})
@@ -228,7 +239,10 @@
 	})
 }
 
-func (c *core) Cancel(*keeper.Cancel) {}
+func (c *core) Cancel(q *keeper.Cancel) {
+	c.world.canceled++
+	c.reach(q.Upstream)
+}
 
 func (c *core) Deliver(d *keeper.Delivery, datagram []byte) {
 	m := &message{
@@ -246,7 +260,7 @@
 func (c *core) Drop(*packet.Header, verdict.Reason) {}
 
 func (c *core) Forward(f *keeper.Forward, datagram []byte) {
-	u := c.balancer.Config().Upstream(f.Upstream).Upstream
+	u := c.reach(f.Upstream)
 	if u == nil {
 		return
 	}
@@ -321,6 +335,17 @@
 	}
 }
 
+// reach returns the upstream of an id, or counts that it may not be sent to.
+func (c *core) reach(id uint32) *config.Upstream {
+	s := c.balancer.Config()
+	u := s.Upstream(id).Upstream
+	if u == nil || !s.ZoneIn(u.Zone) {
+		c.world.outside++
+		return nil
+	}
+	return u
+}
+
 // relayed takes a relay as another core sent it.
 func (c *core) relayed(frame []byte) {
 	var r wire.Relay
--- a/filbertd/internal/daemon/daemon.go
+++ b/filbertd/internal/daemon/daemon.go
@@ -73,6 +73,8 @@
 	outlet   *outlet
 	balancer *balancer.Balancer
 	tracker  *member.Tracker
+	prober   *prober
+	sharer   *loadSharer
 	// installed is when the configuration in force came into force here.
 	installed time.Time
 	drainOnce sync.Once
@@ -130,6 +132,8 @@
 		Settle:      settleTime,
 	})
 	d.outlet.balancer = d.balancer
+	d.prober = newProber(mathrand.New(mathrand.NewPCG(d.incarnation, 1)))
+	d.sharer = newLoadSharer()
 	if err := d.counters.observe(o.Meter); err != nil {
 		return nil, err
 	}
@@ -148,6 +152,8 @@
 	duties.Go(func() { d.followConfig(ctx) })
 	duties.Go(func() { d.followVMs(ctx) })
 	duties.Go(func() { d.heartbeat(ctx) })
+	duties.Go(func() { d.probe(ctx) })
+	duties.Go(func() { d.shareLoads(ctx) })
 	duties.Go(func() { d.runLeave(ctx, cancel) })
 	go readDatagrams(d.relay, d.events, event{source: sourcePeer})
 	sent := make(chan struct{})
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -42,6 +42,7 @@
 	d.balancer.Advance(now)
 	d.beatPaths(now)
 	d.balancer.SetMembers(d.tracker.Table(now), d.tracker.Settled(now))
+	d.balancer.Review(now)
 }
 
 func (d *Daemon) handle(now time.Time, e *event) {
@@ -78,6 +79,10 @@
 		d.counters.add("drop", "unknown-peer")
 		return
 	}
+	if wire.IsLoads(e.buffer.data()) {
+		d.hearLoads(now, e.buffer.data())
+		return
+	}
 	if wire.IsRelease(e.buffer.data()) {
 		d.released(now, e.buffer.data())
 		return
@@ -106,7 +111,7 @@
 		d.pathAnswered(e.path, r.Message)
 		return
 	}
-	if r.Acknowledgement() {
+	if r.Acknowledgement() || d.probeAnswer(now, e.id, &r) {
 		return
 	}
 	known := d.balancer.Answer(now, e.id, &keeper.Answer{
--- a/keeper/once.go
+++ b/keeper/once.go
@@ -74,9 +74,8 @@
 	if !k.grants(now) {
 		return verdict.ReasonUnsettled
 	}
-	g := k.Gate(r.Upstream)
-	if g.Requests() >= g.Limit() {
-		return verdict.ReasonBusy
+	if reason := k.Gate(r.Upstream).Refusal(now); reason != verdict.ReasonNone {
+		return reason
 	}
 	f := newRefusal(verdict.NotRun, verdict.ReasonTicketNeeded, 0)
 	f.Ticket = k.grant(now, r.Service.ID, r.Upstream.ID, r.Header.Caller.Addr())
--- /dev/null
+++ b/keeper/tenure.go
@@ -0,0 +1,66 @@
+package keeper
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/upstream"
+	"filbertworks.example/filbertworks/verdict"
+)
+
+// Gate returns the gate of an upstream. A new one counts all slots as taken
+// until the deadline of the service has passed: an earlier keeper's work may
+// still be in flight.
+func (k *Keeper) Gate(u *config.Upstream) *upstream.Gate {
+	g := k.gates[u.ID]
+	if g == nil {
+		g = upstream.NewGate(u, upstream.WithHold(k.holdsOf(u.ID)))
+		k.gates[u.ID] = g
+	}
+	return g
+}
+
+// Keep begins the hold of an upstream that this balancer keeps from now on; one
+// that it kept already is left as it is.
+func (k *Keeper) Keep(now time.Time, u *config.Upstream) *upstream.Gate {
+	g := k.Gate(u)
+	g.Refusal(now)
+	return g
+}
+
+// NextForwarded returns a message id for a message to an upstream that belongs
+// to no exchange.
+func (k *Keeper) NextForwarded(id uint32) uint16 {
+	return k.nextForwarded(id)
+}
+
+// Review follows a change of the member view: keeps tells whether this balancer
+// keeps an upstream. Upstreams that are another's take no new work here, and
+// are held anew once they come back.
+func (k *Keeper) Review(now time.Time, keeps func(id uint32) bool) {
+	for id, g := range k.gates {
+		switch kept := keeps(id); {
+		case !kept && !k.resigned[id]:
+			k.resigned[id] = true
+			k.flush(id, verdict.ReasonNotKeeper)
+		case kept && k.resigned[id]:
+			delete(k.resigned, id)
+			slots, watches := k.holdsOf(id)
+			g.Hold(now, slots, watches)
+		}
+	}
+}
+
+// holdsOf returns how long an upstream's slots count as taken and its new
+// watches are few: an earlier keeper's requests end by the deadline, and its
+// watches come back with their refreshes.
+func (k *Keeper) holdsOf(id uint32) (slots, watches time.Duration) {
+	if k.config == nil {
+		return 0, 0
+	}
+	s := k.config.Upstream(id).Service
+	if s == nil {
+		return 0, 0
+	}
+	return time.Duration(s.Deadline), time.Duration(s.Refresh) * 11 / 10
+}
