test: slots are counted at upstreams in whole systems, a seed for affinity

Cause: the proof counted overloads but not requests beyond the slots, nor did it tell the imbalance; the affinity test knew one seed. Change: no upstream may ever have more requests in flight than slots; the imbalance of holds is logged; -affinity-seed selects the seed.

--- a/balancer/affinity_test.go
+++ b/balancer/affinity_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"flag"
 	"slices"
 	"testing"
 	"time"
@@ -118,12 +119,13 @@
 	s.view(s.cores)
 }
 
+var affinitySeed = flag.Uint64("affinity-seed", 20261204, "seed of TestAffinity")
+
 // TestAffinity opens flows and makes every planned change and every
 // pair of them at once: no flow breaks.
 func TestAffinity(t *testing.T) {
-	const seed = 20261204
-	t.Logf("seed %d", seed)
-	s := newFlowSystem(t, seed, 4)
+	t.Logf("seed %d", *affinitySeed)
+	s := newFlowSystem(t, *affinitySeed, 4)
 	s.grow(population)
 	for i, a := range changes {
 		for _, b := range changes[i:] {
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,13 +173,30 @@
 	}
 	counts, err := s.Counts(ctx)
 	require.NoError(t, err)
+	t.Logf("imbalance of holds %.2f, refused %.1f%% of requests",
+		imbalance(s, counts), 100*float64(total.Refused)/float64(total.Opened))
 	for name, c := range counts {
+		require.LessOrEqual(t, c.MaxRequests, int(s.Place().Slots), "%s had more requests in flight than slots", name)
 		require.Zero(t, c.DoubleRuns, "%s ran a hold twice", name)
 		require.Zero(t, c.WrongService, "%s got another service's request", name)
 		require.Zero(t, c.Overloaded, "%s was given more than it bears", name)
 	}
 }
 
+// imbalance returns the greatest number of holds of a desk upstream over the
+// mean.
+func imbalance(s *system.System, counts map[string]system.UpstreamCount) float64 {
+	var most, sum, n float64
+	for name, c := range counts {
+		if strings.HasPrefix(name, s.Place().Desk) {
+			most = max(most, float64(c.Runs))
+			sum += float64(c.Runs)
+			n++
+		}
+	}
+	return most * n / sum
+}
+
 // start starts a system that ends with the test.
 func start(ctx context.Context, t *testing.T, place system.Place) *system.System {
 	t.Helper()
