test: removed upstreams, a stale platform and pairs of faults in whole systems

Cause: no whole system lost an upstream with its watches, started a balancer while the platform was stale, or met a zone out and a death at once.

--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -54,6 +54,52 @@
 	awaitVersion(ctx, t, s, 3)
 }
 
+func removeUpstream(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.Patch(ctx, 1, config.Operation{
+		RemoveUpstream: &config.RemoveUpstream{
+			Service: s.Place().Desk,
+			Name:    s.Place().Desk + "-1",
+		},
+	}))
+	awaitVersion(ctx, t, s, 2)
+}
+
+// replaceUnderStalePlatform starts a balancer while the platform accepts a
+// version that it does not publish: the versions in force stay.
+func replaceUnderStalePlatform(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultPlatform(ctx, `{"stale":true}`))
+	u := s.Upstream(s.Place().Desk, 1, s.Place().Zones[0])
+	u.Share = 50
+	require.NoError(t, s.Patch(ctx, 1, config.Operation{
+		PutUpstream: &config.PutUpstream{
+			Service:  s.Place().Desk,
+			Upstream: u,
+		},
+	}))
+	replaceBalancer(ctx, t, s)
+	awaitVersion(ctx, t, s, 1)
+	require.NoError(t, s.FaultPlatform(ctx, `{"stale":false}`))
+	awaitVersion(ctx, t, s, 2)
+}
+
+// zoneOutAndKill takes a zone out at the moment in which a balancer of another
+// zone dies: within three seconds the zone receives nothing.
+func zoneOutAndKill(ctx context.Context, t *testing.T, s *system.System) {
+	zones := s.Place().Zones
+	require.NoError(t, s.Patch(ctx, 1, config.Operation{
+		PutZone: &config.Zone{
+			Name:   zones[2],
+			Region: s.Place().Region,
+			State:  config.ZoneOut,
+		},
+	}))
+	require.NoError(t, s.Kill(s.InZone(zones[0])[0]))
+	wait(t, inForce)
+	before := zoneRequests(ctx, t, s, zones[2])
+	wait(t, zoneOutTime)
+	require.Equal(t, before, zoneRequests(ctx, t, s, zones[2]), "requests into the zone")
+}
+
 func pauseBalancer(_ context.Context, t *testing.T, s *system.System) {
 	paused := s.Balancers()[0]
 	require.NoError(t, s.Pause(paused))
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -98,6 +98,20 @@
 			planned: true,
 			fault:   replaceAndDrain,
 		},
+		{
+			name:    "upstream removed with its watches",
+			planned: true,
+			fault:   removeUpstream,
+		},
+		{
+			name:    "platform stale while a balancer is replaced",
+			planned: true,
+			fault:   replaceUnderStalePlatform,
+		},
+		{
+			name:  "zone out while a balancer of another dies",
+			fault: zoneOutAndKill,
+		},
 		{
 			name:  "balancer paused and woken",
 			fault: pauseBalancer,
