refactor: one package for rendezvous hashing

Cause: member, placement and keeper each held the same mixing function. Conclusion: one place to read and change.

--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertworks.example/filbertworks/packet"
+	"filbertworks.example/filbertworks/rendezvous"
 	"filbertworks.example/filbertworks/ticket"
 	"filbertworks.example/filbertworks/timer"
 )
@@ -158,9 +159,9 @@
 
 // bucket returns where the chain for a key begins.
 func (t *exchangeTable) bucket(key *exchangeKey) *uint32 {
-	sum := mix(t.seed ^ binary.LittleEndian.Uint64(key.ip[:]))
-	sum = mix(sum ^ binary.LittleEndian.Uint64(key.ip[8:]))
-	sum = mix(sum ^ binary.LittleEndian.Uint64(key.token.Bytes[:]))
+	sum := rendezvous.Mix(t.seed ^ binary.LittleEndian.Uint64(key.ip[:]))
+	sum = rendezvous.Mix(sum ^ binary.LittleEndian.Uint64(key.ip[8:]))
+	sum = rendezvous.Mix(sum ^ binary.LittleEndian.Uint64(key.token.Bytes[:]))
 	return &t.buckets[sum&uint64(len(t.buckets)-1)]
 }
 
@@ -247,13 +248,3 @@
 func (t *exchangeTable) timerKey(place uint32) uint64 {
 	return uint64(t.entry(place).generation)<<32 | uint64(place)
 }
-
-// mix returns a bijective scrambling of x (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
--- a/member/beat.go
+++ b/member/beat.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"filbertworks.example/filbertworks/rendezvous"
 )
 
 // Tick returns the messages that are due at now.
@@ -100,7 +102,7 @@
 	rings := make(map[string][]place)
 	add := func(r *Record) {
 		rings[r.Zone] = append(rings[r.Zone], place{
-			score:       mix(r.Incarnation),
+			score:       rendezvous.Mix(r.Incarnation),
 			incarnation: r.Incarnation,
 			relay:       r.Relay,
 		})
@@ -126,7 +128,7 @@
 		if zone == r.Zone {
 			n = HomeObservers
 		}
-		from, _ := slices.BinarySearchFunc(ring, mix(r.Incarnation), func(p place, s uint64) int {
+		from, _ := slices.BinarySearchFunc(ring, rendezvous.Mix(r.Incarnation), func(p place, s uint64) int {
 			return cmp.Compare(p.score, s)
 		})
 		for i := 0; i < len(ring) && n > 0; i++ {
--- a/member/table.go
+++ b/member/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/rendezvous"
 )
 
 // A State is what the view believes of a member.
@@ -121,7 +122,7 @@
 // the rendezvous order of a key, from zero; ok is false where it is not one of
 // them.
 func (t *Table) Rank(key uint64, name, zone string) (rank int, ok bool) {
-	own := score(key, nameHash(name))
+	own := rendezvous.Score(key, nameHash(name))
 	for i := range t.members {
 		m := &t.members[i]
 		if m.State != Alive || m.Zone != zone {
@@ -131,7 +132,7 @@
 			ok = true
 			continue
 		}
-		if score(key, nameHash(m.Name)) > own {
+		if rendezvous.Score(key, nameHash(m.Name)) > own {
 			rank++
 		}
 	}
@@ -181,7 +182,7 @@
 		if m.State != Alive || !accept(m) {
 			continue
 		}
-		if s := score(uint64(upstream), nameHash(m.Name)); best < 0 || s > high {
+		if s := rendezvous.Score(uint64(upstream), nameHash(m.Name)); best < 0 || s > high {
 			best, high = i, s
 		}
 	}
--- a/placement/index.go
+++ b/placement/index.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/rendezvous"
 )
 
 // An index finds the upstreams of one service that take new work, under one
@@ -40,7 +41,7 @@
 func (x *index) rendezvous(flow uint64, excluded []uint32) (*config.Upstream, uint64) {
 	for range maxDraws {
 		u := x.root.find(flow)
-		flow = mix(flow + 1)
+		flow = rendezvous.Mix(flow + 1)
 		if !slices.Contains(excluded, u.ID) {
 			return u, flow
 		}
@@ -116,7 +117,7 @@
 func newTree(upstreams []*config.Upstream) node {
 	sorted := slices.Clone(upstreams)
 	slices.SortFunc(sorted, func(a, b *config.Upstream) int {
-		if mix(uint64(a.ID)) < mix(uint64(b.ID)) {
+		if rendezvous.Mix(uint64(a.ID)) < rendezvous.Mix(uint64(b.ID)) {
 			return -1
 		}
 		return 1
@@ -135,11 +136,11 @@
 	}
 	for len(sorted) > 0 {
 		size := 1
-		salt := mix(uint64(sorted[0].ID))
+		salt := rendezvous.Mix(uint64(sorted[0].ID))
 		if depth < maxDepth {
 			prefix := prefixOf(sorted[0], depth)
 			size = sort.Search(len(sorted), func(i int) bool { return prefixOf(sorted[i], depth) > prefix })
-			salt = mix(prefix<<fanBits | uint64(depth) + 1)
+			salt = rendezvous.Mix(prefix<<fanBits | uint64(depth) + 1)
 		}
 		n.children = append(n.children, newNode(sorted[:size], depth+1, salt))
 		sorted = sorted[size:]
@@ -164,7 +165,7 @@
 	high := math.Inf(-1)
 	for i := range n.children {
 		child := &n.children[i]
-		unit := (float64(mix(flow^child.salt)>>11) + 0.5) / (1 << 53)
+		unit := (float64(rendezvous.Mix(flow^child.salt)>>11) + 0.5) / (1 << 53)
 		if score := child.weight / -math.Log(unit); score > high {
 			best, high = child, score
 		}
@@ -174,15 +175,5 @@
 
 // prefixOf returns the bits of u's key that decide at a depth.
 func prefixOf(u *config.Upstream, depth int) uint64 {
-	return mix(uint64(u.ID)) >> (64 - fanBits*(depth+1))
-}
-
-// mix returns a bijective scrambling of x (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
+	return rendezvous.Mix(uint64(u.ID)) >> (64 - fanBits*(depth+1))
 }
