refactor: a gate's holds begin by name; one name for message ids outside exchanges

Cause: a keeper began the hold of a new upstream by asking for a refusal and throwing the answer away; two public methods gave the same message ids; the name watchful told nothing. Conclusion: no behaviour changes but that new watches are few from the moment in which a balancer notices that it is the keeper, as decision 0011 says.

--- a/filbertd/internal/daemon/gossip.go
+++ b/filbertd/internal/daemon/gossip.go
@@ -43,9 +43,9 @@
 	}
 }
 
-// watchful reports whether the process may act on its view and configuration,
-// and notices pauses.
-func (d *Daemon) watchful(now time.Time) bool {
+// updateTrust notices pauses and reports whether the process may act on its view
+// and configuration; where it may not, the outlet sends nothing.
+func (d *Daemon) updateTrust(now time.Time) bool {
 	if since, paused := d.trust.Tick(now); paused {
 		d.tracker.Wake(now, since)
 		d.counters.add("pause", "")
--- a/filbertd/internal/daemon/loop.go
+++ b/filbertd/internal/daemon/loop.go
@@ -28,7 +28,7 @@
 			e.buffer.release()
 		case f := <-d.calls:
 			d.outlet.now = time.Now()
-			d.watchful(d.outlet.now)
+			d.updateTrust(d.outlet.now)
 			f(d.outlet.now)
 		case now := <-ticker.C:
 			d.advance(now)
@@ -40,7 +40,7 @@
 
 func (d *Daemon) advance(now time.Time) {
 	d.outlet.now = now
-	trusted := d.watchful(now)
+	trusted := d.updateTrust(now)
 	d.beat(now)
 	d.balancer.SetMembers(d.tracker.Table(), d.tracker.Settled(now))
 	if trusted {
@@ -53,7 +53,7 @@
 
 func (d *Daemon) handle(now time.Time, e *event) {
 	d.outlet.now = now
-	d.watchful(now)
+	d.updateTrust(now)
 	switch e.source {
 	case sourceCaller:
 		d.fromCaller(now, e)
--- a/filbertd/internal/daemon/prober.go
+++ b/filbertd/internal/daemon/prober.go
@@ -178,7 +178,7 @@
 			q.limit = limit
 		}
 		d.counters.add("probe", "sent")
-		id := d.balancer.Keeper().NextForwarded(u.ID)
+		id := d.balancer.Keeper().Message(u.ID)
 		b, err := d.outlet.writer.Probe(id, q.token(), q.path())
 		if err != nil {
 			d.counters.add("probe", "malformed")
--- a/keeper/tenure.go
+++ b/keeper/tenure.go
@@ -24,16 +24,10 @@
 // that it kept already is left as it is.
 func (k *Keeper) Keep(now time.Time, u *config.Upstream) *upstream.Gate {
 	g := k.Gate(u)
-	g.Refusal(now)
+	g.Start(now)
 	return g
 }
 
-// NextForwarded returns a message id for a message to an upstream that belongs
-// to no exchange.
-func (k *Keeper) NextForwarded(id uint32) uint16 {
-	return k.nextForwarded(id)
-}
-
 // Review follows a change of the member view: keeps tells whether this balancer
 // keeps an upstream. Upstreams that are another's take no new work here, and
 // are held anew once they come back.
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -90,8 +90,8 @@
 // A GateOption changes how a gate starts.
 type GateOption func(*Gate)
 
-// WithHold makes a gate count all slots as taken for a time after its first use,
-// and admit few new watches for another.
+// WithHold makes a gate count all slots as taken for a time after Start or its
+// first use, and admit few new watches for another.
 func WithHold(slots, watches time.Duration) GateOption {
 	return func(g *Gate) {
 		g.hold.arm(slots)
@@ -238,6 +238,12 @@
 	return g.sheds
 }
 
+// Start begins the holds of a gate that was not used before.
+func (g *Gate) Start(now time.Time) {
+	g.hold.begin(now)
+	g.watchHold.begin(now)
+}
+
 // Watches returns the number of open watches.
 func (g *Gate) Watches() uint32 {
 	return g.watches
