--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -18,6 +18,8 @@
 	inForce = 3 * time.Second
 	// pauseTime is longer than a member may be unheard.
 	pauseTime = 6 * time.Second
+	// freezeTime is shorter than the silence that breaks a watch.
+	freezeTime = 5 * time.Second
 	// zoneOutTime is how long a zone stays taken out.
 	zoneOutTime = 4 * time.Second
 )
@@ -147,6 +149,20 @@
 	require.NoError(t, s.FaultUpstream(ctx, `{"cold":true}`))
 }
 
+// misleadReports makes all upstreams report that they are idle.
+func misleadReports(ctx context.Context, t *testing.T, s *system.System) {
+	require.NoError(t, s.FaultUpstream(ctx, `{"mislead":true}`))
+}
+
+// freezeUpstream has one upstream read and answer nothing for a while, its
+// reports among it.
+func freezeUpstream(ctx context.Context, t *testing.T, s *system.System) {
+	name := s.Place().Desk + "-1"
+	require.NoError(t, s.FaultUpstream(ctx, `{"upstream":"`+name+`","frozen":true}`))
+	wait(t, freezeTime)
+	require.NoError(t, s.FaultUpstream(ctx, `{"upstream":"`+name+`","frozen":false}`))
+}
+
 func silentPaths(ctx context.Context, t *testing.T, s *system.System) {
 	require.NoError(t, s.FaultUpstream(ctx, `{"silent":true}`))
 }
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -128,6 +128,16 @@
 			name:  "all upstreams cold at once",
 			fault: coldUpstreams,
 		},
+		{
+			name:    "reports mislead",
+			planned: true,
+			place:   &system.Consorzio,
+			fault:   misleadReports,
+		},
+		{
+			name:  "an upstream freezes and thaws",
+			fault: freezeUpstream,
+		},
 		{
 			name:  "open paths go silent",
 			fault: silentPaths,
