refactor: stand-ins read their JSON files by one function

Cause: platform, upstream and caller each read and decoded a file by themselves. Ruled out: one function for their command lines too; it would bring go-flags and logrus into the library's module. Change: internal/standin.ReadFile. Conclusion: no behaviour changes.

--- a/standin/caller/internal/cmd/cmd.go
+++ b/standin/caller/internal/cmd/cmd.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/netip"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/internal/standin"
 	"filbertworks.example/filbertworks/standin/caller/internal/flow"
 )
 
@@ -68,13 +68,9 @@
 }
 
 func run(o *options, log *logrus.Logger) (*flow.Report, error) {
-	data, err := os.ReadFile(o.Config)
-	if err != nil {
-		return nil, eris.Wrap(err, "read")
-	}
 	var document config.Document
-	if err := config.Decode(data, &document); err != nil {
-		return nil, eris.Wrap(err, o.Config)
+	if err := standin.ReadFile(o.Config, &document); err != nil {
+		return nil, err
 	}
 	settings, err := settingsOf(o)
 	if err != nil {
--- a/standin/platform/internal/cmd/cmd.go
+++ b/standin/platform/internal/cmd/cmd.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/internal/standin"
 	"filbertworks.example/filbertworks/standin/platform/internal/publish"
 )
 
@@ -57,11 +57,11 @@
 
 func run(ctx context.Context, o *options, log *logrus.Logger) error {
 	var document config.Document
-	if err := load(o.Config, &document); err != nil {
+	if err := standin.ReadFile(o.Config, &document); err != nil {
 		return err
 	}
 	var vms config.VMList
-	if err := load(o.VMs, &vms); err != nil {
+	if err := standin.ReadFile(o.VMs, &vms); err != nil {
 		return err
 	}
 	store, err := publish.NewStore(&document, vms)
@@ -87,11 +87,3 @@
 	}
 	return nil
 }
-
-func load(file string, v any) error {
-	data, err := os.ReadFile(file) //nolint:gosec // The operator names the file on the command line.
-	if err != nil {
-		return eris.Wrap(err, "read")
-	}
-	return eris.Wrap(config.Decode(data, v), file)
-}
--- a/standin/upstream/internal/cmd/cmd.go
+++ b/standin/upstream/internal/cmd/cmd.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/internal/standin"
 	"filbertworks.example/filbertworks/standin/upstream/internal/host"
 )
 
@@ -57,13 +57,9 @@
 }
 
 func run(ctx context.Context, o *options, log *logrus.Logger) error {
-	data, err := os.ReadFile(o.Config)
-	if err != nil {
-		return eris.Wrap(err, "read")
-	}
 	var document config.Document
-	if err := config.Decode(data, &document); err != nil {
-		return eris.Wrap(err, o.Config)
+	if err := standin.ReadFile(o.Config, &document); err != nil {
+		return err
 	}
 	selection := host.Selection{
 		Services: o.Service,
