--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,205 @@
+// Package directory holds what a balancer knows of routes, upstreams and zones:
+// items under one revision counter, which are learnt from the platform or from
+// peers as deltas. Time is passed in; it has no sockets, goroutines or clock of
+// its own.
+package directory
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Times of the directory.
+const (
+	// KeepDeparted is how long a host whose entry went is remembered for the
+	// sake of its open flows. It exceeds the longest life of a flow.
+	KeepDeparted = 90 * time.Second
+	// LapseGrace is how long hosts stay eligible whose entries went after the
+	// platform had been silent: the living among them are back by then.
+	LapseGrace = 2 * time.Second
+	// ReturnGrace is how long the hosts of a zone that was taken back are taken
+	// for cold: news of their state may follow that of the zone.
+	ReturnGrace = 3 * time.Second
+)
+
+// Errors of changes.
+var (
+	// ErrGap reports a delta that starts from a later revision than the
+	// directory's.
+	ErrGap = eris.New("delta starts after this directory's revision")
+	// ErrHistory reports that the changes since a revision are not to be had any
+	// more.
+	ErrHistory = eris.New("changes since this revision are gone")
+)
+
+// A Directory is the set of items as of one revision. It is not safe for
+// concurrent use.
+type Directory struct {
+	items    map[Key]*Item
+	revision uint64
+	// floor is the highest revision of a forgotten item: deltas from below it
+	// are not complete.
+	floor uint64
+	// returned holds when zones were taken back.
+	returned map[string]time.Time
+	// removed holds the addresses of routes that a plan has dropped.
+	removed map[netip.AddrPort]bool
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		items:    make(map[Key]*Item),
+		returned: make(map[string]time.Time),
+		removed:  make(map[netip.AddrPort]bool),
+	}
+}
+
+// Apply takes a delta and returns the items that it changed. The error is
+// ErrGap. A delta that leads to an older revision changes nothing.
+func (d *Directory) Apply(now time.Time, delta *Delta) ([]Item, error) {
+	if delta.Base > d.revision {
+		return nil, ErrGap
+	}
+	if delta.Revision <= d.revision {
+		return nil, nil
+	}
+	var changed []Item
+	for i := range delta.Items {
+		if d.set(now, &delta.Items[i]) {
+			changed = append(changed, *d.items[delta.Items[i].Key])
+		}
+	}
+	if delta.Base == 0 {
+		changed = append(changed, d.dropUnlisted(now, delta)...)
+	}
+	d.revision = delta.Revision
+	return changed, nil
+}
+
+// Prune forgets hosts and zones that went long ago.
+func (d *Directory) Prune(now time.Time) {
+	for k, i := range d.items {
+		if !i.Deleted {
+			continue
+		}
+		if i.Upstream != nil && now.Sub(i.Upstream.Departed) < KeepDeparted {
+			continue
+		}
+		if i.Upstream == nil && now.Sub(d.returned[k.Name]) < KeepDeparted {
+			continue
+		}
+		d.floor = max(d.floor, i.Revision)
+		delete(d.items, k)
+	}
+}
+
+// Remember takes what a peer's delta tells of hosts whose entries went, also
+// where the delta is no newer than the directory. It returns what was not known.
+func (d *Directory) Remember(now time.Time, delta *Delta) []Item {
+	var changed []Item
+	for i := range delta.Items {
+		item := &delta.Items[i]
+		if !item.Deleted || item.Upstream == nil || d.items[item.Key] != nil {
+			continue
+		}
+		if d.set(now, item) {
+			changed = append(changed, *item)
+		}
+	}
+	return changed
+}
+
+// Revision returns the revision of the directory; zero where it knows nothing.
+func (d *Directory) Revision() uint64 {
+	return d.revision
+}
+
+// Since returns the delta that leads from a revision to the directory's; its
+// items are ordered by revision.
+func (d *Directory) Since(revision uint64) *Delta {
+	delta := &Delta{
+		Base:     revision,
+		Revision: max(d.revision, revision),
+	}
+	if revision < d.floor {
+		delta.Base = 0
+	}
+	for _, i := range d.items {
+		if i.Revision > delta.Base {
+			delta.Items = append(delta.Items, *i)
+		}
+	}
+	slices.SortFunc(delta.Items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return delta
+}
+
+// dropUnlisted deletes the items that a complete delta does not have.
+func (d *Directory) dropUnlisted(now time.Time, delta *Delta) []Item {
+	listed := make(map[Key]bool, len(delta.Items))
+	for i := range delta.Items {
+		listed[delta.Items[i].Key] = true
+	}
+	var dropped []Item
+	for k, i := range d.items {
+		if listed[k] || i.Deleted || i.Revision > delta.Revision {
+			continue
+		}
+		d.set(now, &Item{
+			Key:      k,
+			Revision: delta.Revision,
+			Deleted:  true,
+		})
+		dropped = append(dropped, *d.items[k])
+	}
+	return dropped
+}
+
+// set takes one item and reports whether it is newer than what was known.
+func (d *Directory) set(now time.Time, next *Item) bool {
+	old := d.items[next.Key]
+	if old != nil && old.Revision >= next.Revision {
+		return false
+	}
+	if next.Key.Kind == KindPlan && (next.Plan == nil || old != nil && old.Plan.Version >= next.Plan.Version) {
+		// Versions never go back, and a plan is never taken away.
+		return false
+	}
+	item := *next
+	if item.Deleted && item.Upstream == nil && old != nil && old.Upstream != nil {
+		item.Upstream = depart(now, old.Upstream)
+	}
+	if item.Key.Kind == KindPlan && old != nil {
+		d.noteRemoved(old.Plan, item.Plan)
+	}
+	if item.Key.Kind == KindZoneOut && item.Deleted && old != nil && !old.Deleted {
+		d.returned[item.Key.Name] = now
+	}
+	d.items[item.Key] = &item
+	return true
+}
+
+// noteRemoved takes the routes that next does not have any more.
+func (d *Directory) noteRemoved(old, next *Plan) {
+	for i := range old.Routes {
+		d.removed[old.Routes[i].Address] = true
+	}
+	for i := range next.Routes {
+		delete(d.removed, next.Routes[i].Address)
+	}
+}
+
+// depart returns what is remembered of a host whose entry went.
+func depart(now time.Time, u *Upstream) *Upstream {
+	if !u.Departed.IsZero() {
+		return u
+	}
+	departed := *u
+	departed.Departed = now
+	departed.Lapsed = !u.Draining
+	return &departed
+}
--- /dev/null
+++ b/directory/view.go
@@ -0,0 +1,175 @@
+package directory
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// A View is the directory at one moment, indexed for look-up and never changed
+// once made. It is safe for concurrent use.
+type View struct {
+	// Revision is that of the directory.
+	Revision uint64
+	// Plan is nil until one is known.
+	Plan *Plan
+
+	routes map[netip.AddrPort]*Route
+	// eligible holds the hosts that new flows may go to, by service, ordered by
+	// zone and ID.
+	eligible map[string][]*Upstream
+	tickets  map[Ticket]*Upstream
+	// addresses holds the listed host of each address.
+	addresses map[netip.AddrPort]*Upstream
+	limits    map[string]*Service
+	out       map[string]bool
+	removed   map[netip.AddrPort]bool
+	upstreams int
+}
+
+// View returns the directory as of now. Hosts of which lapsed says that their
+// entry may have gone by mistake stay eligible.
+func (d *Directory) View(now time.Time, lapsed func(u *Upstream) bool) *View {
+	v := &View{
+		Revision:  d.revision,
+		routes:    make(map[netip.AddrPort]*Route),
+		eligible:  make(map[string][]*Upstream),
+		tickets:   make(map[Ticket]*Upstream, len(d.items)),
+		addresses: make(map[netip.AddrPort]*Upstream, len(d.items)),
+		limits:    make(map[string]*Service),
+		out:       make(map[string]bool),
+		removed:   maps.Clone(d.removed),
+	}
+	if i := d.items[Key{Kind: KindPlan}]; i != nil {
+		v.setPlan(i.Plan)
+	}
+	for k, i := range d.items {
+		if k.Kind == KindZoneOut && !i.Deleted {
+			v.out[k.Name] = true
+		}
+	}
+	for _, u := range d.upstreams() {
+		v.add(d.warming(now, v, u), lapsed)
+	}
+	for _, hosts := range v.eligible {
+		slices.SortFunc(hosts, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return v
+}
+
+// ByAddress returns the listed host at an address, or nil.
+func (v *View) ByAddress(a netip.AddrPort) *Upstream {
+	return v.addresses[a]
+}
+
+// ByTicket returns the host that a ticket names, also one whose entry went, or
+// nil.
+func (v *View) ByTicket(t Ticket) *Upstream {
+	return v.tickets[t]
+}
+
+// Eligible returns the hosts of a service that new flows may go to; the caller
+// does not change them.
+func (v *View) Eligible(service string) []*Upstream {
+	return v.eligible[service]
+}
+
+// Limits returns what hosts of a service can bear, or nil.
+func (v *View) Limits(service string) *Service {
+	return v.limits[service]
+}
+
+// Out reports whether a zone is taken out.
+func (v *View) Out(zone string) bool {
+	return v.out[zone]
+}
+
+// Removed reports whether a plan has dropped the route of an address.
+func (v *View) Removed(a netip.AddrPort) bool {
+	return v.removed[a]
+}
+
+// Route returns the route of an address, or nil.
+func (v *View) Route(a netip.AddrPort) *Route {
+	return v.routes[a]
+}
+
+// Upstreams returns the number of listed hosts.
+func (v *View) Upstreams() int {
+	return v.upstreams
+}
+
+func (v *View) add(u *Upstream, lapsed func(u *Upstream) bool) {
+	if other := v.tickets[u.Ticket()]; other == nil || precedes(u, other) {
+		v.tickets[u.Ticket()] = u
+	}
+	if u.Departed.IsZero() {
+		v.upstreams++
+		v.addresses[u.Address] = u
+	}
+	gone := !u.Departed.IsZero() && !lapsed(u)
+	if gone || u.Draining || v.out[u.Zone] || v.tickets[u.Ticket()] != u {
+		return
+	}
+	v.eligible[u.Service] = append(v.eligible[u.Service], u)
+}
+
+func (v *View) setPlan(p *Plan) {
+	v.Plan = p
+	for i := range p.Routes {
+		v.routes[p.Routes[i].Address] = &p.Routes[i]
+	}
+	for i := range p.Services {
+		v.limits[p.Services[i].Name] = &p.Services[i]
+	}
+}
+
+// upstreams returns all hosts, those first whose tickets take precedence.
+func (d *Directory) upstreams() []*Upstream {
+	hosts := make([]*Upstream, 0, len(d.items))
+	for _, i := range d.items {
+		if i.Upstream != nil {
+			hosts = append(hosts, i.Upstream)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *Upstream) int {
+		if precedes(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// precedes reports whether a keeps the ticket that both have: listed hosts go
+// before departed ones, then the older one. The other gets no new flows.
+func precedes(a, b *Upstream) bool {
+	if a.Departed.IsZero() != b.Departed.IsZero() {
+		return a.Departed.IsZero()
+	}
+	if !a.Born.Equal(b.Born) {
+		return a.Born.Before(b.Born)
+	}
+	return a.ID < b.ID
+}
+
+// warming returns u, marked as cold where its zone has just been taken back.
+func (d *Directory) warming(now time.Time, v *View, u *Upstream) *Upstream {
+	back, ok := d.returned[u.Zone]
+	if !ok || now.Sub(back) >= ReturnGrace {
+		return u
+	}
+	limits := v.limits[u.Service]
+	if limits == nil || limits.WarmupPerSecond == 0 {
+		return u
+	}
+	until := back.Add(ReturnGrace)
+	if !u.WarmAt.Before(until) {
+		return u
+	}
+	cold := *u
+	cold.WarmAt = until
+	return &cold
+}
--- /dev/null
+++ b/filbertflow/internal/cmd/config.go
@@ -0,0 +1,130 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"filbertworks.example/filbertworks/filbertflow/internal/daemon"
+	"filbertworks.example/filbertworks/filbertflow/internal/settings"
+	"filbertworks.example/filbertworks/platform"
+)
+
+// watchSettings is how often the settings file is read for changes that no
+// signal told.
+const watchSettings = 5 * time.Second
+
+// A config holds the settings of one run and the parts made from them.
+type config struct {
+	path     string
+	settings *settings.Settings
+	daemon   *daemon.Daemon
+}
+
+// serve runs a daemon until it has left after SIGTERM or SIGINT, or at once
+// after a second of these.
+func serve(path string, s *settings.Settings, stdout, stderr io.Writer) int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A reader of the logs that goes away must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	defer signal.Stop(signals)
+	c := newConfig(path, s, stdout)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.attend(ctx, signals, cancel)
+	if err := c.daemon.Run(ctx); err != nil {
+		return fail(stderr, exitFailure, err)
+	}
+	return exitOK
+}
+
+func newConfig(path string, s *settings.Settings, stdout io.Writer) *config {
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		// The settings are checked.
+		level = logrus.InfoLevel
+	}
+	c := &config{
+		path:     path,
+		settings: s,
+	}
+	c.daemon = daemon.New(daemon.Options{
+		Name:      s.Name,
+		Zone:      s.Zone,
+		Packets:   s.Packets.Listen,
+		Readiness: s.Readiness.Listen,
+		Peers:     s.Peers.Listen,
+		Metrics:   s.Metrics.Listen,
+		Seeds:     s.Peers.Seeds,
+		Grace:     time.Duration(s.Leave.Grace),
+		LogRate:   s.Log.Rate,
+		LogLevel:  level,
+		Logs:      stdout,
+		Codec:     platform.Codec{ClientPort: s.Packets.Listen.Port()},
+		Headroom:  platform.Headroom,
+		Source: func(o daemon.SourceObserver) daemon.Source {
+			return platform.NewStore(s.Store.Address,
+				platform.WithCalls(o.Called),
+				platform.WithRejections(func(r platform.Rejection) { o.Rejected(r.Key, r.Err) }))
+		},
+		Probes: platform.NewReadiness,
+	})
+	return c
+}
+
+// attend handles signals and changes of the settings file until ctx ends.
+func (c *config) attend(ctx context.Context, signals <-chan os.Signal, stop func()) {
+	ticker := time.NewTicker(watchSettings)
+	defer ticker.Stop()
+	known, err := os.ReadFile(c.path)
+	if err != nil {
+		c.daemon.Reloaded(nil, err)
+	}
+	leaving := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				known = c.reload(known, true)
+			case leaving:
+				stop()
+			default:
+				leaving = true
+				c.daemon.Leave()
+			}
+		case <-ticker.C:
+			known = c.reload(known, false)
+		}
+	}
+}
+
+// reload takes the settings file where it has changed or a signal asked for
+// it, and returns its content.
+func (c *config) reload(known []byte, asked bool) []byte {
+	data, err := os.ReadFile(c.path)
+	if err != nil {
+		c.daemon.Reloaded(nil, err)
+		return known
+	}
+	if !asked && bytes.Equal(data, known) {
+		return known
+	}
+	s, err := settings.Parse(data)
+	if err != nil {
+		c.daemon.Reloaded(nil, err)
+		return data
+	}
+	c.settings = s
+	c.daemon.Reloaded(s.Peers.Seeds, nil)
+	return data
+}
--- /dev/null
+++ b/filbertflow/internal/daemon/peers.go
@@ -0,0 +1,323 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/rendezvous"
+	"filbertworks.example/filbertworks/wire"
+)
+
+const (
+	// fanOut is the number of peers that a balancer passes changes on to.
+	fanOut = 6
+	// deltaSize is the greatest size of a datagram with changes, in bytes: it
+	// fits an unfragmented packet of an Ethernet link.
+	deltaSize = 1200
+	// partItems is the number of items in a part of an answer.
+	partItems = 200
+	// pullTimeout bounds a call of a peer.
+	pullTimeout = 2 * time.Second
+)
+
+// directoryServer answers peers that ask for changes.
+type directoryServer struct {
+	daemon *Daemon
+}
+
+// Changes streams what leads from a revision to the one known here.
+func (s *directoryServer) Changes(r *wire.ChangesRequest, stream wire.DRPCDirectory_ChangesStream) error {
+	answer := make(chan *directory.Delta, 1)
+	if !s.daemon.call(func(time.Time) { answer <- s.daemon.spread.dir.Since(r.GetSince()) }) {
+		return eris.New("too busy")
+	}
+	var delta *directory.Delta
+	select {
+	case delta = <-answer:
+	case <-stream.Context().Done():
+		return stream.Context().Err()
+	}
+	for part := range slices.Chunk(delta.Items, partItems) {
+		m := wire.NewDelta(time.Now(), &directory.Delta{
+			Base:     delta.Base,
+			Revision: delta.Revision,
+			Items:    part,
+		})
+		if err := stream.Send(m); err != nil {
+			return eris.Wrap(err, "send changes")
+		}
+	}
+	return stream.CloseSend()
+}
+
+// peerServer answers peers that ask for members.
+type peerServer struct {
+	wire.DRPCPeerUnimplementedServer
+	daemon *Daemon
+}
+
+// Members returns the records of all known processes.
+func (s *peerServer) Members(ctx context.Context, _ *wire.MembersRequest) (*wire.MembersReply, error) {
+	answer := make(chan []byte, 1)
+	if !s.daemon.call(func(time.Time) { answer <- wire.AppendRecords(nil, s.daemon.spread.tracker.Records()) }) {
+		return nil, eris.New("too busy")
+	}
+	select {
+	case records := <-answer:
+		return &wire.MembersReply{Records: records}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// servePeers answers peers' calls until ctx ends.
+func (d *Daemon) servePeers(ctx context.Context) {
+	mux := drpcmux.New()
+	err := errors.Join(
+		wire.DRPCRegisterDirectory(mux, &directoryServer{daemon: d}),
+		wire.DRPCRegisterPeer(mux, &peerServer{daemon: d}),
+	)
+	var listener net.Listener
+	if err == nil {
+		listen := net.ListenConfig{KeepAliveConfig: keepAlive}
+		listener, err = listen.Listen(ctx, "tcp4", d.options.Peers.String())
+	}
+	if err == nil {
+		err = drpcserver.New(mux).Serve(ctx, listener)
+	}
+	if err != nil && ctx.Err() == nil {
+		d.log.Warn(time.Now(), "peer: can't serve", logs.F("error", err.Error()))
+	}
+}
+
+// keepAlive finds connections that went silent.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     5 * time.Second,
+	Interval: time.Second,
+	Count:    3,
+}
+
+// hearPeers takes peers' datagrams until ctx ends.
+func (d *Daemon) hearPeers(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = d.datagram.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := d.datagram.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				d.counters.socketErrors.Add(1)
+			}
+			continue
+		}
+		data := slices.Clone(buffer[:n])
+		d.call(func(now time.Time) { d.spread.hear(ctx, now, from, data) })
+	}
+}
+
+// sendPeer sends a datagram to a peer; what is lost is made up for by the next
+// heartbeats.
+func (d *Daemon) sendPeer(to netip.AddrPort, data []byte) {
+	if _, err := d.datagram.WriteToUDPAddrPort(data, to); err != nil {
+		d.counters.socketErrors.Add(1)
+		return
+	}
+	d.counters.peerBytes.Add(uint64(len(data)))
+}
+
+// introduce asks the seeds for members and changes, once.
+func (d *Daemon) introduce(ctx context.Context) {
+	for _, a := range d.peerAddresses(d.options.Seeds) {
+		d.duties.Go(func() { d.introduceTo(ctx, a) })
+	}
+}
+
+func (d *Daemon) introduceTo(ctx context.Context, peer netip.AddrPort) {
+	delta, err := d.fetchChanges(ctx, peer, 0)
+	if err != nil {
+		d.log.Info(time.Now(), "peer: seed does not answer", logs.F("peer_address", peer), logs.F("error", err.Error()))
+		return
+	}
+	d.must(ctx, func(now time.Time) { d.spread.pulled(now, delta) })
+	records, err := d.fetchMembers(ctx, peer)
+	if err != nil {
+		d.log.Info(time.Now(), "peer: seed does not tell members", logs.F("peer_address", peer), logs.F("error", err.Error()))
+		return
+	}
+	d.must(ctx, func(now time.Time) {
+		for i := range records {
+			d.spread.tracker.Merge(now, &records[i])
+		}
+	})
+}
+
+// must hands an event to the goroutine of the directory, waiting for room.
+func (d *Daemon) must(ctx context.Context, f func(time.Time)) {
+	for !d.call(f) && ctx.Err() == nil {
+		sleep(ctx, tick)
+	}
+}
+
+// peerAddresses returns where other balancers on the VMs of addresses listen.
+func (d *Daemon) peerAddresses(seeds []netip.AddrPort) []netip.AddrPort {
+	peers := make([]netip.AddrPort, 0, len(seeds))
+	for _, s := range seeds {
+		a := netip.AddrPortFrom(s.Addr(), d.options.Peers.Port())
+		if a != d.options.Peers {
+			peers = append(peers, a)
+		}
+	}
+	return peers
+}
+
+// dial connects to a peer.
+func (d *Daemon) dial(ctx context.Context, peer netip.AddrPort) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	c, err := dialer.DialContext(ctx, "tcp4", peer.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "dial peer")
+	}
+	return drpcconn.New(c), nil
+}
+
+// fetchChanges returns what leads from a revision to the one known at a peer.
+func (d *Daemon) fetchChanges(ctx context.Context, peer netip.AddrPort, since uint64) (*directory.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	conn, err := d.dial(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := wire.NewDRPCDirectoryClient(conn).Changes(ctx, &wire.ChangesRequest{Since: since})
+	if err != nil {
+		return nil, eris.Wrap(err, "call peer")
+	}
+	whole := &directory.Delta{}
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return whole, nil
+		}
+		if err != nil {
+			return nil, eris.Wrap(err, "receive changes")
+		}
+		part, err := m.Directory(time.Now())
+		if err != nil {
+			return nil, err
+		}
+		whole.Base, whole.Revision = part.Base, part.Revision
+		whole.Items = append(whole.Items, part.Items...)
+	}
+}
+
+// fetchMembers returns the records of all processes that a peer knows.
+func (d *Daemon) fetchMembers(ctx context.Context, peer netip.AddrPort) ([]member.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	conn, err := d.dial(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := wire.NewDRPCPeerClient(conn).Members(ctx, &wire.MembersRequest{})
+	if err != nil {
+		return nil, eris.Wrap(err, "call peer")
+	}
+	records, err := wire.ParseRecords(reply.GetRecords())
+	return records, eris.Wrap(err, "records of peer")
+}
+
+// pass sends what changed since a revision to the next balancers of the tree of
+// origin.
+func (s *spread) pass(now time.Time, since, origin uint64) {
+	peers := s.children(origin)
+	if len(peers) == 0 {
+		return
+	}
+	for _, part := range parts(s.dir.Since(since)) {
+		data, err := wire.AppendDelta(nil, now, &part, origin)
+		if err == nil && len(data) > deltaSize {
+			// Too large for a datagram: the peers fetch it.
+			data, err = wire.AppendDelta(nil, now, &directory.Delta{
+				Base:     part.Revision,
+				Revision: part.Revision,
+			}, origin)
+		}
+		if err != nil {
+			s.daemon.log.Warn(now, "peer: can't encode changes", logs.F("error", err.Error()))
+			return
+		}
+		for _, a := range peers {
+			s.daemon.sendPeer(a, data)
+		}
+	}
+}
+
+// datagramItems is the number of items that fit a datagram.
+const datagramItems = 8
+
+// parts splits a delta into ones that follow each other.
+func parts(delta *directory.Delta) []directory.Delta {
+	var all []directory.Delta
+	base := delta.Base
+	for chunk := range slices.Chunk(delta.Items, datagramItems) {
+		part := directory.Delta{
+			Base:     base,
+			Revision: chunk[len(chunk)-1].Revision,
+			Items:    chunk,
+		}
+		base = part.Revision
+		all = append(all, part)
+	}
+	if len(all) > 0 {
+		all[len(all)-1].Revision = delta.Revision
+	}
+	return all
+}
+
+// children returns the peers of the own zone that this balancer passes on to
+// what origin has read. All balancers with the same view of the members find the
+// same tree.
+func (s *spread) children(origin uint64) []netip.AddrPort {
+	type place struct {
+		score uint64
+		relay netip.AddrPort
+		own   bool
+	}
+	var order []place
+	for _, m := range s.tracker.Members() {
+		if m.State == member.Dead || m.Zone != s.daemon.options.Zone || m.Incarnation == origin {
+			continue
+		}
+		order = append(order, place{
+			score: rendezvous.Score(origin, m.Incarnation),
+			relay: m.Relay,
+			own:   m.Incarnation == s.daemon.incarnation,
+		})
+	}
+	slices.SortFunc(order, func(a, b place) int { return cmp.Compare(a.score, b.score) })
+	index := slices.IndexFunc(order, func(p place) bool { return p.own })
+	// The origin is the root; the others follow it from index 0.
+	first := (index + 1) * fanOut
+	var peers []netip.AddrPort
+	for i := first; i < min(first+fanOut, len(order)); i++ {
+		peers = append(peers, order[i].relay)
+	}
+	return peers
+}
--- /dev/null
+++ b/filbertflow/internal/daemon/reader.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+)
+
+// Times of reading from the platform's store.
+const (
+	// watchWait is how long a watch waits for a change. It bounds the time in
+	// which a reader that the store leaves without an answer is noticed.
+	watchWait = time.Second
+	// batchPause is the time from an answer with changes until the next watch:
+	// changes that come together cost one call.
+	batchPause = 150 * time.Millisecond
+	// retryFirst and retryMost are the pauses after a call that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+)
+
+// read follows the store's changes while this balancer is a reader.
+func (d *Daemon) read(ctx context.Context) {
+	r := &reader{
+		daemon: d,
+		stale:  true,
+	}
+	reading := true
+	for ctx.Err() == nil {
+		for !reading {
+			select {
+			case reading = <-d.reads:
+			case <-ctx.Done():
+				return
+			}
+		}
+		r.step(ctx)
+		select {
+		case reading = <-d.reads:
+		default:
+		}
+	}
+}
+
+// reader is the state of following the store.
+type reader struct {
+	daemon *Daemon
+	// after is the revision up to which changes were read; zero asks for a
+	// listing.
+	after uint64
+	// stale tells that a listing may be old: a watch follows at once.
+	stale bool
+	pause time.Duration
+	// lost tells that the last call failed.
+	lost bool
+}
+
+// step makes one call and waits as it should.
+func (r *reader) step(ctx context.Context) {
+	d := r.daemon
+	began := time.Now()
+	if v := d.view.Load(); v != nil {
+		r.after = max(r.after, v.Revision)
+	}
+	delta, err := r.fetch(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.failed(ctx, err)
+		return
+	}
+	if r.lost {
+		r.lost = false
+		d.log.Info(time.Now(), "store: regained", logs.F("revision", delta.Revision))
+	}
+	r.pause = 0
+	listed := delta.Base == 0
+	r.after = max(r.after, delta.Revision)
+	d.call(func(now time.Time) { d.spread.readDelta(now, began, delta) })
+	if len(delta.Items) > 0 && !listed {
+		sleep(ctx, batchPause)
+	}
+}
+
+func (r *reader) fetch(ctx context.Context) (*directory.Delta, error) {
+	if r.after > 0 {
+		return r.daemon.source.Watch(ctx, r.after, watchWait)
+	}
+	return r.daemon.source.List(ctx, r.stale)
+}
+
+// failed takes an error of a call and waits before the next one.
+func (r *reader) failed(ctx context.Context, err error) {
+	d := r.daemon
+	if errors.Is(err, directory.ErrHistory) {
+		d.log.Info(time.Now(), "store: history is gone, listing", logs.F("revision", r.after))
+		r.relist(ctx)
+		return
+	}
+	d.counters.storeErrors.Add(1)
+	if !r.lost {
+		d.log.Warn(time.Now(), "store: lost", logs.F("error", err.Error()), logs.F("revision", r.after))
+	}
+	r.lost = true
+	d.source.Close()
+	r.pause = min(max(2*r.pause, retryFirst), retryMost)
+	sleep(ctx, r.pause)
+}
+
+// relist reads all there is, as changes since the last revision are not to be
+// had.
+func (r *reader) relist(ctx context.Context) {
+	began := time.Now()
+	delta, err := r.daemon.source.List(ctx, false)
+	if err != nil {
+		r.failed(ctx, err)
+		return
+	}
+	r.after = max(r.after, delta.Revision)
+	r.daemon.call(func(now time.Time) { r.daemon.spread.readDelta(now, began, delta) })
+}
+
+// sleep waits for a time or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/filbertflow/internal/daemon/spread.go
@@ -0,0 +1,322 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/rollout"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// Times of spreading.
+const (
+	// behindLimit is how long changes may be on their way before a balancer that
+	// has heard of them asks a peer.
+	behindLimit = 200 * time.Millisecond
+	// outageLimit is the silence of the store after which entries may have
+	// lapsed by mistake: two unanswered watches.
+	outageLimit = 2 * (watchWait + 500*time.Millisecond)
+	// pruneInterval is the time between two looks for what can be forgotten.
+	pruneInterval = 10 * time.Second
+	// settleTime is how long after a change of entries or zones the view may
+	// still change with time alone.
+	settleTime = directory.ReturnGrace + directory.LapseGrace
+)
+
+// spread owns the directory and the view of the members. One goroutine uses it.
+type spread struct {
+	daemon  *Daemon
+	dir     *directory.Directory
+	tracker *member.Tracker
+	table   *member.Table
+	reading bool
+	// forgive is until when entries that lapse count as a mistake.
+	forgive time.Time
+	// settled is when the view stops changing with time alone.
+	settled time.Time
+	pruned  time.Time
+	// wanted is the highest revision that a peer has told of, and source the
+	// peer; behind is since when it is wanted.
+	wanted  uint64
+	source  netip.AddrPort
+	behind  time.Time
+	pulling bool
+	clock   *pauseClock
+}
+
+func newSpread(now time.Time, d *Daemon) *spread {
+	o := &d.options
+	s := &spread{
+		daemon: d,
+		dir:    directory.New(),
+		tracker: member.NewTracker(now, member.Member{
+			Name:        o.Name,
+			Zone:        o.Zone,
+			Incarnation: d.incarnation,
+			Relay:       o.Peers,
+			Control:     o.Peers,
+			Admin:       o.Readiness,
+		}, rand.New(rand.NewPCG(d.incarnation, uint64(now.UnixNano())))),
+		reading: true,
+		clock:   newPauseClock(now),
+	}
+	s.tracker.AcceptStrangers()
+	s.seed(now, o.Seeds)
+	return s
+}
+
+// run handles events until ctx ends.
+func (s *spread) run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-s.daemon.calls.C():
+			f(time.Now())
+		case <-ticker.C:
+			s.tick(ctx, time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// apply takes changes that came from a balancer or the store, and passes them on.
+func (s *spread) apply(now time.Time, delta *directory.Delta, origin uint64, from string) error {
+	before := s.dir.Revision()
+	changed, err := s.dir.Apply(now, delta)
+	if err != nil {
+		return err
+	}
+	s.changed(now, changed, from)
+	if s.dir.Revision() > before {
+		s.tracker.SetVersion(config.Version(s.dir.Revision()))
+		if len(changed) > 0 && before > 0 && origin != 0 {
+			s.pass(now, before, origin)
+		}
+	}
+	return nil
+}
+
+// changed takes what the directory has learnt.
+func (s *spread) changed(now time.Time, changed []directory.Item, from string) {
+	if len(changed) == 0 && s.daemon.view.Load() != nil {
+		return
+	}
+	for i := range changed {
+		s.logItem(now, &changed[i], from)
+	}
+	s.settled = now.Add(settleTime)
+	s.publish(now)
+}
+
+// logItem tells of a change of what is believed.
+func (s *spread) logItem(now time.Time, i *directory.Item, from string) {
+	log := s.daemon.log
+	revision, source := logs.F("revision", i.Revision), logs.F("from", from)
+	switch i.Key.Kind {
+	case directory.KindPlan:
+		log.Info(now, "directory: plan in force", logs.F("plan", i.Plan.Version), logs.F("routes", len(i.Plan.Routes)), revision, source)
+	case directory.KindZoneOut:
+		log.Info(now, "directory: zone out", logs.F("zone", i.Key.Name), logs.F("out", !i.Deleted), revision, source)
+	case directory.KindUpstream:
+		fields := []logs.Field{logs.F("upstream", i.Key.Name), logs.F("gone", i.Deleted), revision, source}
+		if u := i.Upstream; u != nil {
+			fields = append(fields, logs.F("service", u.Service), logs.F("address", u.Address), logs.F("zone", u.Zone),
+				logs.F("draining", u.Draining), logs.F("cold_ms", max(u.WarmAt.Sub(now).Milliseconds(), 0)))
+		}
+		log.Info(now, "directory: upstream", fields...)
+	}
+}
+
+// publish makes the view that packets are decided by.
+func (s *spread) publish(now time.Time) {
+	first := s.daemon.view.Load() == nil
+	v := s.dir.View(now, s.forgiven(now))
+	s.daemon.view.Store(v)
+	s.daemon.counters.upstreams.Store(int64(v.Upstreams()))
+	s.daemon.counters.revision.Store(v.Revision)
+	if first {
+		close(s.daemon.viewed)
+		s.daemon.log.Info(now, "directory: first view", logs.F("revision", v.Revision), logs.F("upstreams", v.Upstreams()))
+	}
+}
+
+// forgiven returns which hosts stay eligible though their entry went: those
+// that lapsed while the store was away.
+func (s *spread) forgiven(now time.Time) func(*directory.Upstream) bool {
+	return func(u *directory.Upstream) bool {
+		return u.Lapsed && now.Before(s.forgive)
+	}
+}
+
+// readDelta takes what the store answered to a call that began at a time.
+func (s *spread) readDelta(now, began time.Time, delta *directory.Delta) {
+	if age := s.tracker.PlatformAge(now); age > outageLimit && s.dir.Revision() > 0 {
+		s.forgive = now.Add(directory.LapseGrace)
+		s.daemon.log.Info(now, "store: back after silence", logs.F("age_ms", age.Milliseconds()))
+	}
+	s.tracker.PlatformAnswered(began)
+	s.daemon.counters.storeAnswered.Store(now.UnixNano())
+	if err := s.apply(now, delta, s.daemon.incarnation, "store"); errors.Is(err, directory.ErrGap) {
+		// The reader starts from the directory's revision.
+		s.daemon.log.Warn(now, "store: gap", logs.F("base", delta.Base))
+	}
+}
+
+// seed takes the addresses of other balancers.
+func (s *spread) seed(now time.Time, seeds []netip.AddrPort) {
+	vms := make([]config.VM, 0, len(seeds))
+	for _, a := range s.daemon.peerAddresses(seeds) {
+		vms = append(vms, config.VM{
+			Relay:   a,
+			Control: a,
+		})
+	}
+	s.tracker.Seed(now, vms)
+}
+
+// tick does what is due.
+func (s *spread) tick(ctx context.Context, now time.Time) {
+	if pause := s.clock.Tick(now); pause > 0 {
+		s.daemon.log.Warn(now, "daemon: was suspended", logs.F("for_ms", pause.Milliseconds()))
+		s.tracker.Wake(now, now.Add(-pause))
+	}
+	for _, m := range s.tracker.Tick(now) {
+		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
+	}
+	s.review(now)
+	s.catchUp(ctx, now)
+	if now.Before(s.settled) {
+		s.publish(now)
+	}
+	if now.Sub(s.pruned) >= pruneInterval {
+		s.pruned = now
+		s.dir.Prune(now)
+	}
+}
+
+// review takes changes of the members: who reads the store, and who opens flows
+// of cold upstreams.
+func (s *spread) review(now time.Time) {
+	if t := s.tracker.Table(); t != s.table {
+		s.logMembers(now, t)
+		s.table = t
+		s.daemon.owners.Store(member.NewTable(t.Members()))
+	}
+	o := &s.daemon.options
+	reads := rollout.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Revision() > 0)
+	if reads == s.reading {
+		return
+	}
+	s.reading = reads
+	s.daemon.log.Info(now, "store: reading", logs.F("reads", reads), logs.F("age_ms", s.tracker.PlatformAge(now).Milliseconds()))
+	select {
+	case <-s.daemon.reads:
+	default:
+	}
+	s.daemon.reads <- reads
+}
+
+func (s *spread) logMembers(now time.Time, next *member.Table) {
+	known := make(map[uint64]member.State)
+	if s.table != nil {
+		for _, m := range s.table.Members() {
+			known[m.Incarnation] = m.State
+		}
+	}
+	for _, m := range next.Members() {
+		if state, ok := known[m.Incarnation]; !ok || state != m.State {
+			s.daemon.log.Info(now, "peer: "+m.State.String(), logs.F("peer", m.Name), logs.F("peer_zone", m.Zone), logs.F("incarnation", m.Incarnation))
+		}
+	}
+}
+
+// hear takes a datagram of a peer.
+func (s *spread) hear(ctx context.Context, now time.Time, from netip.AddrPort, data []byte) {
+	if wire.IsDelta(data) {
+		s.hearDelta(ctx, now, from, data)
+		return
+	}
+	var h member.Heartbeat
+	if err := wire.ParseHeartbeat(data, &h); err != nil {
+		s.daemon.counters.malformed.Add(1)
+		return
+	}
+	if !s.tracker.Hear(now, from, &h).Known {
+		return
+	}
+	s.want(now, uint64(h.Sender.Version), h.Sender.Control)
+}
+
+// hearDelta takes changes that a peer passes on.
+func (s *spread) hearDelta(ctx context.Context, now time.Time, from netip.AddrPort, data []byte) {
+	delta, origin, err := wire.ParseDelta(now, data)
+	if err != nil {
+		s.daemon.counters.malformed.Add(1)
+		return
+	}
+	if err := s.apply(now, delta, origin, "peer"); err != nil {
+		s.want(now, delta.Revision, from)
+		s.pull(ctx, now)
+	}
+}
+
+// want takes a peer's word that it has a revision.
+func (s *spread) want(now time.Time, revision uint64, peer netip.AddrPort) {
+	if revision <= s.dir.Revision() || revision < s.wanted {
+		return
+	}
+	if s.wanted <= s.dir.Revision() {
+		s.behind = now
+	}
+	s.wanted = revision
+	s.source = peer
+}
+
+// catchUp asks a peer for changes that should have come by now.
+func (s *spread) catchUp(ctx context.Context, now time.Time) {
+	if s.wanted > s.dir.Revision() && now.Sub(s.behind) >= behindLimit {
+		s.pull(ctx, now)
+	}
+}
+
+// pull asks the peer that has told of the highest revision for it.
+func (s *spread) pull(ctx context.Context, now time.Time) {
+	if s.pulling {
+		return
+	}
+	s.pulling = true
+	peer, since := s.source, s.dir.Revision()
+	// A peer that does not answer is asked again once another one, or the same,
+	// tells of the revision.
+	s.wanted = s.dir.Revision()
+	s.behind = now
+	d := s.daemon
+	d.duties.Go(func() {
+		delta, err := d.fetchChanges(ctx, peer, since)
+		if err != nil {
+			d.log.Warn(time.Now(), "peer: can't get changes", logs.F("peer_address", peer), logs.F("error", err.Error()))
+		}
+		d.must(ctx, func(now time.Time) { s.pulled(now, delta) })
+	})
+}
+
+// pulled takes the answer of a peer; delta is nil where there is none.
+func (s *spread) pulled(now time.Time, delta *directory.Delta) {
+	s.pulling = false
+	if delta == nil {
+		return
+	}
+	if err := s.apply(now, delta, s.daemon.incarnation, "peer"); err != nil {
+		s.daemon.log.Warn(now, "peer: gap", logs.F("base", delta.Base))
+	}
+	s.changed(now, s.dir.Remember(now, delta), "peer")
+}
--- /dev/null
+++ b/filbertflow/internal/daemon/traffic.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/flow"
+)
+
+const (
+	// packetBuffer is the size of the socket's buffer for clients' packets, in
+	// bytes.
+	packetBuffer = 1 << 20
+	// maxDatagram is the largest datagram that is read, in bytes.
+	maxDatagram = 2048
+)
+
+// forward takes clients' packets until ctx ends. It alone uses the forwarder.
+func (d *Daemon) forward(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = d.packets.Close() })
+	defer stop()
+	d.awaitView(ctx)
+	t := &traffic{
+		daemon:    d,
+		forwarder: flow.New(time.Now(), d.options.Zone, d),
+		buffer:    make([]byte, maxDatagram),
+	}
+	for ctx.Err() == nil {
+		t.next()
+	}
+}
+
+// awaitView waits for the first view.
+func (d *Daemon) awaitView(ctx context.Context) {
+	timer := time.NewTimer(firstViewTimeout)
+	defer timer.Stop()
+	select {
+	case <-d.viewed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Owns reports whether this balancer opens the flows of a cold upstream. Only
+// the goroutine of packets calls it.
+func (d *Daemon) Owns(u *directory.Upstream) bool {
+	t := d.owners.Load()
+	if t == nil {
+		return false
+	}
+	m, ok := t.Keeper(uint32(u.Ticket()), u.Zone)
+	return ok && m.Name == d.options.Name
+}
+
+// traffic is the way of clients' packets through a daemon.
+type traffic struct {
+	daemon    *Daemon
+	forwarder *flow.Forwarder
+	buffer    []byte
+	reset     []byte
+	packet    flow.Packet
+	empty     directory.View
+}
+
+// next takes one packet.
+func (t *traffic) next() {
+	d := t.daemon
+	room := d.options.Headroom
+	n, err := d.packets.Read(t.buffer[room:])
+	if err != nil {
+		if !errors.Is(err, net.ErrClosed) {
+			d.counters.socketErrors.Add(1)
+			d.log.Warn(time.Now(), "packets: can't read", logs.F("error", err.Error()))
+		}
+		return
+	}
+	now := time.Now()
+	if err := d.options.Codec.Parse(t.buffer[room:room+n], &t.packet); err != nil {
+		d.counters.malformed.Add(1)
+		d.log.Warn(now, "packets: malformed", logs.F("size", n))
+		return
+	}
+	view := d.view.Load()
+	if view == nil {
+		view = &t.empty
+	}
+	decision := t.forwarder.Forward(now, view, &t.packet)
+	t.act(n, &decision)
+	d.counters.decided(&decision, time.Since(now), t.forwarder.Flows())
+	t.report(now, view, &decision)
+}
+
+// act carries a decision out.
+func (t *traffic) act(n int, decision *flow.Decision) {
+	d := t.daemon
+	var err error
+	switch decision.Action {
+	case flow.Forward:
+		out := t.buffer[:d.options.Headroom+n]
+		d.options.Codec.Readdress(out, decision.Upstream, decision.Ticket)
+		_, err = d.packets.WriteToUDPAddrPort(out, decision.Upstream.Address)
+	case flow.Reject:
+		reset, to := d.options.Codec.AppendReset(t.reset[:0], &t.packet)
+		t.reset = reset
+		_, err = d.packets.WriteToUDPAddrPort(reset, to)
+	case flow.Drop:
+	}
+	if err != nil {
+		d.counters.socketErrors.Add(1)
+		d.log.Warn(time.Now(), "packets: can't send", logs.F("error", err.Error()))
+	}
+}
+
+// report logs a decision, unless it only follows an earlier one.
+func (t *traffic) report(now time.Time, v *directory.View, decision *flow.Decision) {
+	log := t.daemon.log
+	for _, b := range t.forwarder.Beliefs() {
+		log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID),
+			logs.F("silent_flows", b.Flows), logs.F("silence_ms", b.Silence.Milliseconds()))
+	}
+	if decision.Reason == flow.ReasonTicket && decision.Action == flow.Forward {
+		return
+	}
+	fields := []logs.Field{
+		logs.F("flow", t.packet.Client.String()),
+		logs.F("service_address", t.packet.Service.String()),
+		logs.F("reason", decision.Reason.String()),
+		logs.F("revision", v.Revision),
+	}
+	if v.Plan != nil {
+		fields = append(fields, logs.F("plan", v.Plan.Version))
+	}
+	if decision.Upstream != nil {
+		fields = append(fields, logs.F("upstream", decision.Upstream.ID), logs.F("upstream_zone", decision.Upstream.Zone))
+	}
+	if decision.Candidates > 0 {
+		fields = append(fields, logs.F("service", decision.Service), logs.F("candidates", decision.Candidates),
+			logs.F("flows", decision.Load.Flows), logs.F("working", decision.Load.Working))
+	}
+	if decision.Reason == flow.ReasonUnknown {
+		fields = append(fields, logs.F("ticket", uint32(t.packet.Ticket)))
+	}
+	log.Info(now, "flow: "+decision.Action.String(), fields...)
+}
--- /dev/null
+++ b/filbertflow/internal/logs/log.go
@@ -0,0 +1,200 @@
+// Package logs writes structured lines at a bounded rate and never blocks those
+// who write them.
+package logs
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"filbertworks.example/filbertworks/ring"
+)
+
+const (
+	// ringSize is the number of lines that wait for being written.
+	ringSize = 512
+	// flushTimeout bounds the time for what is left when the log ends.
+	flushTimeout = 200 * time.Millisecond
+)
+
+// A Field is a named value of a line.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// F returns a field.
+func F(name string, value any) Field {
+	return Field{
+		Name:  name,
+		Value: value,
+	}
+}
+
+// A line waits for being written.
+type line struct {
+	at      time.Time
+	level   logrus.Level
+	message string
+	fields  []Field
+	// dropped is the number of lines of the kind that were left out since the
+	// last one.
+	dropped uint64
+}
+
+// A Log writes lines; it is safe for concurrent use. Lines of a kind above its
+// rate are counted and left out, as are those for which the ring has no room.
+type Log struct {
+	out     *logrus.Logger
+	buffer  *bufio.Writer
+	name    string
+	rate    float64
+	lines   *ring.Ring[line]
+	dropped atomic.Uint64
+
+	mu    sync.Mutex
+	kinds map[string]*budget
+}
+
+// budget bounds the lines of one kind.
+type budget struct {
+	tokens float64
+	filled time.Time
+	// dropped counts since the last line that was let through.
+	dropped uint64
+}
+
+// New returns a log of the balancer called name that writes at most rate lines
+// of one kind a second to w.
+func New(w io.Writer, name string, level logrus.Level, rate int) *Log {
+	l := &Log{
+		out:    logrus.New(),
+		buffer: bufio.NewWriter(w),
+		name:   name,
+		rate:   float64(rate),
+		lines:  ring.New[line](ringSize),
+		kinds:  make(map[string]*budget),
+	}
+	l.out.SetOutput(l.buffer)
+	l.out.SetLevel(level)
+	l.out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return l
+}
+
+// Dropped returns the number of lines left out so far.
+func (l *Log) Dropped() uint64 {
+	return l.dropped.Load() + l.lines.Refused()
+}
+
+// Info writes a line; message is constant and names its kind.
+func (l *Log) Info(now time.Time, message string, fields ...Field) {
+	l.write(now, logrus.InfoLevel, message, fields)
+}
+
+// Run writes lines until ctx ends.
+func (l *Log) Run(ctx context.Context) {
+	for {
+		select {
+		case next := <-l.lines.C():
+			l.emit(&next)
+			l.flushIdle()
+		case <-ctx.Done():
+			l.finish()
+			return
+		}
+	}
+}
+
+// Warn writes a line that tells of a fault; message is constant and names its
+// kind.
+func (l *Log) Warn(now time.Time, message string, fields ...Field) {
+	l.write(now, logrus.WarnLevel, message, fields)
+}
+
+func (l *Log) emit(next *line) {
+	fields := make(logrus.Fields, len(next.fields)+2)
+	fields["balancer"] = l.name
+	for _, f := range next.fields {
+		fields[f.Name] = f.Value
+	}
+	if next.dropped > 0 {
+		fields["left_out"] = next.dropped
+	}
+	l.out.WithTime(next.at).WithFields(fields).Log(next.level, next.message)
+}
+
+// finish writes what is left, unless nobody takes it in time.
+func (l *Log) finish() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for l.lines.Len() > 0 {
+			next := <-l.lines.C()
+			l.emit(&next)
+		}
+		l.flushIdle()
+	}()
+	select {
+	case <-done:
+	case <-time.After(flushTimeout):
+	}
+}
+
+// flushIdle hands lines on once no more wait.
+func (l *Log) flushIdle() {
+	if l.lines.Len() > 0 {
+		return
+	}
+	if err := l.buffer.Flush(); err != nil {
+		// Nobody reads the log: there is no other place to say so.
+		l.dropped.Add(1)
+		l.buffer.Reset(io.Discard)
+	}
+}
+
+// take reports whether a line of a kind may be written, and how many were left
+// out before it.
+func (l *Log) take(now time.Time, kind string) (dropped uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.kinds[kind]
+	if b == nil {
+		b = &budget{
+			tokens: l.rate,
+			filled: now,
+		}
+		l.kinds[kind] = b
+	}
+	b.tokens = min(b.tokens+l.rate*now.Sub(b.filled).Seconds(), l.rate)
+	b.filled = now
+	if b.tokens < 1 {
+		b.dropped++
+		l.dropped.Add(1)
+		return 0, false
+	}
+	b.tokens--
+	dropped, b.dropped = b.dropped, 0
+	return dropped, true
+}
+
+func (l *Log) write(now time.Time, level logrus.Level, message string, fields []Field) {
+	if !l.out.IsLevelEnabled(level) {
+		return
+	}
+	dropped, ok := l.take(now, message)
+	if !ok {
+		return
+	}
+	l.lines.Offer(line{
+		at:      now,
+		level:   level,
+		message: message,
+		fields:  fields,
+		dropped: dropped,
+	})
+}
--- /dev/null
+++ b/flow/forwarder.go
@@ -0,0 +1,316 @@
+package flow
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+)
+
+// defaultGeneration is how long a flow must be idle to be forgotten; it may be
+// remembered for twice that. It exceeds the idle time-outs of the hosts.
+const defaultGeneration = 20 * time.Second
+
+// Owners tells which balancer opens the flows of a cold upstream.
+type Owners interface {
+	// Owns reports whether this balancer does.
+	Owns(u *directory.Upstream) bool
+}
+
+// A Forwarder decides for one balancer. It is not safe for concurrent use.
+type Forwarder struct {
+	zone       string
+	owners     Owners
+	generation time.Duration
+	flows      *table
+	health     map[directory.Ticket]*health
+	beliefs    []Belief
+}
+
+// An Option changes a forwarder from its defaults.
+type Option func(*Forwarder)
+
+// WithGeneration sets how long a flow must be idle to be forgotten.
+func WithGeneration(d time.Duration) Option {
+	return func(f *Forwarder) {
+		f.generation = d
+	}
+}
+
+// New returns the forwarder of a balancer in a zone.
+func New(now time.Time, zone string, owners Owners, options ...Option) *Forwarder {
+	f := &Forwarder{
+		zone:       zone,
+		owners:     owners,
+		generation: defaultGeneration,
+		flows:      newTable(now),
+		health:     make(map[directory.Ticket]*health),
+	}
+	for _, o := range options {
+		o(f)
+	}
+	return f
+}
+
+// Beliefs returns what changed in the beliefs since the last call.
+func (f *Forwarder) Beliefs() []Belief {
+	b := f.beliefs
+	f.beliefs = nil
+	return b
+}
+
+// Flows returns the number of flows remembered.
+func (f *Forwarder) Flows() int {
+	return f.flows.len()
+}
+
+// Forward decides on a packet that came at now, with what v tells.
+func (f *Forwarder) Forward(now time.Time, v *directory.View, p *Packet) Decision {
+	f.forget(now)
+	k := p.key()
+	s := f.flows.find(k)
+	if p.Flags.Has(Open) {
+		return f.open(now, v, p, k, s)
+	}
+	return f.follow(now, v, p, k, s)
+}
+
+// open decides on the first packet of a flow, or on a copy of it.
+func (f *Forwarder) open(now time.Time, v *directory.View, p *Packet, k key, s *state) Decision {
+	if s != nil && s.opening && s.next == p.Sequence {
+		return f.reopen(now, v, p, k, s)
+	}
+	if v.Plan == nil {
+		return Decision{Reason: ReasonNotReady}
+	}
+	d := f.place(now, v, p, k, nil)
+	if d.Action == Forward {
+		f.remember(now, k, d.Upstream, p)
+	}
+	return d
+}
+
+// reopen decides on a copy of a first packet. The upstream is the same, unless
+// it is silent or may not take new flows any more.
+func (f *Forwarder) reopen(now time.Time, v *directory.View, p *Packet, k key, s *state) Decision {
+	s.copies++
+	u := s.upstream
+	h := f.healthOf(u)
+	f.struck(now, h, s)
+	if s.copies < moveCopies && !now.Before(h.avoid) && placeable(v, u) {
+		return Decision{
+			Action:   Forward,
+			Reason:   ReasonCopy,
+			Upstream: u,
+			Ticket:   u.Ticket(),
+			Service:  u.Service,
+			Load:     h.load,
+		}
+	}
+	d := f.place(now, v, p, k, u)
+	if d.Action != Forward {
+		return d
+	}
+	if d.Upstream != u {
+		d.Reason = ReasonMoved
+		f.drop(s)
+		copies := s.copies
+		f.remember(now, k, d.Upstream, p)
+		f.flows.find(k).copies = copies
+	}
+	return d
+}
+
+// moveCopies is the number of the copy that goes to another upstream: the first
+// copy answers the loss of a packet, the second one the loss of an upstream.
+const moveCopies = 2
+
+// placeable reports whether new flows may go to u.
+func placeable(v *directory.View, u *directory.Upstream) bool {
+	now := v.ByTicket(u.Ticket())
+	return now != nil && now.Departed.IsZero() && !now.Draining && !v.Out(now.Zone)
+}
+
+// follow decides on a packet of an open flow.
+func (f *Forwarder) follow(now time.Time, v *directory.View, p *Packet, k key, s *state) Decision {
+	u, reason := f.upstreamOf(v, p, s)
+	if u == nil {
+		return Decision{Reason: ReasonUnknown}
+	}
+	if v.Removed(p.Service) {
+		return Decision{
+			Action:   Reject,
+			Reason:   ReasonNoRoute,
+			Upstream: u,
+		}
+	}
+	if s == nil || s.upstream.Ticket() != u.Ticket() {
+		if s != nil {
+			f.drop(s)
+		}
+		s = f.adopt(now, k, u, p)
+	} else {
+		f.observe(now, s, p)
+	}
+	return f.judge(v, p, u, s, reason)
+}
+
+// judge decides whether a packet of an open flow still goes to its upstream.
+func (f *Forwarder) judge(v *directory.View, p *Packet, u *directory.Upstream, s *state, reason Reason) Decision {
+	d := Decision{
+		Action:   Forward,
+		Reason:   reason,
+		Upstream: u,
+		Ticket:   u.Ticket(),
+	}
+	waiting := s.copies > 0 && !s.closed && !p.Flags.Has(Reset)
+	switch other := v.ByAddress(u.Address); {
+	case !waiting:
+	case !u.Departed.IsZero() && other != nil && other.ID != u.ID:
+		d.Action, d.Reason = Reject, ReasonReplaced
+	case f.healthOf(u).state == Dead:
+		d.Action, d.Reason = Reject, ReasonDead
+	}
+	return d
+}
+
+// upstreamOf returns the upstream of an open flow, or nil.
+func (f *Forwarder) upstreamOf(v *directory.View, p *Packet, s *state) (*directory.Upstream, Reason) {
+	if u := v.ByTicket(p.Ticket); u != nil && p.Ticket != 0 {
+		return u, ReasonTicket
+	}
+	if s != nil {
+		return s.upstream, ReasonRemembered
+	}
+	return nil, ReasonUnknown
+}
+
+// observe takes what a packet of a known flow shows.
+func (f *Forwarder) observe(now time.Time, s *state, p *Packet) {
+	h := f.healthOf(s.upstream)
+	if p.Flags.Has(Reset) {
+		f.drop(s)
+		return
+	}
+	progress := s.opening || p.Flags.Has(Acknowledge) && int32(p.Acknowledged-s.acknowledged) > 0
+	if progress {
+		f.advanced(h, s, p)
+	}
+	end := p.Sequence + uint32(p.Length)
+	switch content := p.Length > 0 || p.Flags.Has(Finish); {
+	case content && int32(end-s.next) > 0:
+		s.next = end
+		if p.Length > 0 {
+			f.work(h, s, true)
+		}
+		if s.sent.IsZero() {
+			s.sent = now
+		}
+	case content && !progress && !s.sent.IsZero():
+		s.copies++
+		f.struck(now, h, s)
+	}
+	if p.Flags.Has(Finish) {
+		f.drop(s)
+	}
+}
+
+// advanced takes a packet that shows that the upstream answered.
+func (f *Forwarder) advanced(h *health, s *state, p *Packet) {
+	s.opening = false
+	s.acknowledged = p.Acknowledged
+	s.sent = time.Time{}
+	s.copies = 0
+	f.work(h, s, false)
+	if h.progress() {
+		f.believe(s.upstream, h, 0)
+	}
+}
+
+// struck takes a repeated packet of a flow.
+func (f *Forwarder) struck(now time.Time, h *health, s *state) {
+	if h.repeat(now, s.sent, s, !s.upstream.Departed.IsZero()) {
+		f.believe(s.upstream, h, now.Sub(h.since))
+	}
+}
+
+func (f *Forwarder) believe(u *directory.Upstream, h *health, silence time.Duration) {
+	f.beliefs = append(f.beliefs, Belief{
+		Upstream: u,
+		State:    h.state,
+		Flows:    h.silent,
+		Silence:  silence,
+	})
+}
+
+// work counts a flow's request in progress.
+func (f *Forwarder) work(h *health, s *state, working bool) {
+	if s.working == working || s.closed {
+		return
+	}
+	s.working = working
+	if working {
+		h.load.Working++
+	} else {
+		h.load.Working--
+	}
+}
+
+// remember takes a new flow.
+func (f *Forwarder) remember(now time.Time, k key, u *directory.Upstream, p *Packet) {
+	f.healthOf(u).load.Flows++
+	f.flows.put(k, &state{
+		upstream:     u,
+		opening:      true,
+		next:         p.Sequence,
+		acknowledged: p.Acknowledged,
+		sent:         now,
+	})
+}
+
+// adopt takes an open flow that another balancer opened.
+func (f *Forwarder) adopt(now time.Time, k key, u *directory.Upstream, p *Packet) *state {
+	h := f.healthOf(u)
+	h.load.Flows++
+	s := &state{
+		upstream:     u,
+		next:         p.Sequence + uint32(p.Length),
+		acknowledged: p.Acknowledged,
+	}
+	if p.Length > 0 {
+		s.sent = now
+		f.work(h, s, true)
+	}
+	f.flows.put(k, s)
+	if p.Flags.Has(Finish) || p.Flags.Has(Reset) {
+		f.drop(s)
+	}
+	return s
+}
+
+// drop takes a flow out of its upstream's load.
+func (f *Forwarder) drop(s *state) {
+	if s.closed {
+		return
+	}
+	h := f.healthOf(s.upstream)
+	f.work(h, s, false)
+	h.load.Flows--
+	s.closed = true
+}
+
+// forget drops flows that have been idle for long.
+func (f *Forwarder) forget(now time.Time) {
+	for _, s := range f.flows.turn(now, f.generation) {
+		f.drop(s)
+	}
+}
+
+func (f *Forwarder) healthOf(u *directory.Upstream) *health {
+	t := u.Ticket()
+	h := f.health[t]
+	if h == nil {
+		h = &health{}
+		f.health[t] = h
+	}
+	return h
+}
--- /dev/null
+++ b/flow/place.go
@@ -0,0 +1,139 @@
+package flow
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/rendezvous"
+)
+
+const (
+	// workingWeight is the load of a request in progress, in open flows that
+	// are idle.
+	workingWeight = 3
+	// warmupShare is the part of a cold upstream's bound that its owner uses:
+	// twice that, where two balancers take themselves for the owner, stays
+	// within what cold upstreams are allowed.
+	warmupShare = 0.7
+	// warmupBurst is the greatest number of flows that a cold upstream gets at
+	// once.
+	warmupBurst = 2
+)
+
+// place chooses the upstream of a new flow, other than not where another can.
+func (f *Forwarder) place(now time.Time, v *directory.View, p *Packet, k key, not *directory.Upstream) Decision {
+	r := v.Route(p.Service)
+	if r == nil {
+		return Decision{
+			Action: Reject,
+			Reason: ReasonNoRoute,
+		}
+	}
+	service := split(r, k)
+	hosts := v.Eligible(service)
+	d := Decision{
+		Action:  Reject,
+		Reason:  ReasonNoUpstream,
+		Service: service,
+	}
+	for _, accepts := range f.preferences(now, v, not) {
+		u, n := f.best(hosts, k, accepts)
+		if u == nil {
+			continue
+		}
+		h := f.healthOf(u)
+		if u.Cold(now) {
+			h.tokens--
+		}
+		d.Action, d.Reason = Forward, ReasonPlaced
+		d.Upstream, d.Ticket = u, u.Ticket()
+		d.Candidates, d.Load = n, h.load
+		return d
+	}
+	return d
+}
+
+// preferences returns which upstreams may take a new flow, the most wanted
+// first: those of the own zone, then others, then those that seem silent.
+func (f *Forwarder) preferences(now time.Time, v *directory.View, not *directory.Upstream) []func(*directory.Upstream) bool {
+	able := func(u *directory.Upstream) bool {
+		return u != not && !now.Before(f.healthOf(u).avoid) && f.bears(now, v, u)
+	}
+	return []func(*directory.Upstream) bool{
+		func(u *directory.Upstream) bool { return u.Zone == f.zone && able(u) },
+		able,
+		func(u *directory.Upstream) bool { return f.bears(now, v, u) },
+	}
+}
+
+// bears reports whether a cold upstream may get one more flow from here now.
+func (f *Forwarder) bears(now time.Time, v *directory.View, u *directory.Upstream) bool {
+	limits := v.Limits(u.Service)
+	if !u.Cold(now) || limits == nil || limits.WarmupPerSecond <= 0 {
+		return true
+	}
+	if !f.owners.Owns(u) {
+		return false
+	}
+	h := f.healthOf(u)
+	if h.filled.IsZero() {
+		h.filled = now
+		h.tokens = 1
+	}
+	rate := limits.WarmupPerSecond * warmupShare
+	h.tokens = min(h.tokens+rate*now.Sub(h.filled).Seconds(), warmupBurst)
+	h.filled = now
+	return h.tokens >= 1
+}
+
+// best returns the less loaded one of the two accepted upstreams with the
+// highest scores for a flow, or nil, and the number of those accepted. All
+// balancers find the same two.
+func (f *Forwarder) best(hosts []*directory.Upstream, k key, accepts func(*directory.Upstream) bool) (*directory.Upstream, int) {
+	var first, second *directory.Upstream
+	var high, next uint64
+	accepted := 0
+	hash := k.hash()
+	for _, u := range hosts {
+		if !accepts(u) {
+			continue
+		}
+		accepted++
+		switch s := rendezvous.Score(hash, uint64(u.Ticket())); {
+		case first == nil || s > high:
+			first, second = u, first
+			high, next = s, high
+		case second == nil || s > next:
+			second, next = u, s
+		}
+	}
+	if second != nil && f.weight(second) < f.weight(first) {
+		return second, accepted
+	}
+	return first, accepted
+}
+
+// weight returns an upstream's load for each of its slots.
+func (f *Forwarder) weight(u *directory.Upstream) float64 {
+	l := f.healthOf(u).load
+	return float64(l.Flows+workingWeight*l.Working) / float64(max(u.Slots, 1))
+}
+
+// split returns the service of a new flow by the weights of its route.
+func split(r *directory.Route, k key) string {
+	total := 0
+	for i := range r.Targets {
+		total += r.Targets[i].Weight
+	}
+	if total <= 0 {
+		return r.Targets[0].Service
+	}
+	at := int(rendezvous.Mix(k.hash()) % uint64(total))
+	for i := range r.Targets {
+		at -= r.Targets[i].Weight
+		if at < 0 {
+			return r.Targets[i].Service
+		}
+	}
+	return r.Targets[0].Service
+}
--- a/member/hear.go
+++ b/member/hear.go
@@ -20,7 +20,7 @@
 
 // Hear takes a heartbeat that came from a relay address.
 func (t *Tracker) Hear(now time.Time, from netip.AddrPort, h *Heartbeat) Hearing {
-	if h.Sender.Incarnation == t.self.Incarnation || h.Sender.Incarnation == 0 || h.Sender.Relay != from || !t.Known(from) {
+	if h.Sender.Incarnation == t.self.Incarnation || h.Sender.Incarnation == 0 || h.Sender.Relay != from || !t.strangers && !t.Known(from) {
 		return Hearing{}
 	}
 	if h.Sender.State == Dead || h.Sender.Suspected {
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -76,7 +76,9 @@
 	// probe is the number that answers to this process's probes carry.
 	probe uint32
 	// doubt makes every message a probe.
-	doubt      bool
+	doubt bool
+	// strangers makes senders known that no list names.
+	strangers  bool
 	nextBeat   time.Time
 	nextSpread time.Time
 	window     int
@@ -137,6 +139,13 @@
 	}
 }
 
+// AcceptStrangers makes heartbeats of processes count that neither the platform's
+// list nor a member has named: some platforms list no VMs, and a process that
+// joins is known to nobody. Only for networks that others can't send into.
+func (t *Tracker) AcceptStrangers() {
+	t.strangers = true
+}
+
 // Announce tells the version in force here to the others.
 func (t *Tracker) Announce(v config.Version, digest uint64) {
 	if v == t.self.Version {
@@ -262,6 +271,12 @@
 	return true
 }
 
+// SetVersion lets heartbeats tell a version without spreading it as news: where
+// versions spread by another way, heartbeats only show who is behind.
+func (t *Tracker) SetVersion(v config.Version) {
+	t.self.Version = v
+}
+
 // SetDoubt makes every heartbeat ask for an answer while doubt is set.
 func (t *Tracker) SetDoubt(doubt bool) {
 	t.doubt = doubt
