feat: find silent and crashed upstreams from what clients repeat

Change: evidence of repeats and of unanswered first packets for each host; idle flows of a dead host are reset at once; a client's next try avoids the hosts that it is opening flows to. A property test found loads that leaked where a flow's addresses were used again; mended here.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -13,6 +13,7 @@
 	forwarded     atomic.Uint64
 	rejected      atomic.Uint64
 	dropped       atomic.Uint64
+	abandoned     atomic.Uint64
 	malformed     atomic.Uint64
 	socketErrors  atomic.Uint64
 	storeErrors   atomic.Uint64
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -90,6 +90,7 @@
 	}
 	decision := t.forwarder.Forward(now, view, &t.packet)
 	t.act(n, &decision)
+	t.abandon(now)
 	d.counters.decided(&decision, time.Since(now), t.forwarder.Flows())
 	t.report(now, view, &decision)
 }
@@ -104,14 +105,38 @@
 		d.options.Codec.Readdress(out, decision.Upstream, decision.Ticket)
 		_, err = d.packets.WriteToUDPAddrPort(out, decision.Upstream.Address)
 	case flow.Reject:
-		reset, to := d.options.Codec.AppendReset(t.reset[:0], &t.packet)
-		t.reset = reset
-		_, err = d.packets.WriteToUDPAddrPort(reset, to)
+		err = t.sendReset(&t.packet)
 	case flow.Drop:
 	}
-	if err != nil {
-		d.counters.socketErrors.Add(1)
-		d.log.Warn(time.Now(), "packets: can't send", logs.F("error", err.Error()))
+	t.sent(err)
+}
+
+// sendReset resets the flow of a client's packet.
+func (t *traffic) sendReset(p *flow.Packet) error {
+	reset, to := t.daemon.options.Codec.AppendReset(t.reset[:0], p)
+	t.reset = reset
+	_, err := t.daemon.packets.WriteToUDPAddrPort(reset, to)
+	return err
+}
+
+// sent takes the error of a datagram that was sent, if any: the ends send again.
+func (t *traffic) sent(err error) {
+	if err == nil {
+		return
+	}
+	t.daemon.counters.socketErrors.Add(1)
+	t.daemon.log.Warn(time.Now(), "packets: can't send", logs.F("error", err.Error()))
+}
+
+// abandon resets the flows of upstreams that have been found dead.
+func (t *traffic) abandon(now time.Time) {
+	resets := t.forwarder.Resets()
+	for i := range resets {
+		p := &resets[i]
+		t.sent(t.sendReset(p))
+		t.daemon.counters.abandoned.Add(1)
+		t.daemon.log.Info(now, "flow: abandoned", logs.F("flow", p.Client.String()),
+			logs.F("service_address", p.Service.String()), logs.F("ticket", uint32(p.Ticket)))
 	}
 }
 
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -23,7 +23,9 @@
 	generation time.Duration
 	flows      *table
 	health     map[directory.Ticket]*health
+	attempts   *attempts
 	beliefs    []Belief
+	resets     []Packet
 }
 
 // An Option changes a forwarder from its defaults.
@@ -44,6 +46,7 @@
 		generation: defaultGeneration,
 		flows:      newTable(now),
 		health:     make(map[directory.Ticket]*health),
+		attempts:   newAttempts(),
 	}
 	for _, o := range options {
 		o(f)
@@ -63,6 +66,14 @@
 	return f.flows.len()
 }
 
+// Resets returns the flows to reset since the last call, whose upstream has
+// been found dead: each as the client's packet that the reset would answer.
+func (f *Forwarder) Resets() []Packet {
+	r := f.resets
+	f.resets = nil
+	return r
+}
+
 // Forward decides on a packet that came at now, with what v tells.
 func (f *Forwarder) Forward(now time.Time, v *directory.View, p *Packet) Decision {
 	f.forget(now)
@@ -92,10 +103,9 @@
 // reopen decides on a copy of a first packet. The upstream is the same, unless
 // it is silent or may not take new flows any more.
 func (f *Forwarder) reopen(now time.Time, v *directory.View, p *Packet, k key, s *state) Decision {
-	s.copies++
 	u := s.upstream
 	h := f.healthOf(u)
-	f.struck(now, h, s)
+	f.repeated(now, h, s)
 	if s.copies < moveCopies && !now.Before(h.avoid) && placeable(v, u) {
 		return Decision{
 			Action:   Forward,
@@ -112,7 +122,6 @@
 	}
 	if d.Upstream != u {
 		d.Reason = ReasonMoved
-		f.drop(s)
 		copies := s.copies
 		f.remember(now, k, d.Upstream, p)
 		f.flows.find(k).copies = copies
@@ -144,9 +153,6 @@
 		}
 	}
 	if s == nil || s.upstream.Ticket() != u.Ticket() {
-		if s != nil {
-			f.drop(s)
-		}
 		s = f.adopt(now, k, u, p)
 	} else {
 		f.observe(now, s, p)
@@ -162,8 +168,12 @@
 		Upstream: u,
 		Ticket:   u.Ticket(),
 	}
-	waiting := s.copies > 0 && !s.closed && !p.Flags.Has(Reset)
-	switch other := v.ByAddress(u.Address); {
+	if p.Flags.Has(Reset) {
+		return d
+	}
+	waiting := s.abandoned || s.copies > 0 && !s.closed
+	other := v.ByAddress(u.Address)
+	switch {
 	case !waiting:
 	case !u.Departed.IsZero() && other != nil && other.ID != u.ID:
 		d.Action, d.Reason = Reject, ReasonReplaced
@@ -193,6 +203,9 @@
 	}
 	progress := s.opening || p.Flags.Has(Acknowledge) && int32(p.Acknowledged-s.acknowledged) > 0
 	if progress {
+		if s.opening {
+			f.attempts.done(p, s.upstream.Ticket())
+		}
 		f.advanced(h, s, p)
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -203,11 +216,10 @@
 			f.work(h, s, true)
 		}
 		if s.sent.IsZero() {
-			s.sent = now
+			s.sent, s.last = now, now
 		}
-	case content && !progress && !s.sent.IsZero():
-		s.copies++
-		f.struck(now, h, s)
+	case content && !progress:
+		f.repeated(now, h, s)
 	}
 	if p.Flags.Has(Finish) {
 		f.drop(s)
@@ -218,7 +230,7 @@
 func (f *Forwarder) advanced(h *health, s *state, p *Packet) {
 	s.opening = false
 	s.acknowledged = p.Acknowledged
-	s.sent = time.Time{}
+	s.sent, s.last = time.Time{}, time.Time{}
 	s.copies = 0
 	f.work(h, s, false)
 	if h.progress() {
@@ -226,13 +238,39 @@
 	}
 }
 
-// struck takes a repeated packet of a flow.
-func (f *Forwarder) struck(now time.Time, h *health, s *state) {
-	if h.repeat(now, s.sent, s, !s.upstream.Departed.IsZero()) {
-		f.believe(s.upstream, h, now.Sub(h.since))
+// repeated takes a packet of a flow that may repeat an unanswered one.
+func (f *Forwarder) repeated(now time.Time, h *health, s *state) {
+	if s.last.IsZero() || now.Sub(s.last) < repeatAfter {
+		return
+	}
+	s.copies++
+	s.last = now
+	if !h.repeat(now, s) {
+		return
+	}
+	f.believe(s.upstream, h, now.Sub(h.since))
+	if h.state == Dead {
+		f.abandon(s.upstream.Ticket())
 	}
 }
 
+// abandon resets the open flows of a dead upstream.
+func (f *Forwarder) abandon(t directory.Ticket) {
+	f.flows.all(func(k key, s *state) {
+		if s.closed || s.opening || s.upstream.Ticket() != t {
+			return
+		}
+		f.drop(s)
+		s.abandoned = true
+		f.resets = append(f.resets, Packet{
+			Client:       k.client(),
+			Service:      k.service(),
+			Ticket:       t,
+			Acknowledged: s.acknowledged,
+		})
+	})
+}
+
 func (f *Forwarder) believe(u *directory.Upstream, h *health, silence time.Duration) {
 	f.beliefs = append(f.beliefs, Belief{
 		Upstream: u,
@@ -257,36 +295,46 @@
 
 // remember takes a new flow.
 func (f *Forwarder) remember(now time.Time, k key, u *directory.Upstream, p *Packet) {
-	f.healthOf(u).load.Flows++
-	f.flows.put(k, &state{
+	h := f.healthOf(u)
+	h.open(now)
+	f.attempts.add(now, p, u.Ticket())
+	f.put(k, &state{
 		upstream:     u,
 		opening:      true,
 		next:         p.Sequence,
 		acknowledged: p.Acknowledged,
 		sent:         now,
+		last:         now,
 	})
 }
 
 // adopt takes an open flow that another balancer opened.
 func (f *Forwarder) adopt(now time.Time, k key, u *directory.Upstream, p *Packet) *state {
-	h := f.healthOf(u)
-	h.load.Flows++
 	s := &state{
 		upstream:     u,
 		next:         p.Sequence + uint32(p.Length),
 		acknowledged: p.Acknowledged,
 	}
+	f.put(k, s)
 	if p.Length > 0 {
-		s.sent = now
-		f.work(h, s, true)
+		s.sent, s.last = now, now
+		f.work(f.healthOf(u), s, true)
 	}
-	f.flows.put(k, s)
 	if p.Flags.Has(Finish) || p.Flags.Has(Reset) {
 		f.drop(s)
 	}
 	return s
 }
 
+// put remembers a flow in place of what was remembered under its addresses.
+func (f *Forwarder) put(k key, s *state) {
+	if old := f.flows.find(k); old != nil {
+		f.drop(old)
+	}
+	f.healthOf(s.upstream).load.Flows++
+	f.flows.put(k, s)
+}
+
 // drop takes a flow out of its upstream's load.
 func (f *Forwarder) drop(s *state) {
 	if s.closed {
@@ -300,6 +348,7 @@
 
 // forget drops flows that have been idle for long.
 func (f *Forwarder) forget(now time.Time) {
+	f.attempts.turn(now)
 	for _, s := range f.flows.turn(now, f.generation) {
 		f.drop(s)
 	}
--- a/flow/health.go
+++ b/flow/health.go
@@ -7,23 +7,35 @@
 )
 
 // Thresholds of what is believed of an upstream from the clients' packets. A
-// client repeats a packet after 200 ms, then at doubling intervals.
+// client repeats a packet after 200 ms, then at doubling intervals; hosts
+// acknowledge at once. One flow that repeats may have lost its packet.
 const (
+	// repeatAfter is the shortest time between two transmissions of a packet:
+	// what comes sooner was overtaken on its way.
+	repeatAfter = 150 * time.Millisecond
 	// suspectFlows is the number of flows that repeat packets, with no progress
-	// on any flow of the upstream, before new flows avoid it. One flow may have
-	// lost its packet.
+	// on any flow of the upstream, before new flows avoid it.
 	suspectFlows = 2
-	// suspectAfter is how long after the first unanswered packet a suspicion
-	// may begin: longer than one repeat on a path with loss.
-	suspectAfter = 300 * time.Millisecond
-	// deadFlows is the number of such flows before open flows are reset.
-	deadFlows = 3
+	// deadRepeats is the number of repeats, on suspectFlows flows or more,
+	// before open flows are reset: a reset of a living flow can't be undone.
+	deadRepeats = 3
 	// deadAfter is how long an upstream must have been silent on all flows
-	// before open ones are reset: a reset of a living flow can't be undone.
-	deadAfter = 1200 * time.Millisecond
-	// departedAfter replaces deadAfter where the upstream's entry went too.
-	departedAfter = 500 * time.Millisecond
-	// avoidFirst is how long new flows avoid a suspected upstream at first; the
+	// before open ones are reset.
+	deadAfter = 400 * time.Millisecond
+	// refuseAfter is how long a first packet may be unanswered before new flows
+	// avoid the upstream: the round trip between zones and to the client takes a
+	// third of it. A host that has crashed resets the client's flow, which no
+	// balancer sees.
+	refuseAfter = 50 * time.Millisecond
+	// retryAfter is how long new flows avoid it for that.
+	retryAfter = time.Second
+	// deadOpenings is the number of unanswered first packets, with no progress on
+	// any flow since, before open flows are reset.
+	deadOpenings = 3
+	// deadOpeningAge is how long the last one of them must have been unanswered:
+	// longer than a balancer may be kept from running in its share of a core.
+	deadOpeningAge = 250 * time.Millisecond
+	// avoidFirst is how long new flows avoid a silent upstream at first; the
 	// time doubles up to avoidMost while it stays silent.
 	avoidFirst = 2 * time.Second
 	avoidMost  = 16 * time.Second
@@ -70,11 +82,19 @@
 	state State
 	// epoch counts the times of progress; a flow is counted once in an epoch.
 	epoch uint32
-	// silent is the number of flows that repeated a packet in this epoch.
-	silent int
+	// silent is the number of flows that repeated a packet in this epoch, and
+	// repeats that of their repeats.
+	silent  int
+	repeats int
 	// since is when the first packet was sent that is unanswered; zero unless
 	// silent is positive.
 	since time.Time
+	// openings is the number of first packets since the last progress, opened
+	// when the first of them was sent, and enough when the one was that makes
+	// deadOpenings.
+	openings int
+	opened   time.Time
+	enough   time.Time
 	// avoid is until when new flows avoid the upstream.
 	avoid time.Time
 	// pause is the length of the last such time.
@@ -88,44 +108,86 @@
 // changed what is believed.
 func (h *health) progress() bool {
 	changed := h.state != Answering
-	if h.silent > 0 {
-		h.epoch++
-		h.silent = 0
-		h.since = time.Time{}
-	}
-	h.state = Answering
-	h.avoid = time.Time{}
+	h.restart()
 	h.pause = 0
 	return changed
 }
 
-// repeat takes a repeated packet of a flow whose first copy was sent at a time,
-// and reports whether this changed what is believed.
-func (h *health) repeat(now, sent time.Time, s *state, departed bool) bool {
+// open takes the first packet of a flow.
+func (h *health) open(now time.Time) {
+	if h.openings == 0 || now.Sub(h.opened) >= retryAfter {
+		h.opened = now
+	}
+	h.openings++
+	if h.openings == deadOpenings {
+		h.enough = now
+	}
+}
+
+// overdue judges first packets that are unanswered, and reports whether this
+// changed what is believed.
+func (h *health) overdue(now time.Time) bool {
+	if h.state == Dead || h.enough.IsZero() || now.Sub(h.enough) < deadOpeningAge {
+		return false
+	}
+	h.state = Dead
+	h.silent = max(h.silent, h.openings)
+	h.since = h.opened
+	h.extend(now)
+	return true
+}
+
+// avoided reports whether new flows avoid the upstream.
+func (h *health) avoided(now time.Time) bool {
+	if now.Before(h.avoid) {
+		return true
+	}
+	age := now.Sub(h.opened)
+	return h.openings > 0 && age >= refuseAfter && age < retryAfter
+}
+
+// repeat takes a repeated packet of a flow, and reports whether this changed
+// what is believed.
+func (h *health) repeat(now time.Time, s *state) bool {
+	if h.state != Answering && !now.Before(h.avoid) {
+		// The upstream may have returned: only new evidence counts.
+		h.restart()
+	}
+	h.repeats++
 	if s.epoch != h.epoch+1 {
 		s.epoch = h.epoch + 1
 		h.silent++
-		if h.since.IsZero() || sent.Before(h.since) {
-			h.since = sent
+		if h.since.IsZero() || s.sent.Before(h.since) {
+			h.since = s.sent
 		}
 	}
-	silence := now.Sub(h.since)
 	before := h.state
-	limit := deadAfter
-	if departed {
-		limit = departedAfter
-	}
 	switch {
-	case h.silent >= deadFlows && silence >= limit, departed && silence >= deadAfter:
+	case h.silent < suspectFlows:
+	case h.repeats >= deadRepeats && now.Sub(h.since) >= deadAfter:
 		h.state = Dead
-		h.extend(now)
-	case h.silent >= suspectFlows && silence >= suspectAfter:
+	default:
 		h.state = max(h.state, Suspected)
+	}
+	if h.state != Answering {
 		h.extend(now)
 	}
 	return h.state != before
 }
 
+// restart forgets the evidence of silence.
+func (h *health) restart() {
+	if h.silent > 0 {
+		h.epoch++
+	}
+	h.silent, h.repeats = 0, 0
+	h.since = time.Time{}
+	h.openings = 0
+	h.opened, h.enough = time.Time{}, time.Time{}
+	h.state = Answering
+	h.avoid = time.Time{}
+}
+
 // extend prolongs the time during which new flows avoid the upstream.
 func (h *health) extend(now time.Time) {
 	if now.Before(h.avoid) {
--- a/flow/packet.go
+++ b/flow/packet.go
@@ -61,6 +61,16 @@
 // A key names a flow by its two IPv4 addresses and ports.
 type key [12]byte
 
+// client returns the client's address.
+func (k key) client() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(k[0:4])), binary.BigEndian.Uint16(k[8:]))
+}
+
+// service returns the address that the client sends to.
+func (k key) service() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(k[4:8])), binary.BigEndian.Uint16(k[10:]))
+}
+
 // hash returns a value that is spread evenly over the flows.
 func (k key) hash() uint64 {
 	low := uint64(binary.BigEndian.Uint32(k[8:]))
--- a/flow/place.go
+++ b/flow/place.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
@@ -31,12 +32,13 @@
 	}
 	service := split(r, k)
 	hosts := v.Eligible(service)
+	f.review(now, hosts)
 	d := Decision{
 		Action:  Reject,
 		Reason:  ReasonNoUpstream,
 		Service: service,
 	}
-	for _, accepts := range f.preferences(now, v, not) {
+	for _, accepts := range f.preferences(now, v, p, not) {
 		u, n := f.best(hosts, k, accepts)
 		if u == nil {
 			continue
@@ -53,15 +55,28 @@
 	return d
 }
 
+// review judges upstreams whose first packets are unanswered.
+func (f *Forwarder) review(now time.Time, hosts []*directory.Upstream) {
+	for _, u := range hosts {
+		h := f.healthOf(u)
+		if h.overdue(now) {
+			f.believe(u, h, now.Sub(h.since))
+			f.abandon(u.Ticket())
+		}
+	}
+}
+
 // preferences returns which upstreams may take a new flow, the most wanted
 // first: those of the own zone, then others, then those that seem silent.
-func (f *Forwarder) preferences(now time.Time, v *directory.View, not *directory.Upstream) []func(*directory.Upstream) bool {
+func (f *Forwarder) preferences(now time.Time, v *directory.View, p *Packet, not *directory.Upstream) []func(*directory.Upstream) bool {
+	tried := f.attempts.of(p)
 	able := func(u *directory.Upstream) bool {
-		return u != not && !now.Before(f.healthOf(u).avoid) && f.bears(now, v, u)
+		return u != not && !slices.Contains(tried, u.Ticket()) && !f.healthOf(u).avoided(now) && f.bears(now, v, u)
 	}
 	return []func(*directory.Upstream) bool{
 		func(u *directory.Upstream) bool { return u.Zone == f.zone && able(u) },
 		able,
+		func(u *directory.Upstream) bool { return u != not && f.bears(now, v, u) },
 		func(u *directory.Upstream) bool { return f.bears(now, v, u) },
 	}
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -19,8 +19,12 @@
 	next uint32
 	// acknowledged is the highest byte that the client expects.
 	acknowledged uint32
-	// sent is when the oldest unanswered packet came.
+	// sent is when the oldest unanswered packet came, and last when it or its
+	// last repeat did; zero where nothing is unanswered.
 	sent time.Time
+	last time.Time
+	// abandoned is set once the client was told that the upstream is dead.
+	abandoned bool
 	// copies is the number of copies of the first packet, or of repeats.
 	copies int
 	// epoch is one more than the upstream's epoch in which the flow was counted
@@ -56,6 +60,15 @@
 	return s
 }
 
+// all calls f for each flow remembered.
+func (t *table) all(f func(key, *state)) {
+	for _, generation := range []map[key]*state{t.young, t.old} {
+		for k, s := range generation {
+			f(k, s)
+		}
+	}
+}
+
 // len returns the number of flows remembered.
 func (t *table) len() int {
 	return len(t.young) + len(t.old)
