--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -30,6 +30,15 @@
 	settleTime = directory.ReturnGrace + directory.LapseGrace
 )
 
+// readers is how many balancers of a zone read the store. Other zones' readers
+// stand in for one that fails: their peers here hear of new revisions with
+// heartbeats. A zone on its own takes further readers within two watches.
+var readers = rollout.Policy{
+	Readers:      1,
+	MaxReaders:   4,
+	StandbyAfter: 2 * watchWait,
+}
+
 // spread owns the directory and the view of the members. One goroutine uses it.
 type spread struct {
 	daemon  *Daemon
@@ -212,7 +221,7 @@
 		s.daemon.owners.Store(member.NewTable(t.Members()))
 	}
 	o := &s.daemon.options
-	reads := rollout.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Revision() > 0)
+	reads := readers.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Revision() > 0)
 	if reads == s.reading {
 		return
 	}
