feat: a log line for each request and belief, metrics at first scrape

Ruled out: fewer heartbeats (members would be missed later); making the metrics at start (it delays the first packet).

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertworks.example/filbertworks/flow"
+	"filbertworks.example/filbertworks/member"
 )
 
 // counters are what a daemon counts; they are read by the metrics.
@@ -13,7 +14,10 @@
 	forwarded     atomic.Uint64
 	rejected      atomic.Uint64
 	dropped       atomic.Uint64
+	requests      atomic.Uint64
 	abandoned     atomic.Uint64
+	beliefs       [flow.States]atomic.Uint64
+	peers         [peerStates]atomic.Int64
 	malformed     atomic.Uint64
 	socketErrors  atomic.Uint64
 	storeErrors   atomic.Uint64
@@ -23,10 +27,63 @@
 	flows         atomic.Int64
 	upstreams     atomic.Int64
 	revision      atomic.Uint64
+	// storeAnswered is when the store last answered, in nanoseconds since the
+	// start.
 	storeAnswered atomic.Int64
 	latency       histogram
 }
 
+// peerStates is the number of states of a member.
+const peerStates = int(member.Dead) + 1
+
+// newCounters returns counters that start at now.
+func newCounters(now time.Time) *counters {
+	c := &counters{}
+	c.latency.start = now
+	return c
+}
+
+// answered takes the time since the store last answered.
+func (c *counters) answered(now time.Time, age time.Duration) {
+	c.storeAnswered.Store(int64(now.Sub(c.latency.start) - age))
+}
+
+// byPeerState returns the number of balancers in each state.
+func (c *counters) byPeerState() []sample {
+	samples := make([]sample, 0, peerStates)
+	for i := range c.peers {
+		samples = append(samples, sample{
+			value: c.peers[i].Load(),
+			label: member.State(i).String(),
+		})
+	}
+	return samples
+}
+
+// byReason returns the number of decisions for each reason.
+func (c *counters) byReason() []sample {
+	samples := make([]sample, 0, flow.Reasons)
+	for i := range c.decisions {
+		samples = append(samples, sample{
+			value: int64(c.decisions[i].Load()),
+			label: flow.Reason(i).String(),
+		})
+	}
+	return samples
+}
+
+// byState returns the number of changes to each belief.
+func (c *counters) byState() []sample {
+	samples := make([]sample, 0, flow.States)
+	for i := range c.beliefs {
+		samples = append(samples, sample{
+			value: int64(c.beliefs[i].Load()),
+			label: flow.State(i).String(),
+		})
+	}
+	return samples
+}
+
 // called counts a call of the store.
 func (c *counters) called(call string) {
 	if call == "watch" {
@@ -47,6 +104,9 @@
 	case flow.Drop:
 		c.dropped.Add(1)
 	}
+	if d.Starts {
+		c.requests.Add(1)
+	}
 	c.flows.Store(int64(flows))
 	c.latency.record(took)
 }
@@ -58,6 +118,7 @@
 	// last one has no bound.
 	buckets [histogramBuckets]atomic.Uint64
 	sum     atomic.Int64
+	start   time.Time
 }
 
 // Buckets of a histogram.
--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -31,7 +31,7 @@
 	callRing = 256
 	// leaveMargin is the part of the grace that a leaving balancer does not use:
 	// it ends by itself before it is killed.
-	leaveMargin = 700 * time.Millisecond
+	leaveMargin = 1500 * time.Millisecond
 	// firstViewTimeout is how long packets wait for the first view. They wait in
 	// the socket's buffer.
 	firstViewTimeout = time.Second
@@ -44,6 +44,9 @@
 	// Readdress prepares a packet in place for an upstream; data has the
 	// headroom before the packet.
 	Readdress(data []byte, u *directory.Upstream, t directory.Ticket)
+	// RequestID returns the id of the request that begins in a packet, if it has
+	// one.
+	RequestID(data []byte) (id string, ok bool)
 	// AppendReset appends the datagram that resets p's flow, and returns where
 	// it goes.
 	AppendReset(buf []byte, p *flow.Packet) ([]byte, netip.AddrPort)
@@ -126,7 +129,7 @@
 	d := &Daemon{
 		options:     o,
 		log:         logs.New(o.Logs, o.Name, o.LogLevel, o.LogRate),
-		counters:    &counters{},
+		counters:    newCounters(time.Now()),
 		incarnation: rand.Uint64() | 1,
 		viewed:      make(chan struct{}),
 		left:        make(chan struct{}),
@@ -226,6 +229,12 @@
 	return v != nil && v.Plan != nil && !d.leaving.Load()
 }
 
+// storeAge returns the time since the store last answered anyone that told this
+// balancer.
+func (d *Daemon) storeAge() time.Duration {
+	return time.Since(d.counters.latency.start) - time.Duration(d.counters.storeAnswered.Load())
+}
+
 func (d *Daemon) serveProbes(ctx context.Context) {
 	d.serveHTTP(ctx, d.options.Readiness, d.options.Probes(d.ready))
 }
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -1,6 +1,292 @@
 package daemon
 
-import "context"
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
 
-// serveMetrics answers scrapes until ctx ends.
-func (d *Daemon) serveMetrics(context.Context) {}
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/sdk/instrumentation"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
+
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/flow"
+)
+
+// meterName is the scope of the daemon's metrics.
+const meterName = "filbertflow"
+
+// pathMetrics is where scrapes are answered.
+const pathMetrics = "GET /metrics"
+
+// serveMetrics answers scrapes until ctx ends. The instruments are made at the
+// first scrape: a balancer that starts forwards first.
+func (d *Daemon) serveMetrics(ctx context.Context) {
+	if !d.options.Metrics.IsValid() {
+		return
+	}
+	var once sync.Once
+	var handler http.Handler
+	var failure error
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, r *http.Request) {
+		once.Do(func() { handler, failure = d.newMetrics() })
+		if failure != nil {
+			d.log.Warn(time.Now(), "daemon: no metrics", logs.F("error", failure.Error()))
+			http.Error(w, "no metrics", http.StatusInternalServerError)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+	d.serveHTTP(ctx, d.options.Metrics, mux)
+}
+
+func (d *Daemon) newMetrics() (http.Handler, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(
+		otelprometheus.WithRegisterer(registry),
+		otelprometheus.WithProducer(&d.counters.latency),
+	)
+	if err != nil {
+		return nil, eris.Wrap(err, "exporter")
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter(meterName)
+	for _, i := range d.instruments() {
+		if err := i.register(meter); err != nil {
+			return nil, eris.Wrap(err, i.name)
+		}
+	}
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
+}
+
+// A sample is one value of an instrument.
+type sample struct {
+	value int64
+	// label is the value of the instrument's attribute, if it has one.
+	label string
+}
+
+// An instrument is what is observed at each scrape.
+type instrument struct {
+	name        string
+	description string
+	unit        string
+	// attribute is the name of the samples' label; empty where there is one
+	// sample.
+	attribute string
+	// gauge tells that the value may fall.
+	gauge   bool
+	samples func() []sample
+}
+
+func (i *instrument) register(meter metric.Meter) error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		for _, s := range i.samples() {
+			if i.attribute == "" {
+				o.Observe(s.value)
+				continue
+			}
+			o.Observe(s.value, metric.WithAttributes(attribute.String(i.attribute, s.label)))
+		}
+		return nil
+	}
+	var err error
+	if i.gauge {
+		_, err = meter.Int64ObservableGauge(i.name, metric.WithDescription(i.description), metric.WithUnit(i.unit),
+			metric.WithInt64Callback(observe))
+	} else {
+		_, err = meter.Int64ObservableCounter(i.name, metric.WithDescription(i.description), metric.WithUnit(i.unit),
+			metric.WithInt64Callback(observe))
+	}
+	return err
+}
+
+// one returns the samples of an instrument without labels.
+func one(value func() int64) func() []sample {
+	return func() []sample { return []sample{{value: value()}} }
+}
+
+func (d *Daemon) instruments() []instrument {
+	c := d.counters
+	return []instrument{
+		{
+			name:        "filbertflow.decisions",
+			description: "Packets by what decided on them.",
+			attribute:   "reason",
+			samples:     c.byReason,
+		},
+		{
+			name:        "filbertflow.packets",
+			description: "Packets by what was done with them.",
+			attribute:   "action",
+			samples: func() []sample {
+				return []sample{
+					{
+						value: int64(c.forwarded.Load()),
+						label: flow.Forward.String(),
+					},
+					{
+						value: int64(c.rejected.Load()),
+						label: flow.Reject.String(),
+					},
+					{
+						value: int64(c.dropped.Load()),
+						label: flow.Drop.String(),
+					},
+				}
+			},
+		},
+		{
+			name:        "filbertflow.requests",
+			description: "Requests that started on flows.",
+			samples:     one(func() int64 { return int64(c.requests.Load()) }),
+		},
+		{
+			name:        "filbertflow.flows",
+			description: "Flows remembered.",
+			gauge:       true,
+			samples:     one(c.flows.Load),
+		},
+		{
+			name:        "filbertflow.flows.abandoned",
+			description: "Open flows reset since their upstream was found dead.",
+			samples:     one(func() int64 { return int64(c.abandoned.Load()) }),
+		},
+		{
+			name:        "filbertflow.beliefs",
+			description: "Changes of what is believed of upstreams.",
+			attribute:   "state",
+			samples:     c.byState,
+		},
+		{
+			name:        "filbertflow.malformed",
+			description: "Datagrams that could not be read.",
+			samples:     one(func() int64 { return int64(c.malformed.Load()) }),
+		},
+		{
+			name:        "filbertflow.socket.errors",
+			description: "Datagrams that could not be taken or sent.",
+			samples:     one(func() int64 { return int64(c.socketErrors.Load()) }),
+		},
+		{
+			name:        "filbertflow.store.calls",
+			description: "Calls of the platform's store.",
+			attribute:   "call",
+			samples: func() []sample {
+				return []sample{
+					{
+						value: int64(c.lists.Load()),
+						label: "list",
+					},
+					{
+						value: int64(c.watches.Load()),
+						label: "watch",
+					},
+				}
+			},
+		},
+		{
+			name:        "filbertflow.store.errors",
+			description: "Calls of the platform's store that failed.",
+			samples:     one(func() int64 { return int64(c.storeErrors.Load()) }),
+		},
+		{
+			name:        "filbertflow.store.age",
+			description: "Time since the store last answered this balancer or one that told it.",
+			unit:        "ms",
+			gauge:       true,
+			samples:     one(func() int64 { return d.storeAge().Milliseconds() }),
+		},
+		{
+			name:        "filbertflow.directory.revision",
+			description: "Revision of what is known.",
+			gauge:       true,
+			samples:     one(func() int64 { return int64(c.revision.Load()) }),
+		},
+		{
+			name:        "filbertflow.directory.upstreams",
+			description: "Upstreams listed.",
+			gauge:       true,
+			samples:     one(c.upstreams.Load),
+		},
+		{
+			name:        "filbertflow.plan.version",
+			description: "Configuration version in force.",
+			gauge:       true,
+			samples: one(func() int64 {
+				if v := d.view.Load(); v != nil && v.Plan != nil {
+					return int64(v.Plan.Version)
+				}
+				return 0
+			}),
+		},
+		{
+			name:        "filbertflow.peers",
+			description: "Balancers known, by state.",
+			attribute:   "state",
+			gauge:       true,
+			samples:     c.byPeerState,
+		},
+		{
+			name:        "filbertflow.peers.sent",
+			description: "Bytes sent to other balancers.",
+			unit:        "By",
+			samples:     one(func() int64 { return int64(c.peerBytes.Load()) }),
+		},
+		{
+			name:        "filbertflow.ring.items",
+			description: "Events that wait for the directory.",
+			gauge:       true,
+			samples:     one(func() int64 { return int64(d.calls.Len()) }),
+		},
+		{
+			name:        "filbertflow.ring.refused",
+			description: "Events that the directory's ring had no room for.",
+			samples:     one(func() int64 { return int64(d.calls.Refused()) }),
+		},
+		{
+			name:        "filbertflow.log.dropped",
+			description: "Log lines left out.",
+			samples:     one(func() int64 { return int64(d.log.Dropped()) }),
+		},
+	}
+}
+
+// Produce returns the histogram of the time from a packet's arrival until it is
+// sent on.
+func (h *histogram) Produce(context.Context) ([]metricdata.ScopeMetrics, error) {
+	point := metricdata.HistogramDataPoint[float64]{
+		StartTime:    h.start,
+		Time:         time.Now(),
+		Sum:          time.Duration(h.sum.Load()).Seconds(),
+		BucketCounts: make([]uint64, histogramBuckets),
+	}
+	bound := firstBucket
+	for i := range histogramBuckets {
+		point.BucketCounts[i] = h.buckets[i].Load()
+		point.Count += point.BucketCounts[i]
+		if i < histogramBuckets-1 {
+			point.Bounds = append(point.Bounds, bound.Seconds())
+		}
+		bound *= 2
+	}
+	return []metricdata.ScopeMetrics{{
+		Scope: instrumentation.Scope{Name: meterName},
+		Metrics: []metricdata.Metrics{{
+			Name:        "filbertflow.packet.duration",
+			Description: "Time from a packet's arrival until it is sent on.",
+			Unit:        "s",
+			Data: metricdata.Histogram[float64]{
+				DataPoints:  []metricdata.HistogramDataPoint[float64]{point},
+				Temporality: metricdata.CumulativeTemporality,
+			},
+		}},
+	}}, nil
+}
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -30,6 +30,10 @@
 	settleTime = directory.ReturnGrace + directory.LapseGrace
 )
 
+// gateways is the number of balancers of a zone that exchange heartbeats with
+// other zones: two may be lost at once.
+const gateways = 3
+
 // readers is how many balancers of a zone read the store. Other zones' readers
 // stand in for one that fails: their peers here hear of new revisions with
 // heartbeats. A zone on its own takes further readers within two watches.
@@ -77,6 +81,7 @@
 		clock:   newPauseClock(now),
 	}
 	s.tracker.AcceptStrangers()
+	s.tracker.SetGateways(gateways)
 	s.seed(now, o.Seeds)
 	return s
 }
@@ -173,7 +178,6 @@
 		s.daemon.log.Info(now, "store: back after silence", logs.F("age_ms", age.Milliseconds()))
 	}
 	s.tracker.PlatformAnswered(began)
-	s.daemon.counters.storeAnswered.Store(now.UnixNano())
 	if err := s.apply(now, delta, s.daemon.incarnation, "store"); errors.Is(err, directory.ErrGap) {
 		// The reader starts from the directory's revision.
 		s.daemon.log.Warn(now, "store: gap", logs.F("base", delta.Base))
@@ -202,6 +206,7 @@
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
 	}
 	s.review(now)
+	s.daemon.counters.answered(now, s.tracker.PlatformAge(now))
 	s.catchUp(ctx, now)
 	if now.Before(s.settled) {
 		s.publish(now)
@@ -241,11 +246,16 @@
 			known[m.Incarnation] = m.State
 		}
 	}
+	var states [peerStates]int64
 	for _, m := range next.Members() {
+		states[m.State]++
 		if state, ok := known[m.Incarnation]; !ok || state != m.State {
 			s.daemon.log.Info(now, "peer: "+m.State.String(), logs.F("peer", m.Name), logs.F("peer_zone", m.Zone), logs.F("incarnation", m.Incarnation))
 		}
 	}
+	for i := range states {
+		s.daemon.counters.peers[i].Store(states[i])
+	}
 }
 
 // hear takes a datagram of a peer.
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -92,7 +92,7 @@
 	t.act(n, &decision)
 	t.abandon(now)
 	d.counters.decided(&decision, time.Since(now), t.forwarder.Flows())
-	t.report(now, view, &decision)
+	t.report(now, n, view, &decision)
 }
 
 // act carries a decision out.
@@ -141,33 +141,49 @@
 }
 
 // report logs a decision, unless it only follows an earlier one.
-func (t *traffic) report(now time.Time, v *directory.View, decision *flow.Decision) {
+func (t *traffic) report(now time.Time, n int, v *directory.View, decision *flow.Decision) {
 	log := t.daemon.log
 	for _, b := range t.forwarder.Beliefs() {
-		log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID),
+		t.daemon.counters.beliefs[b.State].Add(1)
+		log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID), logs.F("revision", v.Revision),
 			logs.F("silent_flows", b.Flows), logs.F("silence_ms", b.Silence.Milliseconds()))
 	}
-	if decision.Reason == flow.ReasonTicket && decision.Action == flow.Forward {
-		return
+	room := t.daemon.options.Headroom
+	id, named := "", false
+	if t.packet.Length > 0 {
+		id, named = t.daemon.options.Codec.RequestID(t.buffer[room : room+n])
+	}
+	switch {
+	case named:
+		fields := append(t.fields(v, decision), logs.F("request", id), logs.F("repeats", decision.Repeats))
+		log.Info(now, "flow: request", fields...)
+	case decision.Reason != flow.ReasonTicket || decision.Action != flow.Forward:
+		log.Info(now, "flow: "+decision.Action.String(), t.fields(v, decision)...)
 	}
+}
+
+// fields returns what decided on the packet.
+func (t *traffic) fields(v *directory.View, decision *flow.Decision) []logs.Field {
 	fields := []logs.Field{
 		logs.F("flow", t.packet.Client.String()),
 		logs.F("service_address", t.packet.Service.String()),
+		logs.F("action", decision.Action.String()),
 		logs.F("reason", decision.Reason.String()),
 		logs.F("revision", v.Revision),
+		logs.F("store_age_ms", t.daemon.storeAge().Milliseconds()),
 	}
 	if v.Plan != nil {
 		fields = append(fields, logs.F("plan", v.Plan.Version))
 	}
 	if decision.Upstream != nil {
-		fields = append(fields, logs.F("upstream", decision.Upstream.ID), logs.F("upstream_zone", decision.Upstream.Zone))
+		fields = append(fields, logs.F("upstream", decision.Upstream.ID), logs.F("upstream_zone", decision.Upstream.Zone),
+			logs.F("flows", decision.Load.Flows), logs.F("working", decision.Load.Working))
 	}
 	if decision.Candidates > 0 {
-		fields = append(fields, logs.F("service", decision.Service), logs.F("candidates", decision.Candidates),
-			logs.F("flows", decision.Load.Flows), logs.F("working", decision.Load.Working))
+		fields = append(fields, logs.F("service", decision.Service), logs.F("candidates", decision.Candidates))
 	}
 	if decision.Reason == flow.ReasonUnknown {
 		fields = append(fields, logs.F("ticket", uint32(t.packet.Ticket)))
 	}
-	log.Info(now, "flow: "+decision.Action.String(), fields...)
+	return fields
 }
--- a/filbertflow/internal/settings/settings.go
+++ b/filbertflow/internal/settings/settings.go
@@ -16,7 +16,7 @@
 	// DefaultGrace is the time from SIGTERM until the process is killed.
 	DefaultGrace = 6 * time.Second
 	// DefaultLogRate is the greatest number of log lines of one kind a second.
-	DefaultLogRate = 20
+	DefaultLogRate = 200
 )
 
 // ErrSettings reports settings that can't be used.
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -80,6 +80,11 @@
 	Upstream *directory.Upstream
 	// Ticket is the one that a forwarded packet carries on.
 	Ticket directory.Ticket
+	// Starts tells that a request starts on the flow with this packet.
+	Starts bool
+	// Repeats is the number of times that the client has repeated a packet that
+	// is unanswered.
+	Repeats int
 	// Service is the name of the service that a new flow was meant for.
 	Service string
 	// Candidates is the number of upstreams that a new flow could go to.
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -157,7 +157,11 @@
 	} else {
 		f.observe(now, s, p)
 	}
-	return f.judge(v, p, u, s, reason)
+	d := f.judge(v, p, u, s, reason)
+	d.Starts, s.starts = s.starts, false
+	d.Repeats = s.copies
+	d.Load = f.healthOf(u).load
+	return d
 }
 
 // judge decides whether a packet of an open flow still goes to its upstream.
@@ -286,6 +290,7 @@
 		return
 	}
 	s.working = working
+	s.starts = working
 	if working {
 		h.load.Working++
 	} else {
--- a/flow/health.go
+++ b/flow/health.go
@@ -54,6 +54,9 @@
 	Dead
 )
 
+// States is the number of states.
+const States = int(Dead) + 1
+
 // String returns s's name.
 func (s State) String() string {
 	switch s {
--- a/flow/table.go
+++ b/flow/table.go
@@ -15,6 +15,8 @@
 	closed bool
 	// working is set from a request until the client acknowledges more.
 	working bool
+	// starts is set while the packet is decided on that begins a request.
+	starts bool
 	// next is the number after the last byte that the client sent.
 	next uint32
 	// acknowledged is the highest byte that the client expects.
--- a/member/beat.go
+++ b/member/beat.go
@@ -78,6 +78,7 @@
 	t.touch()
 	rings := t.rings()
 	t.observers = t.observersOf(rings, &t.self)
+	t.gateway = t.isGateway(rings[t.self.Zone], t.self.Incarnation)
 	for _, id := range t.order {
 		p := t.members[id]
 		watched := p.record.State != Dead && slices.Contains(t.observersOf(rings, &p.record), t.self.Relay)
@@ -123,10 +124,14 @@
 // ones on the ring of its zone and on that of each other zone.
 func (t *Tracker) observersOf(rings map[string][]place, r *Record) []netip.AddrPort {
 	var observers []netip.AddrPort
+	gateway := t.isGateway(rings[r.Zone], r.Incarnation)
 	for zone, ring := range rings {
 		n := AwayObservers
-		if zone == r.Zone {
+		switch {
+		case zone == r.Zone:
 			n = HomeObservers
+		case !gateway:
+			continue
 		}
 		from, _ := slices.BinarySearchFunc(ring, rendezvous.Mix(r.Incarnation), func(p place, s uint64) int {
 			return cmp.Compare(p.score, s)
@@ -143,6 +148,19 @@
 	return observers
 }
 
+// isGateway reports whether a member exchanges messages with other zones.
+func (t *Tracker) isGateway(ring []place, incarnation uint64) bool {
+	if t.gateways == 0 {
+		return true
+	}
+	return slices.ContainsFunc(ring[:min(t.gateways, len(ring))], func(p place) bool { return p.incarnation == incarnation })
+}
+
+// mayTell reports whether this process sends unasked messages to a zone.
+func (t *Tracker) mayTell(zone string) bool {
+	return zone == t.self.Zone || t.gateways == 0 || t.gateway
+}
+
 // beat returns the heartbeats to the observers and to a few others.
 func (t *Tracker) beat(now time.Time) []Message {
 	targets := slices.Clone(t.observers)
@@ -157,7 +175,9 @@
 func (t *Tracker) others(now time.Time) []netip.AddrPort {
 	var others []netip.AddrPort
 	if len(t.order) > 0 {
-		others = append(others, t.members[t.order[t.rand.IntN(len(t.order))]].record.Relay)
+		if r := &t.members[t.order[t.rand.IntN(len(t.order))]].record; t.mayTell(r.Zone) {
+			others = append(others, r.Relay)
+		}
 	}
 	return append(others, t.unheard(now)...)
 }
@@ -189,7 +209,7 @@
 			break
 		}
 		r := &t.members[t.order[t.rand.IntN(len(t.order))]].record
-		if r.State != Dead && !slices.Contains(targets, r.Relay) {
+		if r.State != Dead && t.mayTell(r.Zone) && !slices.Contains(targets, r.Relay) {
 			targets = append(targets, r.Relay)
 		}
 	}
--- /dev/null
+++ b/member/gateway_test.go
@@ -0,0 +1,78 @@
+package member
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// betweenZones returns the number of messages between zones in ten seconds of a
+// fleet whose zones have a number of gateways each.
+func betweenZones(t *testing.T, gateways int) int {
+	t.Helper()
+	f := newFleet(1, 5, 60)
+	for _, p := range f.processes {
+		p.tracker.SetGateways(gateways)
+	}
+	require.Less(t, f.until(convergeTarget, f.converged), convergeTarget)
+	crossing := 0
+	f.cut = func(from, to *process) bool {
+		if from.self.Zone != to.self.Zone {
+			crossing++
+		}
+		return false
+	}
+	f.run(10 * time.Second)
+	return crossing
+}
+
+func TestGatewaysSpareBytesBetweenZones(t *testing.T) {
+	all, few := betweenZones(t, 0), betweenZones(t, 3)
+	require.Less(t, few*3, all)
+}
+
+func TestGatewaysKeepViewsTogether(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(seed, 4, 40)
+		for _, p := range f.processes {
+			p.tracker.SetGateways(3)
+		}
+		require.Less(t, f.until(convergeTarget, f.converged), convergeTarget, "start")
+		f.processes[seed].down = true
+		require.Less(t, f.until(deathTarget+spreadTarget, f.converged), deathTarget+spreadTarget, "death")
+		f.cut = func(from, to *process) bool { return from.self.Zone != to.self.Zone }
+		f.run(12 * time.Second)
+		f.cut = nil
+		require.Less(t, f.until(convergeTarget, f.converged), convergeTarget, "partition")
+	}
+}
+
+func TestStrangersAreHeardOnDemand(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		accept bool
+	}{
+		{name: "ignored"},
+		{
+			name:   "accepted",
+			accept: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(1, 1, 2)
+			if test.accept {
+				f.processes[0].tracker.AcceptStrangers()
+			}
+			a := netip.MustParseAddrPort("10.9.9.9:7400")
+			h := Heartbeat{Sender: Record{
+				Name:        "stranger",
+				Zone:        "zone-0",
+				Incarnation: 99,
+				Relay:       a,
+			}}
+			require.Equal(t, test.accept, f.processes[0].tracker.Hear(f.now, a, &h).Known)
+		})
+	}
+}
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -78,7 +78,12 @@
 	// doubt makes every message a probe.
 	doubt bool
 	// strangers makes senders known that no list names.
-	strangers  bool
+	strangers bool
+	// gateways is the number of members of a zone that exchange messages with
+	// other zones; zero where all do.
+	gateways int
+	// gateway tells that this process is one of them.
+	gateway    bool
 	nextBeat   time.Time
 	nextSpread time.Time
 	window     int
@@ -271,6 +276,14 @@
 	return true
 }
 
+// SetGateways makes only the first n members of each zone exchange messages
+// with other zones, where bytes between zones are dear. Others hear of those
+// zones from them.
+func (t *Tracker) SetGateways(n int) {
+	t.gateways = n
+	t.ringChanged = true
+}
+
 // SetVersion lets heartbeats tell a version without spreading it as news: where
 // versions spread by another way, heartbeats only show who is behind.
 func (t *Tracker) SetVersion(v config.Version) {
