feat: filbertctl trace follows a request through logs

Cause: a request's id led to lines of several balancers that had to be joined by hand. TestForwarderIsReplayable failed once in five runs: flows of a dead host were reset in the order of a map.

--- a/filbertctl/internal/cmd/main.go
+++ b/filbertctl/internal/cmd/main.go
@@ -143,6 +143,7 @@
 			},
 		},
 		{name: "status", short: "Show the state of balancers", data: &showStatus{config: c}},
+		{name: "trace", short: "Show what logs tell of a request or flow", data: &trace{config: c}},
 		{
 			name:  "zone",
 			short: "Take a zone out or back in",
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
@@ -258,12 +260,18 @@
 	}
 }
 
-// abandon resets the open flows of a dead upstream.
+// abandon resets the open flows of a dead upstream, in the order of their
+// addresses.
 func (f *Forwarder) abandon(t directory.Ticket) {
+	var lost []key
 	f.flows.all(func(k key, s *state) {
-		if s.closed || s.opening || s.upstream.Ticket() != t {
-			return
+		if !s.closed && !s.opening && s.upstream.Ticket() == t {
+			lost = append(lost, k)
 		}
+	})
+	slices.SortFunc(lost, func(a, b key) int { return bytes.Compare(a[:], b[:]) })
+	for _, k := range lost {
+		s := f.flows.find(k)
 		f.drop(s)
 		s.abandoned = true
 		f.resets = append(f.resets, Packet{
@@ -272,7 +280,7 @@
 			Ticket:       t,
 			Acknowledged: s.acknowledged,
 		})
-	})
+	}
 }
 
 func (f *Forwarder) believe(u *directory.Upstream, h *health, silence time.Duration) {
