--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,302 @@
+package directory
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// none forgives no lapse.
+func none(*Upstream) bool { return false }
+
+func upstream(id string, revision uint64, change ...func(*Upstream)) Item {
+	u := &Upstream{
+		ID:      id,
+		Service: "board",
+		Zone:    "a",
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Slots:   2,
+	}
+	for _, f := range change {
+		f(u)
+	}
+	return Item{
+		Key: Key{
+			Kind: KindUpstream,
+			Name: id,
+		},
+		Revision: revision,
+		Upstream: u,
+	}
+}
+
+func gone(id string, revision uint64) Item {
+	return Item{
+		Key: Key{
+			Kind: KindUpstream,
+			Name: id,
+		},
+		Revision: revision,
+		Deleted:  true,
+	}
+}
+
+func planOf(version, revision uint64, routes ...string) Item {
+	p := &Plan{
+		Version: version,
+		Services: []Service{{
+			Name:            "board",
+			WarmupPerSecond: 5,
+		}},
+	}
+	for _, r := range routes {
+		p.Routes = append(p.Routes, Route{
+			Address: netip.MustParseAddrPort(r),
+			Targets: []Target{{
+				Service: "board",
+				Weight:  1,
+			}},
+		})
+	}
+	return Item{
+		Key:      Key{Kind: KindPlan},
+		Revision: revision,
+		Plan:     p,
+	}
+}
+
+func zoneOut(zone string, revision uint64, in bool) Item {
+	return Item{
+		Key: Key{
+			Kind: KindZoneOut,
+			Name: zone,
+		},
+		Revision: revision,
+		Deleted:  in,
+	}
+}
+
+// apply takes items as one delta after what is known.
+func apply(t require.TestingT, d *Directory, now time.Time, items ...Item) []Item {
+	delta := &Delta{
+		Base:     d.Revision(),
+		Revision: d.Revision(),
+		Items:    items,
+	}
+	for _, i := range items {
+		delta.Revision = max(delta.Revision, i.Revision)
+	}
+	changed, err := d.Apply(now, delta)
+	require.NoError(t, err)
+	return changed
+}
+
+func TestApply(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		deltas   []Delta
+		err      error
+		revision uint64
+		ids      []string
+	}{
+		{
+			name: "deltas that follow each other",
+			deltas: []Delta{
+				{
+					Revision: 2,
+					Items:    []Item{upstream("1", 1), upstream("2", 2)},
+				},
+				{
+					Base:     2,
+					Revision: 3,
+					Items:    []Item{gone("1", 3)},
+				},
+			},
+			revision: 3,
+			ids:      []string{"2"},
+		},
+		{
+			name: "an old delta changes nothing",
+			deltas: []Delta{
+				{
+					Revision: 5,
+					Items:    []Item{upstream("1", 1)},
+				},
+				{
+					Revision: 4,
+					Items:    []Item{upstream("2", 4)},
+				},
+			},
+			revision: 5,
+			ids:      []string{"1"},
+		},
+		{
+			name: "a delta from later on is a gap",
+			deltas: []Delta{
+				{
+					Revision: 2,
+					Items:    []Item{upstream("1", 1)},
+				},
+				{
+					Base:     3,
+					Revision: 4,
+				},
+			},
+			err:      ErrGap,
+			revision: 2,
+			ids:      []string{"1"},
+		},
+		{
+			name: "a complete delta ends what it does not list",
+			deltas: []Delta{
+				{
+					Revision: 2,
+					Items:    []Item{upstream("1", 1), upstream("2", 2)},
+				},
+				{
+					Revision: 9,
+					Items:    []Item{upstream("2", 2)},
+				},
+			},
+			revision: 9,
+			ids:      []string{"2"},
+		},
+		{
+			name: "items newer than a listing's revision stay",
+			deltas: []Delta{
+				{
+					Revision: 2,
+					Items:    []Item{upstream("1", 1), upstream("2", 7)},
+				},
+				{
+					Revision: 5,
+					Items:    []Item{upstream("1", 1)},
+				},
+			},
+			revision: 5,
+			ids:      []string{"1", "2"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := New()
+			var err error
+			for i := range test.deltas {
+				_, err = d.Apply(start, &test.deltas[i])
+			}
+			require.ErrorIs(t, err, test.err)
+			require.Equal(t, test.revision, d.Revision())
+			var ids []string
+			for _, u := range d.View(start, none).Eligible("board") {
+				ids = append(ids, u.ID)
+			}
+			require.Equal(t, test.ids, ids)
+		})
+	}
+}
+
+func TestPlansNeverGoBack(t *testing.T) {
+	d := New()
+	apply(t, d, start, planOf(7, 1, "198.18.0.1:80", "198.18.0.2:80"))
+	apply(t, d, start, planOf(5, 2, "198.18.0.3:80"))
+	require.Equal(t, uint64(7), d.View(start, none).Plan.Version)
+	apply(t, d, start, Item{
+		Key:      Key{Kind: KindPlan},
+		Revision: 3,
+		Deleted:  true,
+	})
+	require.Equal(t, uint64(7), d.View(start, none).Plan.Version, "an unusable plan does not count")
+	apply(t, d, start, planOf(8, 4, "198.18.0.1:80"))
+	v := d.View(start, none)
+	require.True(t, v.Removed(netip.MustParseAddrPort("198.18.0.2:80")))
+	require.False(t, v.Removed(netip.MustParseAddrPort("198.18.0.9:80")), "a route that nobody knew was not removed")
+	apply(t, d, start, planOf(9, 5, "198.18.0.1:80", "198.18.0.2:80"))
+	require.False(t, d.View(start, none).Removed(netip.MustParseAddrPort("198.18.0.2:80")))
+}
+
+func TestDepartedHosts(t *testing.T) {
+	d := New()
+	apply(t, d, start, upstream("1", 1), upstream("2", 2, func(u *Upstream) { u.Draining = true }), upstream("3", 3))
+	ticket := (&Upstream{ID: "1"}).Ticket()
+	apply(t, d, start, gone("1", 4), gone("2", 5))
+	v := d.View(start, none)
+	require.NotNil(t, v.ByTicket(ticket), "open flows go on")
+	require.Len(t, v.Eligible("board"), 1)
+	forgiven := d.View(start, func(u *Upstream) bool { return u.Lapsed })
+	require.Len(t, forgiven.Eligible("board"), 2, "the drained one left on purpose")
+
+	fresh := New()
+	delta := d.Since(0)
+	_, err := fresh.Apply(start, delta)
+	require.NoError(t, err)
+	require.NotNil(t, fresh.View(start, none).ByTicket(ticket), "peers tell a fresh one")
+
+	started := New()
+	apply(t, started, start, upstream("3", 3), zoneOut("z", 9, false))
+	started.Remember(start, delta)
+	require.NotNil(t, started.View(start, none).ByTicket(ticket), "also one that has read the store")
+
+	d.Prune(start.Add(KeepDeparted))
+	require.Nil(t, d.View(start, none).ByTicket(ticket))
+	require.Equal(t, uint64(0), d.Since(1).Base, "what was forgotten makes deltas complete")
+}
+
+func TestZonesComeBackCold(t *testing.T) {
+	d := New()
+	apply(t, d, start, planOf(1, 1), upstream("1", 2), zoneOut("a", 3, false))
+	require.Empty(t, d.View(start, none).Eligible("board"))
+	apply(t, d, start, zoneOut("a", 4, true))
+	back := d.View(start, none).Eligible("board")
+	require.Len(t, back, 1)
+	require.True(t, back[0].Cold(start), "its state may follow the zone's")
+	require.False(t, d.View(start.Add(ReturnGrace), none).Eligible("board")[0].Cold(start.Add(ReturnGrace)))
+}
+
+func TestTicketsThatCollide(t *testing.T) {
+	older := upstream("0000000100000002", 1, func(u *Upstream) { u.Born = start })
+	younger := upstream("0000000200000001", 2, func(u *Upstream) { u.Born = start.Add(time.Second) })
+	require.Equal(t, older.Upstream.Ticket(), younger.Upstream.Ticket())
+	for _, order := range [][]Item{{older, younger}, {younger, older}} {
+		d := New()
+		for _, i := range order {
+			i.Revision = d.Revision() + 1
+			apply(t, d, start, i)
+		}
+		v := d.View(start, none)
+		require.Len(t, v.Eligible("board"), 1, "the younger one gets no flows")
+		require.Equal(t, older.Upstream.ID, v.ByTicket(older.Upstream.Ticket()).ID)
+	}
+}
+
+// TestDeltasLeadToTheSameState states that any peer's deltas, in any steps,
+// lead to what the store's own changes lead to.
+func TestDeltasLeadToTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := New(), New()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := fmt.Sprintf("%x", rapid.IntRange(1, 5).Draw(t, "id"))
+			next := source.Revision() + uint64(rapid.IntRange(1, 3).Draw(t, "revision"))
+			if rapid.Bool().Draw(t, "deleted") {
+				apply(t, source, start, gone(id, next))
+			} else {
+				apply(t, source, start, upstream(id, next))
+			}
+			if rapid.Bool().Draw(t, "prune") {
+				source.Prune(start.Add(KeepDeparted))
+			}
+			if rapid.Bool().Draw(t, "pull") {
+				_, err := follower.Apply(start, source.Since(follower.Revision()))
+				require.NoError(t, err)
+			}
+		}
+		_, err := follower.Apply(start, source.Since(follower.Revision()))
+		require.NoError(t, err)
+		require.Equal(t, source.View(start, none).Eligible("board"), follower.View(start, none).Eligible("board"))
+		require.Equal(t, source.Revision(), follower.Revision())
+	})
+}
