feat: balancers of a zone join what they see of silent upstreams

Ruled out: lower thresholds for one balancer (they would take losses for deaths); verdicts without objections (a balancer that is cut off alone would reset flows that live). Change: reports go to two balancers that watch the upstream; their verdict holds unless a balancer has seen progress since.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -10,23 +10,23 @@
 
 // counters are what a daemon counts; they are read by the metrics.
 type counters struct {
-	decisions     [flow.Reasons]atomic.Uint64
-	forwarded     atomic.Uint64
-	rejected      atomic.Uint64
-	dropped       atomic.Uint64
-	requests      atomic.Uint64
-	abandoned     atomic.Uint64
-	beliefs       [flow.States]atomic.Uint64
-	peers         [peerStates]atomic.Int64
-	malformed     atomic.Uint64
-	socketErrors  atomic.Uint64
-	storeErrors   atomic.Uint64
-	lists         atomic.Uint64
-	watches       atomic.Uint64
-	peerBytes     atomic.Uint64
-	flows         atomic.Int64
-	upstreams     atomic.Int64
-	revision      atomic.Uint64
+	decisions    [flow.Reasons]atomic.Uint64
+	forwarded    atomic.Uint64
+	rejected     atomic.Uint64
+	dropped      atomic.Uint64
+	requests     atomic.Uint64
+	abandoned    atomic.Uint64
+	beliefs      [flow.States]atomic.Uint64
+	peers        [peerStates]atomic.Int64
+	malformed    atomic.Uint64
+	socketErrors atomic.Uint64
+	storeErrors  atomic.Uint64
+	lists        atomic.Uint64
+	watches      atomic.Uint64
+	peerBytes    atomic.Uint64
+	flows        atomic.Int64
+	upstreams    atomic.Int64
+	revision     atomic.Uint64
 	// storeAnswered is when the store last answered, in nanoseconds since the
 	// start.
 	storeAnswered atomic.Int64
--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -117,6 +117,7 @@
 	left    chan struct{}
 	calls   *ring.Ring[func(time.Time)]
 	spread  *spread
+	shared  shared
 	// reads wakes the reader; it holds whether this balancer reads.
 	reads    chan bool
 	packets  *net.UDPConn
@@ -193,7 +194,7 @@
 }
 
 func (d *Daemon) serve(ctx context.Context) error {
-	if err := d.listen(); err != nil {
+	if err := d.listenOn(d.options.Packets, d.options.Peers); err != nil {
 		return err
 	}
 	d.log.Info(time.Now(), "daemon: started", logs.F("zone", d.options.Zone),
@@ -210,16 +211,16 @@
 	return nil
 }
 
-func (d *Daemon) listen() error {
-	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(d.options.Packets))
-	if err != nil {
+// listenOn opens the sockets for clients' packets and for peers' datagrams.
+func (d *Daemon) listenOn(packets, peers netip.AddrPort) error {
+	var err error
+	if d.packets, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(packets)); err != nil {
 		return eris.Wrap(err, "listen for packets")
 	}
-	if err := packets.SetReadBuffer(packetBuffer); err != nil {
+	if err = d.packets.SetReadBuffer(packetBuffer); err != nil {
 		return eris.Wrap(err, "size the buffer for packets")
 	}
-	d.packets = packets
-	d.datagram, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(d.options.Peers))
+	d.datagram, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(peers))
 	return eris.Wrap(err, "listen for peers")
 }
 
--- /dev/null
+++ b/filbertflow/internal/daemon/health.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/flow"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// watchers is the number of balancers of a zone that join the reports on one
+// upstream: one may be lost.
+const watchers = 2
+
+// maxShared is the number of beliefs of peers that wait for the goroutine of
+// packets; more are left out, as peers send them again.
+const maxShared = 256
+
+// shared holds peers' beliefs until the goroutine of packets takes them.
+type shared struct {
+	mu      sync.Mutex
+	beliefs []sharedBelief
+}
+
+// sharedBelief is a verdict on an upstream, or an objection to one.
+type sharedBelief struct {
+	ticket  directory.Ticket
+	silence time.Duration
+	acquit  bool
+}
+
+// add takes a belief.
+func (s *shared) add(b sharedBelief) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.beliefs) < maxShared {
+		s.beliefs = append(s.beliefs, b)
+	}
+}
+
+// take returns the beliefs since the last call.
+func (s *shared) take() []sharedBelief {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.beliefs
+	s.beliefs = nil
+	return b
+}
+
+// takeShared applies peers' beliefs to the forwarder.
+func (t *traffic) takeShared(now time.Time) {
+	for _, b := range t.daemon.shared.take() {
+		if b.acquit {
+			t.forwarder.Acquit(b.ticket)
+			continue
+		}
+		if t.forwarder.Convict(now, b.ticket, b.silence) {
+			ticket := b.ticket
+			t.daemon.call(func(now time.Time) { t.daemon.spread.object(now, ticket) })
+		}
+	}
+}
+
+// shareReports hands what was seen of silent upstreams to their watchers.
+func (t *traffic) shareReports() {
+	reports := t.forwarder.Reports()
+	if len(reports) == 0 {
+		return
+	}
+	t.daemon.call(func(now time.Time) {
+		for i := range reports {
+			t.daemon.spread.report(now, &reports[i])
+		}
+	})
+}
+
+// report sends a report to the balancers that watch its upstream.
+func (s *spread) report(now time.Time, r *flow.Report) {
+	for _, m := range s.tracker.Table().Ranked(uint64(r.Ticket), s.daemon.options.Zone, watchers) {
+		if m.Incarnation == s.daemon.incarnation {
+			s.hearReport(now, s.daemon.incarnation, *r)
+			continue
+		}
+		s.sendHealth([]netip.AddrPort{m.Relay}, &wire.Health{Reports: []*wire.Silence{wire.NewSilence(r)}})
+	}
+}
+
+// hearReport joins a report with others; where they show that the upstream is
+// dead, the zone is told.
+func (s *spread) hearReport(now time.Time, sender uint64, r flow.Report) {
+	joined, dead := s.jury.Hear(now, sender, r)
+	if !dead {
+		return
+	}
+	s.daemon.log.Info(now, "upstream: reported dead", logs.F("ticket", uint32(r.Ticket)), logs.F("silent_flows", joined.Flows),
+		logs.F("repeats", joined.Repeats), logs.F("openings", joined.Openings), logs.F("silence_ms", joined.Silence.Milliseconds()))
+	s.daemon.shared.add(sharedBelief{
+		ticket:  r.Ticket,
+		silence: joined.Silence,
+	})
+	s.sendHealth(s.zonePeers(), &wire.Health{Verdicts: []*wire.Silence{wire.NewSilence(&joined)}})
+}
+
+// object tells the zone that an upstream answers.
+func (s *spread) object(now time.Time, t directory.Ticket) {
+	s.daemon.log.Info(now, "upstream: objection", logs.F("ticket", uint32(t)))
+	s.sendHealth(s.zonePeers(), &wire.Health{Objections: []uint32{uint32(t)}})
+}
+
+// hearHealth takes a datagram on silent upstreams.
+func (s *spread) hearHealth(now time.Time, data []byte) {
+	m, err := wire.ParseHealth(data)
+	if err != nil {
+		s.daemon.counters.malformed.Add(1)
+		return
+	}
+	for _, r := range m.GetReports() {
+		s.hearReport(now, m.GetSender(), r.Report())
+	}
+	for _, v := range m.GetVerdicts() {
+		r := v.Report()
+		s.daemon.shared.add(sharedBelief{
+			ticket:  r.Ticket,
+			silence: r.Silence,
+		})
+	}
+	for _, t := range m.GetObjections() {
+		s.daemon.shared.add(sharedBelief{
+			ticket: directory.Ticket(t),
+			acquit: true,
+		})
+	}
+}
+
+func (s *spread) sendHealth(to []netip.AddrPort, m *wire.Health) {
+	m.Sender = s.daemon.incarnation
+	data, err := wire.AppendHealth(nil, m)
+	if err != nil {
+		s.daemon.counters.malformed.Add(1)
+		return
+	}
+	for _, a := range to {
+		s.daemon.sendPeer(a, data)
+	}
+}
+
+// zonePeers returns the other living balancers of the zone.
+func (s *spread) zonePeers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, m := range s.tracker.Members() {
+		if m.State != member.Dead && m.Zone == s.daemon.options.Zone && m.Incarnation != s.daemon.incarnation {
+			peers = append(peers, m.Relay)
+		}
+	}
+	return peers
+}
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -10,6 +10,7 @@
 	"filbertworks.example/filbertworks/config"
 	"filbertworks.example/filbertworks/directory"
 	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/flow"
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/rollout"
 	"filbertworks.example/filbertworks/wire"
@@ -49,6 +50,7 @@
 	dir     *directory.Directory
 	tracker *member.Tracker
 	table   *member.Table
+	jury    *flow.Jury
 	reading bool
 	// forgive is until when entries that lapse count as a mistake.
 	forgive time.Time
@@ -69,6 +71,7 @@
 	s := &spread{
 		daemon: d,
 		dir:    directory.New(),
+		jury:   flow.NewJury(),
 		tracker: member.NewTracker(now, member.Member{
 			Name:        o.Name,
 			Zone:        o.Zone,
@@ -214,6 +217,7 @@
 	if now.Sub(s.pruned) >= pruneInterval {
 		s.pruned = now
 		s.dir.Prune(now)
+		s.jury.Prune(now)
 	}
 }
 
@@ -260,9 +264,13 @@
 
 // hear takes a datagram of a peer.
 func (s *spread) hear(ctx context.Context, now time.Time, from netip.AddrPort, data []byte) {
-	if wire.IsDelta(data) {
+	switch {
+	case wire.IsDelta(data):
 		s.hearDelta(ctx, now, from, data)
 		return
+	case wire.IsHealth(data):
+		s.hearHealth(now, data)
+		return
 	}
 	var h member.Heartbeat
 	if err := wire.ParseHeartbeat(data, &h); err != nil {
--- /dev/null
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/flow"
+	"filbertworks.example/filbertworks/platform"
+	"filbertworks.example/filbertworks/wire"
+)
+
+// nowhere is a source without changes.
+type nowhere struct{}
+
+func (nowhere) Close() {}
+
+func (nowhere) List(context.Context, bool) (*directory.Delta, error) {
+	return &directory.Delta{}, nil
+}
+
+func (nowhere) Watch(context.Context, uint64, time.Duration) (*directory.Delta, error) {
+	return &directory.Delta{}, nil
+}
+
+func newDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	d := New(Options{
+		Name:      "lb-1",
+		Zone:      "a",
+		Packets:   netip.MustParseAddrPort("127.0.0.1:1"),
+		Readiness: netip.MustParseAddrPort("127.0.0.1:2"),
+		Peers:     netip.MustParseAddrPort("127.0.0.1:3"),
+		LogLevel:  logrus.InfoLevel,
+		LogRate:   100,
+		Logs:      io.Discard,
+		Codec:     platform.Codec{},
+		Headroom:  platform.Headroom,
+		Source:    func(SourceObserver) Source { return nowhere{} },
+		Probes:    func(func() bool) http.Handler { return http.NotFoundHandler() },
+	})
+	require.NoError(t, d.listenOn(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort("127.0.0.1:0")))
+	t.Cleanup(func() {
+		_ = d.packets.Close()
+		_ = d.datagram.Close()
+	})
+	return d
+}
+
+// TestDatagramsBeforeTheFirstTick states that whatever a peer sends to a process
+// that has just started does not end it. Reports on an upstream did.
+func TestDatagramsBeforeTheFirstTick(t *testing.T) {
+	r := flow.Report{
+		Ticket:   7,
+		Openings: 3,
+	}
+	health, err := wire.AppendHealth(nil, &wire.Health{
+		Reports:    []*wire.Silence{wire.NewSilence(&r)},
+		Verdicts:   []*wire.Silence{wire.NewSilence(&r)},
+		Objections: []uint32{7},
+	})
+	require.NoError(t, err)
+	delta, err := wire.AppendDelta(nil, time.Now(), &directory.Delta{
+		Base:     3,
+		Revision: 3,
+	}, 9)
+	require.NoError(t, err)
+	for _, test := range []struct {
+		name string
+		data []byte
+	}{
+		{
+			name: "reports, verdicts and objections",
+			data: health,
+		},
+		{
+			name: "changes after a gap",
+			data: delta,
+		},
+		{
+			name: "a cut report",
+			data: health[:len(health)-1],
+		},
+		{
+			name: "a heartbeat that is none",
+			data: bytes.Repeat([]byte{0xf2}, 30),
+		},
+		{name: "nothing"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDaemon(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer d.duties.Wait()
+			defer cancel()
+			require.NotPanics(t, func() {
+				d.spread.hear(ctx, time.Now(), netip.MustParseAddrPort("127.0.0.1:9"), test.data)
+				d.spread.report(time.Now(), &r)
+			})
+		})
+	}
+}
+
+// TestPartsFollowEachOther states that the datagrams of a delta can be applied
+// one after the other.
+func TestPartsFollowEachOther(t *testing.T) {
+	source := &directory.Delta{
+		Base:     4,
+		Revision: 40,
+	}
+	for i := range 20 {
+		source.Items = append(source.Items, directory.Item{
+			Key: directory.Key{
+				Kind: directory.KindZoneOut,
+				Name: string(rune('a' + i)),
+			},
+			Revision: uint64(5 + i),
+		})
+	}
+	d := directory.New()
+	_, err := d.Apply(time.Now(), &directory.Delta{Revision: 4})
+	require.NoError(t, err)
+	for _, p := range parts(source) {
+		_, err := d.Apply(time.Now(), &p)
+		require.NoError(t, err)
+	}
+	require.Equal(t, uint64(40), d.Revision())
+	require.Len(t, d.Since(0).Items, 20)
+}
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -88,9 +88,11 @@
 	if view == nil {
 		view = &t.empty
 	}
+	t.takeShared(now)
 	decision := t.forwarder.Forward(now, view, &t.packet)
 	t.act(n, &decision)
 	t.abandon(now)
+	t.shareReports()
 	d.counters.decided(&decision, time.Since(now), t.forwarder.Flows())
 	t.report(now, n, view, &decision)
 }
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -28,6 +28,8 @@
 	attempts   *attempts
 	beliefs    []Belief
 	resets     []Packet
+	reports    []Report
+	verdicts   []verdict
 }
 
 // An Option changes a forwarder from its defaults.
@@ -79,6 +81,7 @@
 // Forward decides on a packet that came at now, with what v tells.
 func (f *Forwarder) Forward(now time.Time, v *directory.View, p *Packet) Decision {
 	f.forget(now)
+	f.execute(now, v)
 	k := p.key()
 	s := f.flows.find(k)
 	if p.Flags.Has(Open) {
@@ -212,7 +215,7 @@
 		if s.opening {
 			f.attempts.done(p, s.upstream.Ticket())
 		}
-		f.advanced(h, s, p)
+		f.advanced(now, h, s, p)
 	}
 	end := p.Sequence + uint32(p.Length)
 	switch content := p.Length > 0 || p.Flags.Has(Finish); {
@@ -233,13 +236,13 @@
 }
 
 // advanced takes a packet that shows that the upstream answered.
-func (f *Forwarder) advanced(h *health, s *state, p *Packet) {
+func (f *Forwarder) advanced(now time.Time, h *health, s *state, p *Packet) {
 	s.opening = false
 	s.acknowledged = p.Acknowledged
 	s.sent, s.last = time.Time{}, time.Time{}
 	s.copies = 0
 	f.work(h, s, false)
-	if h.progress() {
+	if h.progress(now) {
 		f.believe(s.upstream, h, 0)
 	}
 }
@@ -251,7 +254,9 @@
 	}
 	s.copies++
 	s.last = now
-	if !h.repeat(now, s) {
+	changed := h.repeat(now, s)
+	f.report(now, s.upstream.Ticket(), h)
+	if !changed {
 		return
 	}
 	f.believe(s.upstream, h, now.Sub(h.since))
--- a/flow/health.go
+++ b/flow/health.go
@@ -92,12 +92,16 @@
 	// since is when the first packet was sent that is unanswered; zero unless
 	// silent is positive.
 	since time.Time
+	// progressed is when the upstream last showed progress here.
+	progressed time.Time
 	// openings is the number of first packets since the last progress, opened
-	// when the first of them was sent, and enough when the one was that makes
-	// deadOpenings.
+	// when the first of them was sent, and early when the first deadOpenings
+	// were.
 	openings int
 	opened   time.Time
-	enough   time.Time
+	early    [deadOpenings]time.Time
+	// told is the number of overdue first packets that were reported.
+	told int
 	// avoid is until when new flows avoid the upstream.
 	avoid time.Time
 	// pause is the length of the last such time.
@@ -109,9 +113,10 @@
 
 // progress takes a sign that the upstream answers, and reports whether this
 // changed what is believed.
-func (h *health) progress() bool {
+func (h *health) progress(now time.Time) bool {
 	changed := h.state != Answering
 	h.restart()
+	h.progressed = now
 	h.pause = 0
 	return changed
 }
@@ -121,16 +126,26 @@
 	if h.openings == 0 || now.Sub(h.opened) >= retryAfter {
 		h.opened = now
 	}
+	if h.openings < deadOpenings {
+		h.early[h.openings] = now
+	}
 	h.openings++
-	if h.openings == deadOpenings {
-		h.enough = now
+}
+
+// due returns the number of first packets that are overdue, deadOpenings at
+// most.
+func (h *health) due(now time.Time) int {
+	n := 0
+	for n < min(h.openings, deadOpenings) && now.Sub(h.early[n]) >= deadOpeningAge {
+		n++
 	}
+	return n
 }
 
 // overdue judges first packets that are unanswered, and reports whether this
 // changed what is believed.
 func (h *health) overdue(now time.Time) bool {
-	if h.state == Dead || h.enough.IsZero() || now.Sub(h.enough) < deadOpeningAge {
+	if h.state == Dead || h.due(now) < deadOpenings {
 		return false
 	}
 	h.state = Dead
@@ -185,8 +200,8 @@
 	}
 	h.silent, h.repeats = 0, 0
 	h.since = time.Time{}
-	h.openings = 0
-	h.opened, h.enough = time.Time{}, time.Time{}
+	h.openings, h.told = 0, 0
+	h.opened = time.Time{}
 	h.state = Answering
 	h.avoid = time.Time{}
 }
--- a/member/table.go
+++ b/member/table.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"cmp"
 	"hash/fnv"
 	"net/netip"
 	"slices"
@@ -139,6 +140,21 @@
 	return rank, ok
 }
 
+// Ranked returns the first n living members of a zone in the rendezvous order of
+// a key.
+func (t *Table) Ranked(key uint64, zone string, n int) []Member {
+	var ranked []Member
+	for i := range t.members {
+		if m := &t.members[i]; m.State == Alive && m.Zone == zone {
+			ranked = append(ranked, *m)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Compare(rendezvous.Score(key, nameHash(b.Name)), rendezvous.Score(key, nameHash(a.Name)))
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
 // Replace sets the members of t.
 func (t *Table) Replace(members []Member) {
 	t.members = slices.Clone(members)
--- /dev/null
+++ b/wire/health.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/flow"
+)
+
+// healthFormat is the first byte of a datagram on silent upstreams; it differs
+// from the formats of the other datagrams between balancers.
+const healthFormat = 0xf6
+
+// ErrHealth reports a datagram that is no Health of this format.
+var ErrHealth = eris.New("malformed health datagram")
+
+// AppendHealth appends the datagram for m to buf.
+func AppendHealth(buf []byte, m *Health) ([]byte, error) {
+	buf, err := proto.MarshalOptions{}.MarshalAppend(append(buf, healthFormat), m)
+	return buf, eris.Wrap(err, "marshal health")
+}
+
+// IsHealth reports whether data is a Health rather than another datagram.
+func IsHealth(data []byte) bool {
+	return len(data) > 0 && data[0] == healthFormat
+}
+
+// ParseHealth returns the message of a datagram. The error is ErrHealth.
+func ParseHealth(data []byte) (*Health, error) {
+	m := &Health{}
+	if !IsHealth(data) || proto.Unmarshal(data[1:], m) != nil {
+		return nil, ErrHealth
+	}
+	return m, nil
+}
+
+// NewSilence returns the message for a report.
+func NewSilence(r *flow.Report) *Silence {
+	return &Silence{
+		Ticket:   uint32(r.Ticket),
+		Flows:    uint32(r.Flows),
+		Repeats:  uint32(r.Repeats),
+		Openings: uint32(r.Openings),
+		Silence:  milliseconds(r.Silence),
+	}
+}
+
+// Report returns what m says.
+func (x *Silence) Report() flow.Report {
+	return flow.Report{
+		Ticket:   directory.Ticket(x.GetTicket()),
+		Flows:    int(x.GetFlows()),
+		Repeats:  int(x.GetRepeats()),
+		Openings: int(x.GetOpenings()),
+		Silence:  duration(x.GetSilence()),
+	}
+}
