--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -32,6 +32,8 @@
 	// leaveMargin is the part of the grace that a leaving balancer does not use:
 	// it ends by itself before it is killed.
 	leaveMargin = 1500 * time.Millisecond
+	// logTimeout bounds the time for what is left of the log at the end.
+	logTimeout = 500 * time.Millisecond
 	// firstViewTimeout is how long packets wait for the first view. They wait in
 	// the socket's buffer.
 	firstViewTimeout = time.Second
@@ -184,7 +186,11 @@
 	d.log.Info(time.Now(), "daemon: stopped", logs.F("flows", d.counters.flows.Load()))
 	cancel()
 	endLog()
-	<-logged
+	select {
+	case <-logged:
+	case <-time.After(logTimeout):
+		// Nobody reads the log: that must not keep the process from ending.
+	}
 	return err
 }
 
--- /dev/null
+++ b/filbertflow/internal/settings/settings_test.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `name = "lb-1"
+zone = "a"
+unknown = 7
+[packets]
+listen = "10.1.0.10:8172"
+[readiness]
+listen = "10.1.0.10:8167"
+[peers]
+listen = "10.1.0.10:7720"
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+[store]
+address = "10.200.1.7:8169"
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(valid))
+	require.NoError(t, err)
+	require.Equal(t, "lb-1", s.Name)
+	require.Len(t, s.Peers.Seeds, 2)
+	require.Equal(t, DefaultGrace, time.Duration(s.Leave.Grace))
+	require.Equal(t, DefaultLogRate, s.Log.Rate)
+	require.False(t, s.Metrics.Listen.IsValid())
+}
+
+func TestParseRefuses(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		text string
+		want string
+	}{
+		{
+			name: "nothing",
+			want: "name is missing",
+		},
+		{
+			name: "no TOML",
+			text: "name = ",
+			want: "unusable settings",
+		},
+		{
+			name: "an address without a port",
+			text: `name = "lb-1"` + "\n" + `packets = { listen = "10.1.0.10" }`,
+			want: "unusable settings",
+		},
+		{
+			name: "a negative grace",
+			text: valid + "[leave]\ngrace = \"-1s\"\n",
+			want: "leave.grace",
+		},
+		{
+			name: "an unknown log level",
+			text: valid + "[log]\nlevel = \"loud\"\n",
+			want: "loud",
+		},
+		{
+			name: "no log lines",
+			text: valid + "[log]\nrate = 0\n",
+			want: "log.rate",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse([]byte(test.text))
+			require.ErrorIs(t, err, ErrSettings)
+			require.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	_, err := Load(path)
+	require.ErrorIs(t, err, os.ErrNotExist)
+	require.NoError(t, os.WriteFile(path, []byte(valid), 0o600))
+	_, err = Load(path)
+	require.NoError(t, err)
+}
--- a/internal/system/process.go
+++ b/internal/system/process.go
@@ -13,8 +13,8 @@
 // stopTimeout bounds the end of a process after SIGTERM.
 const stopTimeout = 30 * time.Second
 
-// A process is one running program with its output in a file.
-type process struct {
+// A Process is one running program with its output in a file.
+type Process struct {
 	name    string
 	command *exec.Cmd
 	log     *os.File
@@ -23,13 +23,13 @@
 	err  error
 }
 
-// startProcess runs a program with its output appended to a file.
-func startProcess(name, logFile, program string, arguments ...string) (*process, error) {
+// StartProcess runs a program with its output appended to a file.
+func StartProcess(name, logFile, program string, arguments ...string) (*Process, error) {
 	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // the test names the file
 	if err != nil {
 		return nil, eris.Wrap(err, "open log")
 	}
-	p := &process{
+	p := &Process{
 		name:    name,
 		command: exec.Command(program, arguments...), //nolint:gosec // the test names the program
 		log:     log,
@@ -45,7 +45,13 @@
 	return p, nil
 }
 
-func (p *process) signal(s syscall.Signal) error {
+// Done returns a channel that is closed when the program has ended.
+func (p *Process) Done() <-chan struct{} {
+	return p.done
+}
+
+// Signal sends a signal to the program; one that has ended takes none.
+func (p *Process) Signal(s syscall.Signal) error {
 	err := p.command.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
@@ -53,10 +59,10 @@
 	return eris.Wrapf(err, "signal %s", p.name)
 }
 
-// stop ends the program gracefully, and by force where that takes too long.
-func (p *process) stop() error {
-	_ = p.signal(syscall.SIGCONT)
-	if err := p.signal(syscall.SIGTERM); err != nil {
+// Stop ends the program gracefully, and by force where that takes too long.
+func (p *Process) Stop() error {
+	_ = p.Signal(syscall.SIGCONT)
+	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	timer := time.NewTimer(stopTimeout)
@@ -65,13 +71,13 @@
 	case <-p.done:
 		return nil
 	case <-timer.C:
-		_ = p.signal(syscall.SIGKILL)
+		_ = p.Signal(syscall.SIGKILL)
 		<-p.done
 		return eris.Errorf("%s did not stop within %v", p.name, stopTimeout)
 	}
 }
 
-func (p *process) wait() {
+func (p *Process) wait() {
 	p.err = p.command.Wait()
 	_ = p.log.Close()
 	close(p.done)
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -97,7 +97,7 @@
 // A System is a running system.
 type System struct {
 	layout    Layout
-	processes map[string]*process
+	processes map[string]*Process
 	client    *http.Client
 	vms       []config.VM
 }
@@ -107,7 +107,7 @@
 func Start(ctx context.Context, l Layout) (*System, error) {
 	s := &System{
 		layout:    l,
-		processes: make(map[string]*process),
+		processes: make(map[string]*Process),
 		client:    &http.Client{Timeout: callTimeout},
 	}
 	if err := s.start(ctx); err != nil {
@@ -145,7 +145,7 @@
 
 // Leave asks a balancer to leave and waits until it has ended.
 func (s *System) Leave(name string) error {
-	return s.processes[name].stop()
+	return s.processes[name].Stop()
 }
 
 // Pause stops a process from running until Resume.
@@ -177,8 +177,8 @@
 // Stop ends all processes.
 func (s *System) Stop() {
 	for _, p := range s.processes {
-		_ = p.signal(syscall.SIGCONT)
-		_ = p.signal(syscall.SIGKILL)
+		_ = p.Signal(syscall.SIGCONT)
+		_ = p.Signal(syscall.SIGKILL)
 	}
 	for _, p := range s.processes {
 		<-p.done
@@ -243,7 +243,7 @@
 }
 
 func (s *System) run(name, program string, arguments ...string) error {
-	p, err := startProcess(name, s.file(name+".log"), filepath.Join(s.layout.Programs, program), arguments...)
+	p, err := StartProcess(name, s.file(name+".log"), filepath.Join(s.layout.Programs, program), arguments...)
 	if err != nil {
 		return err
 	}
@@ -270,7 +270,7 @@
 	if p == nil {
 		return eris.Errorf("no process %s", name)
 	}
-	return p.signal(sig)
+	return p.Signal(sig)
 }
 
 func (s *System) start(ctx context.Context) error {
