--- a/directory/directory.go
+++ b/directory/directory.go
@@ -165,21 +165,38 @@
 	if old != nil && old.Revision >= next.Revision {
 		return false
 	}
-	if next.Key.Kind == KindPlan && (next.Plan == nil || old != nil && old.Plan.Version >= next.Plan.Version) {
-		// Versions never go back, and a plan is never taken away.
-		return false
-	}
 	item := *next
-	if item.Deleted && item.Upstream == nil && old != nil && old.Upstream != nil {
-		item.Upstream = depart(now, old.Upstream)
+	switch item.Key.Kind {
+	case KindPlan:
+		if !d.setPlan(old, &item) {
+			return false
+		}
+	case KindUpstream:
+		if item.Deleted && item.Upstream == nil && old != nil && old.Upstream != nil {
+			item.Upstream = depart(now, old.Upstream)
+		}
+	case KindZoneOut:
+		if item.Deleted && old != nil && !old.Deleted {
+			d.returned[item.Key.Name] = now
+		}
 	}
-	if item.Key.Kind == KindPlan && old != nil {
-		d.noteRemoved(old.Plan, item.Plan)
+	d.items[item.Key] = &item
+	return true
+}
+
+// setPlan reports whether a plan may replace the one known: versions never go
+// back, and a plan is never taken away.
+func (d *Directory) setPlan(old, next *Item) bool {
+	if next.Plan == nil {
+		return false
 	}
-	if item.Key.Kind == KindZoneOut && item.Deleted && old != nil && !old.Deleted {
-		d.returned[item.Key.Name] = now
+	if old == nil {
+		return true
 	}
-	d.items[item.Key] = &item
+	if old.Plan.Version >= next.Plan.Version {
+		return false
+	}
+	d.noteRemoved(old.Plan, next.Plan)
 	return true
 }
 
--- a/directory/plan.go
+++ b/directory/plan.go
@@ -48,13 +48,3 @@
 	// second; zero tells that there is no limit.
 	WarmupPerSecond float64
 }
-
-// service returns the service with a name, or nil.
-func (p *Plan) service(name string) *Service {
-	for i := range p.Services {
-		if p.Services[i].Name == name {
-			return &p.Services[i]
-		}
-	}
-	return nil
-}
--- a/filbertctl/internal/cmd/trace.go
+++ b/filbertctl/internal/cmd/trace.go
@@ -131,47 +131,90 @@
 // related returns the lines that tell of a request or flow: its own, those of
 // its flows, and those of the upstreams that these had, near in time.
 func related(all []LogLine, id string) []LogLine {
-	flows, upstreams := make(map[string]bool), make(map[string]bool)
-	flows[id] = true
-	var first, last time.Time
-	see := func(l *LogLine) {
-		if first.IsZero() || l.Time.Before(first) {
-			first = l.Time
-		}
-		if l.Time.After(last) {
-			last = l.Time
-		}
+	c := &chain{
+		id:        id,
+		flows:     map[string]bool{id: true},
+		upstreams: make(map[string]bool),
 	}
 	for i := range all {
-		if l := &all[i]; l.text("request") == id {
-			flows[l.text("flow")] = true
-			see(l)
-		}
+		c.takeRequest(&all[i])
 	}
+	named := !c.first.IsZero()
 	for i := range all {
-		l := &all[i]
-		if !flows[l.text("flow")] || l.text("flow") == "" {
-			continue
-		}
-		upstreams[l.text("upstream")] = true
-		if first.IsZero() || l.text("flow") == id {
-			see(l)
-		}
+		c.takeFlow(&all[i], !named)
 	}
-	var chosen []LogLine
-	for i := range all {
-		l := &all[i]
-		near := !l.Time.Before(first.Add(-traceMargin)) && !l.Time.After(last.Add(traceMargin))
-		own := flows[l.text("flow")] && (l.text("request") == "" || l.text("request") == id)
-		of := l.text("flow") == "" && l.text("upstream") != "" && upstreams[l.text("upstream")]
-		plan := strings.HasPrefix(l.Message, "directory: plan") || strings.HasPrefix(l.Message, "directory: zone") ||
-			strings.HasPrefix(l.Message, "daemon:") || strings.HasPrefix(l.Message, "store:")
-		if !first.IsZero() && (own && l.text("flow") != "" || near && (of || plan)) {
-			chosen = append(chosen, *l)
-		}
+	if c.first.IsZero() {
+		return nil
 	}
+	chosen := slices.DeleteFunc(slices.Clone(all), func(l LogLine) bool { return !c.own(&l) && !c.context(&l) })
 	slices.SortStableFunc(chosen, func(a, b LogLine) int {
 		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Balancer, b.Balancer))
 	})
 	return chosen
 }
+
+// contextPrefixes begin the messages that matter to every request.
+var contextPrefixes = []string{"directory: plan", "directory: zone", "daemon:", "store:"}
+
+// chain is what a request's lines lead to.
+type chain struct {
+	id        string
+	flows     map[string]bool
+	upstreams map[string]bool
+	// first and last are the times of the request's lines.
+	first, last time.Time
+}
+
+// takeRequest takes a line of the request itself.
+func (c *chain) takeRequest(l *LogLine) {
+	if l.text("request") == c.id {
+		c.flows[l.text("flow")] = true
+		c.see(l)
+	}
+}
+
+// takeFlow takes a line of the request's flow; timed tells that it counts for
+// the times.
+func (c *chain) takeFlow(l *LogLine, timed bool) {
+	if !c.ofFlow(l) {
+		return
+	}
+	c.upstreams[l.text("upstream")] = true
+	if timed {
+		c.see(l)
+	}
+}
+
+// see widens the times by those of a line.
+func (c *chain) see(l *LogLine) {
+	if c.first.IsZero() || l.Time.Before(c.first) {
+		c.first = l.Time
+	}
+	if l.Time.After(c.last) {
+		c.last = l.Time
+	}
+}
+
+func (c *chain) ofFlow(l *LogLine) bool {
+	flow := l.text("flow")
+	return flow != "" && c.flows[flow]
+}
+
+// own reports whether a line is of the request, or of its flow and of no other
+// request.
+func (c *chain) own(l *LogLine) bool {
+	request := l.text("request")
+	return c.ofFlow(l) && (request == "" || request == c.id || c.flows[c.id] && l.text("flow") == c.id)
+}
+
+// context reports whether a line near in time tells of the flow's upstream, or
+// of what matters to every request.
+func (c *chain) context(l *LogLine) bool {
+	if l.Time.Before(c.first.Add(-traceMargin)) || l.Time.After(c.last.Add(traceMargin)) || l.text("flow") != "" {
+		return false
+	}
+	if u := l.text("upstream"); u != "" {
+		return c.upstreams[u]
+	}
+	return slices.ContainsFunc(contextPrefixes, func(p string) bool { return strings.HasPrefix(l.Message, p) })
+}
--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -16,7 +16,7 @@
 	watchWait = time.Second
 	// batchPause is the time from an answer with changes until the next watch:
 	// changes that come together cost one call.
-	batchPause = 150 * time.Millisecond
+	batchPause = 300 * time.Millisecond
 	// retryFirst and retryMost are the pauses after a call that failed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
--- a/filbertflow/internal/settings/settings.go
+++ b/filbertflow/internal/settings/settings.go
@@ -75,7 +75,7 @@
 // Load returns the settings in a file, checked. The error wraps ErrSettings or
 // that of the file system.
 func Load(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -96,8 +96,8 @@
 	require.NoError(w.t, err)
 }
 
-// host registers a host and returns it.
-func (w *world) host(id, zone, service string, change ...func(*directory.Upstream)) *directory.Upstream {
+// host registers a host.
+func (w *world) host(id, zone, service string, change ...func(*directory.Upstream)) {
 	u := &directory.Upstream{
 		ID:      id,
 		Service: service,
@@ -115,7 +115,6 @@
 		},
 		Upstream: u,
 	})
-	return u
 }
 
 // remove takes a host's entry away.
@@ -197,8 +196,8 @@
 	return p
 }
 
-func (c *client) acknowledge() Decision {
-	return c.w.send(c.packet())
+func (c *client) acknowledge() {
+	c.w.send(c.packet())
 }
 
 // request sends a request of 100 bytes; again repeats the last one.
@@ -223,7 +222,7 @@
 }
 
 // answered acknowledges an answer of the host.
-func (c *client) answered() Decision {
+func (c *client) answered() {
 	c.ack += 500
-	return c.acknowledge()
+	c.acknowledge()
 }
