--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -96,7 +96,7 @@
 	if !dead {
 		return
 	}
-	s.daemon.log.Info(now, "upstream: reported dead", logs.F("ticket", uint32(r.Ticket)), logs.F("silent_flows", joined.Flows),
+	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
 		logs.F("repeats", joined.Repeats), logs.F("openings", joined.Openings), logs.F("silence_ms", joined.Silence.Milliseconds()))
 	s.daemon.shared.add(sharedBelief{
 		ticket:  r.Ticket,
@@ -107,7 +107,7 @@
 
 // object tells the zone that an upstream answers.
 func (s *spread) object(now time.Time, t directory.Ticket) {
-	s.daemon.log.Info(now, "upstream: objection", logs.F("ticket", uint32(t)))
+	s.daemon.log.Info(now, "upstream: objection", logs.F("upstream", s.nameOf(t)))
 	s.sendHealth(s.zonePeers(), &wire.Health{Objections: []uint32{uint32(t)}})
 }
 
@@ -148,6 +148,16 @@
 	}
 }
 
+// nameOf returns the id of the upstream that a ticket names; empty if unknown.
+func (s *spread) nameOf(t directory.Ticket) string {
+	if v := s.daemon.view.Load(); v != nil {
+		if u := v.ByTicket(t); u != nil {
+			return u.ID
+		}
+	}
+	return ""
+}
+
 // zonePeers returns the other living balancers of the zone.
 func (s *spread) zonePeers() []netip.AddrPort {
 	var peers []netip.AddrPort
--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -61,7 +61,6 @@
 // step makes one call and waits as it should.
 func (r *reader) step(ctx context.Context) {
 	d := r.daemon
-	began := time.Now()
 	if v := d.view.Load(); v != nil {
 		r.after = max(r.after, v.Revision)
 	}
@@ -80,7 +79,7 @@
 	r.pause = 0
 	listed := delta.Base == 0
 	r.after = max(r.after, delta.Revision)
-	d.call(func(now time.Time) { d.spread.readDelta(now, began, delta) })
+	d.call(func(now time.Time) { d.spread.readDelta(now, delta) })
 	if len(delta.Items) > 0 && !listed {
 		sleep(ctx, batchPause)
 	}
@@ -114,14 +113,13 @@
 // relist reads all there is, as changes since the last revision are not to be
 // had.
 func (r *reader) relist(ctx context.Context) {
-	began := time.Now()
 	delta, err := r.daemon.source.List(ctx, false)
 	if err != nil {
 		r.failed(ctx, err)
 		return
 	}
 	r.after = max(r.after, delta.Revision)
-	r.daemon.call(func(now time.Time) { r.daemon.spread.readDelta(now, began, delta) })
+	r.daemon.call(func(now time.Time) { r.daemon.spread.readDelta(now, delta) })
 }
 
 // sleep waits for a time or until ctx ends.
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -37,11 +37,12 @@
 
 // readers is how many balancers of a zone read the store. Other zones' readers
 // stand in for one that fails: their peers here hear of new revisions with
-// heartbeats. A zone on its own takes further readers within two watches.
+// heartbeats. A zone on its own takes further readers once the store's last word
+// is older than a watch, its time-out and a heartbeat take together.
 var readers = rollout.Policy{
 	Readers:      1,
 	MaxReaders:   4,
-	StandbyAfter: 2 * watchWait,
+	StandbyAfter: 3 * watchWait,
 }
 
 // spread owns the directory and the view of the members. One goroutine uses it.
@@ -174,13 +175,13 @@
 	}
 }
 
-// readDelta takes what the store answered to a call that began at a time.
-func (s *spread) readDelta(now, began time.Time, delta *directory.Delta) {
+// readDelta takes what the store has answered.
+func (s *spread) readDelta(now time.Time, delta *directory.Delta) {
 	if age := s.tracker.PlatformAge(now); age > outageLimit && s.dir.Revision() > 0 {
 		s.forgive = now.Add(directory.LapseGrace)
 		s.daemon.log.Info(now, "store: back after silence", logs.F("age_ms", age.Milliseconds()))
 	}
-	s.tracker.PlatformAnswered(began)
+	s.tracker.PlatformAnswered(now)
 	if err := s.apply(now, delta, s.daemon.incarnation, "store"); errors.Is(err, directory.ErrGap) {
 		// The reader starts from the directory's revision.
 		s.daemon.log.Warn(now, "store: gap", logs.F("base", delta.Base))
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -148,7 +148,8 @@
 	for _, b := range t.forwarder.Beliefs() {
 		t.daemon.counters.beliefs[b.State].Add(1)
 		log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID), logs.F("revision", v.Revision),
-			logs.F("silent_flows", b.Flows), logs.F("silence_ms", b.Silence.Milliseconds()))
+			logs.F("silent_flows", b.Flows), logs.F("silence_ms", b.Silence.Milliseconds()),
+			logs.F("shared", b.Shared))
 	}
 	room := t.daemon.options.Headroom
 	id, named := "", false
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -54,6 +54,9 @@
 	ReasonNoUpstream
 	// ReasonDead rejects a flow whose upstream has stopped answering anybody.
 	ReasonDead
+	// ReasonSilent rejects a flow whose upstream has answered nobody here since
+	// the packet was first sent.
+	ReasonSilent
 	// ReasonReplaced rejects a flow whose upstream's address has another host.
 	ReasonReplaced
 )
@@ -61,7 +64,8 @@
 // reasons holds the names of the reasons, in their order.
 var reasons = [...]string{
 	"placed", "copy", "moved", "ticket", "remembered", "unknown upstream",
-	"not ready", "no route", "no upstream", "dead upstream", "replaced upstream",
+	"not ready", "no route", "no upstream", "dead upstream", "silent upstream",
+	"replaced upstream",
 }
 
 // Reasons is the number of reasons.
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -188,6 +188,8 @@
 		d.Action, d.Reason = Reject, ReasonReplaced
 	case f.healthOf(u).state == Dead:
 		d.Action, d.Reason = Reject, ReasonDead
+	case s.copies >= flowRepeats && f.healthOf(u).progressed.Before(s.sent):
+		d.Action, d.Reason = Reject, ReasonSilent
 	}
 	return d
 }
--- a/flow/forwarder_test.go
+++ b/flow/forwarder_test.go
@@ -328,6 +328,47 @@
 	require.Equal(t, idle.addr, resets[0].Client)
 }
 
+// TestForwarderGivesUpSilentFlow replays a flow to a host beyond a cut, which
+// nobody else here uses.
+func TestForwarderGivesUpSilentFlow(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// progress tells that another flow of the host makes progress meanwhile.
+		progress bool
+		want     Action
+	}{
+		{
+			name: "that nobody answers",
+			want: Reject,
+		},
+		{
+			name:     "whose host answers others",
+			progress: true,
+			want:     Forward,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			c := w.client(boardAddress).established()
+			other := w.client(boardAddress).established()
+			w.pass(time.Second)
+			c.request()
+			wait := 200 * time.Millisecond
+			for range flowRepeats - 1 {
+				w.pass(wait)
+				require.Equal(t, Forward, c.again().Action)
+				wait *= 2
+			}
+			if test.progress {
+				other.request()
+				other.answered()
+			}
+			w.pass(wait)
+			require.Equal(t, test.want, c.again().Action)
+		})
+	}
+}
+
 func TestForwarderResetsAfterReplacement(t *testing.T) {
 	w := newWorld(t, 1)
 	c := w.client(boardAddress).established()
--- a/flow/health.go
+++ b/flow/health.go
@@ -35,6 +35,10 @@
 	// deadOpeningAge is how long the last one of them must have been unanswered:
 	// longer than a balancer may be kept from running in its share of a core.
 	deadOpeningAge = 250 * time.Millisecond
+	// flowRepeats is the number of repeats after which a flow is reset by itself,
+	// where its upstream has shown no progress since the first transmission: four
+	// transmissions were lost, 1.4 s have passed.
+	flowRepeats = 3
 	// avoidFirst is how long new flows avoid a silent upstream at first; the
 	// time doubles up to avoidMost while it stays silent.
 	avoidFirst = 2 * time.Second
@@ -75,8 +79,11 @@
 	State    State
 	// Flows is the number of flows that repeat packets without progress.
 	Flows int
-	// Silence is the time since the first unanswered packet.
+	// Silence is the time since the first unanswered packet; zero where nothing is
+	// unanswered here.
 	Silence time.Duration
+	// Shared tells that other balancers' reports led to the belief.
+	Shared bool
 }
 
 // health is what a balancer has seen of one upstream.
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -62,6 +62,7 @@
 		h.state = Dead
 		if u := v.ByTicket(t); u != nil {
 			f.believe(u, h, 0)
+			f.beliefs[len(f.beliefs)-1].Shared = true
 		}
 		f.abandon(t)
 	}
