--- a/flow/health.go
+++ b/flow/health.go
@@ -39,9 +39,10 @@
 	// where its upstream has shown no progress since the first transmission: four
 	// transmissions were lost, 1.4 s have passed.
 	flowRepeats = 3
-	// avoidFirst is how long new flows avoid a silent upstream at first; the
-	// time doubles up to avoidMost while it stays silent.
-	avoidFirst = 2 * time.Second
+	// avoidFirst is how long new flows avoid a silent upstream at first: its entry
+	// lapses after three heartbeats of 1.2 s at most. The time doubles up to
+	// avoidMost while it stays silent.
+	avoidFirst = 4 * time.Second
 	avoidMost  = 16 * time.Second
 )
 
--- a/flow/jury.go
+++ b/flow/jury.go
@@ -55,7 +55,8 @@
 }
 
 // Hear takes a report of the balancer with an incarnation. It returns the
-// reports joined, and whether they show that the upstream is dead.
+// reports joined, and whether they show that the upstream is dead: then Silence
+// is the time in which progress contradicts that.
 func (j *Jury) Hear(now time.Time, incarnation uint64, r Report) (joined Report, dead bool) {
 	c := j.cases[r.Ticket]
 	if c == nil {
@@ -71,6 +72,8 @@
 		return joined, false
 	}
 	c.judged = now
+	// Balancers that were answered before all of that object to nothing.
+	joined.Silence = min(joined.Silence, deadAfter)
 	return joined, true
 }
 
--- a/flow/jury_test.go
+++ b/flow/jury_test.go
@@ -143,8 +143,11 @@
 			j := NewJury()
 			for i, h := range test.reports {
 				h.report.Ticket = 7
-				_, dead := j.Hear(start.Add(h.at), h.from, h.report)
+				joined, dead := j.Hear(start.Add(h.at), h.from, h.report)
 				require.Equal(t, test.dead[i], dead, i)
+				if dead {
+					require.LessOrEqual(t, joined.Silence, deadAfter, "an older first packet is no reason to object")
+				}
 			}
 			j.Prune(start.Add(time.Minute))
 			require.Empty(t, j.cases)
