perf: a host's ticket is derived once; state of gone hosts and routes is forgotten

What was seen of gone hosts, and routes that plans dropped, was kept for ever. Change: the directory derives number and ticket with the item; views are made anew by time only while a zone counts as cold or lapses are forgiven.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -46,8 +47,8 @@
 	floor uint64
 	// returned holds when zones were taken back.
 	returned map[string]time.Time
-	// removed holds the addresses of routes that a plan has dropped.
-	removed map[netip.AddrPort]bool
+	// removed holds the addresses of routes that a plan has dropped, and when.
+	removed map[netip.AddrPort]time.Time
 }
 
 // New returns an empty directory.
@@ -55,7 +56,7 @@
 	return &Directory{
 		items:    make(map[Key]*Item),
 		returned: make(map[string]time.Time),
-		removed:  make(map[netip.AddrPort]bool),
+		removed:  make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -81,7 +82,7 @@
 	return changed, nil
 }
 
-// Prune forgets hosts and zones that went long ago.
+// Prune forgets hosts, zones and routes that went long ago.
 func (d *Directory) Prune(now time.Time) {
 	for k, i := range d.items {
 		if !i.Deleted {
@@ -96,8 +97,24 @@
 		d.floor = max(d.floor, i.Revision)
 		delete(d.items, k)
 	}
+	maps.DeleteFunc(d.removed, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= KeepDeparted })
+	maps.DeleteFunc(d.returned, func(_ string, at time.Time) bool { return now.Sub(at) >= KeepDeparted })
 }
 
+// Settling reports whether the view changes with time alone: a zone that was
+// taken back still counts as cold.
+func (d *Directory) Settling(now time.Time) bool {
+	for _, at := range d.returned {
+		if now.Sub(at) <= ReturnGrace+settleSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// settleSlack covers the time from the end of a grace until the next view.
+const settleSlack = time.Second
+
 // Remember takes what a peer's delta tells of hosts whose entries went, also
 // where the delta is no newer than the directory. It returns what was not known.
 func (d *Directory) Remember(now time.Time, delta *Delta) []Item {
@@ -168,13 +185,16 @@
 	item := *next
 	switch item.Key.Kind {
 	case KindPlan:
-		if !d.setPlan(old, &item) {
+		if !d.setPlan(now, old, &item) {
 			return false
 		}
 	case KindUpstream:
 		if item.Deleted && item.Upstream == nil && old != nil && old.Upstream != nil {
 			item.Upstream = depart(now, old.Upstream)
 		}
+		if item.Upstream != nil {
+			item.Upstream = item.Upstream.derived()
+		}
 	case KindZoneOut:
 		if item.Deleted && old != nil && !old.Deleted {
 			d.returned[item.Key.Name] = now
@@ -186,7 +206,7 @@
 
 // setPlan reports whether a plan may replace the one known: versions never go
 // back, and a plan is never taken away.
-func (d *Directory) setPlan(old, next *Item) bool {
+func (d *Directory) setPlan(now time.Time, old, next *Item) bool {
 	if next.Plan == nil {
 		return false
 	}
@@ -196,14 +216,14 @@
 	if old.Plan.Version >= next.Plan.Version {
 		return false
 	}
-	d.noteRemoved(old.Plan, next.Plan)
+	d.noteRemoved(now, old.Plan, next.Plan)
 	return true
 }
 
 // noteRemoved takes the routes that next does not have any more.
-func (d *Directory) noteRemoved(old, next *Plan) {
+func (d *Directory) noteRemoved(now time.Time, old, next *Plan) {
 	for i := range old.Routes {
-		d.removed[old.Routes[i].Address] = true
+		d.removed[old.Routes[i].Address] = now
 	}
 	for i := range next.Routes {
 		delete(d.removed, next.Routes[i].Address)
--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -32,6 +32,11 @@
 	Departed time.Time
 	// Lapsed tells that the entry went without a notice of leaving.
 	Lapsed bool
+
+	// number and ticket are those of ID, once the host is part of a directory;
+	// ticket is zero before.
+	number uint64
+	ticket Ticket
 }
 
 // Cold reports whether the host still warms up at now.
@@ -42,6 +47,9 @@
 // Number returns the hex digits of ID, read as one number; where there are
 // more than 16, the last 16 count.
 func (u *Upstream) Number() uint64 {
+	if u.ticket != 0 {
+		return u.number
+	}
 	digits := strings.Map(func(r rune) rune {
 		if strings.ContainsRune("0123456789abcdefABCDEF", r) {
 			return r
@@ -65,6 +73,9 @@
 // Ticket returns the value that packets of the host's flows carry. Every
 // process derives the same one from ID; zero is never one.
 func (u *Upstream) Ticket() Ticket {
+	if u.ticket != 0 {
+		return u.ticket
+	}
 	n := u.Number()
 	t := Ticket(n) ^ Ticket(n>>32)
 	if t == 0 {
@@ -73,6 +84,13 @@
 	return t
 }
 
+// derived returns a copy of u that holds its number and ticket.
+func (u *Upstream) derived() *Upstream {
+	d := *u
+	d.number, d.ticket = u.Number(), u.Ticket()
+	return &d
+}
+
 // A Ticket names the upstream of a flow in the flow's own packets; zero names
 // none.
 type Ticket uint32
--- a/directory/view.go
+++ b/directory/view.go
@@ -25,7 +25,7 @@
 	addresses map[netip.AddrPort]*Upstream
 	limits    map[string]*Service
 	out       map[string]bool
-	removed   map[netip.AddrPort]bool
+	removed   map[netip.AddrPort]time.Time
 	upstreams int
 }
 
@@ -88,7 +88,8 @@
 
 // Removed reports whether a plan has dropped the route of an address.
 func (v *View) Removed(a netip.AddrPort) bool {
-	return v.removed[a]
+	_, removed := v.removed[a]
+	return removed
 }
 
 // Route returns the route of an address, or nil.
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -26,9 +26,6 @@
 	outageLimit = 2 * (watchWait + 500*time.Millisecond)
 	// pruneInterval is the time between two looks for what can be forgotten.
 	pruneInterval = 10 * time.Second
-	// settleTime is how long after a change of entries or zones the view may
-	// still change with time alone.
-	settleTime = directory.ReturnGrace + directory.LapseGrace
 )
 
 // gateways is the number of balancers of a zone that exchange heartbeats with
@@ -55,8 +52,6 @@
 	reading bool
 	// forgive is until when entries that lapse count as a mistake.
 	forgive time.Time
-	// settled is when the view stops changing with time alone.
-	settled time.Time
 	pruned  time.Time
 	// wanted is the highest revision that a peer has told of, and source the
 	// peer; behind is since when it is wanted.
@@ -131,7 +126,6 @@
 	for i := range changed {
 		s.logItem(now, &changed[i], from)
 	}
-	s.settled = now.Add(settleTime)
 	s.publish(now)
 }
 
@@ -212,7 +206,7 @@
 	s.review(now)
 	s.daemon.counters.answered(now, s.tracker.PlatformAge(now))
 	s.catchUp(ctx, now)
-	if now.Before(s.settled) {
+	if s.dir.Settling(now) || now.Before(s.forgive.Add(directory.LapseGrace)) {
 		s.publish(now)
 	}
 	if now.Sub(s.pruned) >= pruneInterval {
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -80,7 +80,7 @@
 
 // Forward decides on a packet that came at now, with what v tells.
 func (f *Forwarder) Forward(now time.Time, v *directory.View, p *Packet) Decision {
-	f.forget(now)
+	f.forget(now, v)
 	f.execute(now, v)
 	k := p.key()
 	s := f.flows.find(k)
@@ -366,12 +366,22 @@
 	s.closed = true
 }
 
-// forget drops flows that have been idle for long.
-func (f *Forwarder) forget(now time.Time) {
+// forget drops flows that have been idle for long, and what was seen of hosts
+// that are gone.
+func (f *Forwarder) forget(now time.Time, v *directory.View) {
 	f.attempts.turn(now)
-	for _, s := range f.flows.turn(now, f.generation) {
+	forgotten := f.flows.turn(now, f.generation)
+	if forgotten == nil {
+		return
+	}
+	for _, s := range forgotten {
 		f.drop(s)
 	}
+	for t, h := range f.health {
+		if h.load.Flows == 0 && v.ByTicket(t) == nil {
+			delete(f.health, t)
+		}
+	}
 }
 
 func (f *Forwarder) healthOf(u *directory.Upstream) *health {
