--- a/flow/place.go
+++ b/flow/place.go
@@ -11,7 +11,7 @@
 const (
 	// workingWeight is the load of a request in progress, in open flows that
 	// are idle.
-	workingWeight = 3
+	workingWeight = 8
 	// warmupShare is the part of a cold upstream's bound that its owner uses:
 	// twice that, where two balancers take themselves for the owner, stays
 	// within what cold upstreams are allowed.
@@ -105,12 +105,12 @@
 	return h.tokens >= 1
 }
 
-// best returns the less loaded one of the two accepted upstreams with the
-// highest scores for a flow, or nil, and the number of those accepted. All
-// balancers find the same two.
+// best returns the least loaded accepted upstream, the one with the highest score
+// for the flow among equals, or nil, and the number of those accepted.
 func (f *Forwarder) best(hosts []*directory.Upstream, k key, accepts func(*directory.Upstream) bool) (*directory.Upstream, int) {
-	var first, second *directory.Upstream
-	var high, next uint64
+	var best *directory.Upstream
+	var least float64
+	var high uint64
 	accepted := 0
 	hash := k.hash()
 	for _, u := range hosts {
@@ -118,18 +118,12 @@
 			continue
 		}
 		accepted++
-		switch s := rendezvous.Score(hash, uint64(u.Ticket())); {
-		case first == nil || s > high:
-			first, second = u, first
-			high, next = s, high
-		case second == nil || s > next:
-			second, next = u, s
+		weight, score := f.weight(u), rendezvous.Score(hash, uint64(u.Ticket()))
+		if best == nil || weight < least || weight == least && score > high {
+			best, least, high = u, weight, score
 		}
 	}
-	if second != nil && f.weight(second) < f.weight(first) {
-		return second, accepted
-	}
-	return first, accepted
+	return best, accepted
 }
 
 // weight returns an upstream's load for each of its slots.
