--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -26,11 +26,11 @@
 	beliefs []sharedBelief
 }
 
-// sharedBelief is a verdict on an upstream, or an objection to one.
+// sharedBelief tells that an upstream is dead, or refutes that.
 type sharedBelief struct {
 	ticket  directory.Ticket
 	silence time.Duration
-	acquit  bool
+	alive   bool
 }
 
 // add takes a belief.
@@ -54,13 +54,14 @@
 // takeShared applies peers' beliefs to the forwarder.
 func (t *traffic) takeShared(now time.Time) {
 	for _, b := range t.daemon.shared.take() {
-		if b.acquit {
-			t.forwarder.Acquit(b.ticket)
+		if b.alive {
+			t.forwarder.MarkAlive(b.ticket)
+			t.daemon.log.Info(now, "upstream: refuted by a peer", logs.F("upstream", t.daemon.nameOf(b.ticket)))
 			continue
 		}
-		if t.forwarder.Convict(now, b.ticket, b.silence) {
+		if t.forwarder.MarkDead(now, b.ticket, b.silence) {
 			ticket := b.ticket
-			t.daemon.call(func(now time.Time) { t.daemon.spread.object(now, ticket) })
+			t.daemon.call(func(now time.Time) { t.daemon.spread.refute(now, ticket) })
 		}
 	}
 }
@@ -92,23 +93,23 @@
 // hearReport joins a report with others; where they show that the upstream is
 // dead, the zone is told.
 func (s *spread) hearReport(now time.Time, sender uint64, r flow.Report) {
-	joined, dead := s.jury.Hear(now, sender, r)
+	joined, dead := s.detector.Hear(now, sender, r)
 	if !dead {
 		return
 	}
-	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
+	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
 		logs.F("repeats", joined.Repeats), logs.F("openings", joined.Openings), logs.F("silence_ms", joined.Silence.Milliseconds()))
 	s.daemon.shared.add(sharedBelief{
 		ticket:  r.Ticket,
 		silence: joined.Silence,
 	})
-	s.sendHealth(s.zonePeers(), &wire.Health{Verdicts: []*wire.Silence{wire.NewSilence(&joined)}})
+	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(&joined)}})
 }
 
-// object tells the zone that an upstream answers.
-func (s *spread) object(now time.Time, t directory.Ticket) {
-	s.daemon.log.Info(now, "upstream: objection", logs.F("upstream", s.nameOf(t)))
-	s.sendHealth(s.zonePeers(), &wire.Health{Objections: []uint32{uint32(t)}})
+// refute tells the zone that an upstream answers.
+func (s *spread) refute(now time.Time, t directory.Ticket) {
+	s.daemon.log.Info(now, "upstream: refuted", logs.F("upstream", s.daemon.nameOf(t)))
+	s.sendHealth(s.zonePeers(), &wire.Health{Refutations: []uint32{uint32(t)}})
 }
 
 // hearHealth takes a datagram on silent upstreams.
@@ -121,17 +122,17 @@
 	for _, r := range m.GetReports() {
 		s.hearReport(now, m.GetSender(), r.Report())
 	}
-	for _, v := range m.GetVerdicts() {
+	for _, v := range m.GetDeaths() {
 		r := v.Report()
 		s.daemon.shared.add(sharedBelief{
 			ticket:  r.Ticket,
 			silence: r.Silence,
 		})
 	}
-	for _, t := range m.GetObjections() {
+	for _, t := range m.GetRefutations() {
 		s.daemon.shared.add(sharedBelief{
 			ticket: directory.Ticket(t),
-			acquit: true,
+			alive:  true,
 		})
 	}
 }
@@ -149,8 +150,8 @@
 }
 
 // nameOf returns the id of the upstream that a ticket names; empty if unknown.
-func (s *spread) nameOf(t directory.Ticket) string {
-	if v := s.daemon.view.Load(); v != nil {
+func (d *Daemon) nameOf(t directory.Ticket) string {
+	if v := d.view.Load(); v != nil {
 		if u := v.ByTicket(t); u != nil {
 			return u.ID
 		}
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -44,12 +44,12 @@
 
 // spread owns the directory and the view of the members. One goroutine uses it.
 type spread struct {
-	daemon  *Daemon
-	dir     *directory.Directory
-	tracker *member.Tracker
-	table   *member.Table
-	jury    *flow.Jury
-	reading bool
+	daemon   *Daemon
+	dir      *directory.Directory
+	tracker  *member.Tracker
+	table    *member.Table
+	detector *flow.Detector
+	reading  bool
 	// forgive is until when entries that lapse count as a mistake.
 	forgive time.Time
 	pruned  time.Time
@@ -65,9 +65,9 @@
 func newSpread(now time.Time, d *Daemon) *spread {
 	o := &d.options
 	s := &spread{
-		daemon: d,
-		dir:    directory.New(),
-		jury:   flow.NewJury(),
+		daemon:   d,
+		dir:      directory.New(),
+		detector: flow.NewDetector(),
 		tracker: member.NewTracker(now, member.Member{
 			Name:        o.Name,
 			Zone:        o.Zone,
@@ -212,7 +212,7 @@
 	if now.Sub(s.pruned) >= pruneInterval {
 		s.pruned = now
 		s.dir.Prune(now)
-		s.jury.Prune(now)
+		s.detector.Prune(now)
 	}
 }
 
--- a/filbertflow/internal/daemon/spread_test.go
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -63,9 +63,9 @@
 		Openings: 3,
 	}
 	health, err := wire.AppendHealth(nil, &wire.Health{
-		Reports:    []*wire.Silence{wire.NewSilence(&r)},
-		Verdicts:   []*wire.Silence{wire.NewSilence(&r)},
-		Objections: []uint32{7},
+		Reports:     []*wire.Silence{wire.NewSilence(&r)},
+		Deaths:      []*wire.Silence{wire.NewSilence(&r)},
+		Refutations: []uint32{7},
 	})
 	require.NoError(t, err)
 	delta, err := wire.AppendDelta(nil, time.Now(), &directory.Delta{
@@ -78,7 +78,7 @@
 		data []byte
 	}{
 		{
-			name: "reports, verdicts and objections",
+			name: "reports, deaths and refutations",
 			data: health,
 		},
 		{
--- a/flow/shared.go
+++ b/flow/death.go
@@ -7,26 +7,26 @@
 	"filbertworks.example/filbertworks/directory"
 )
 
-// verdict is a shared belief that waits for objections.
-type verdict struct {
+// death is a shared belief that waits for refutations.
+type death struct {
 	ticket directory.Ticket
 	due    time.Time
 }
 
-// Acquit takes the objection of a balancer that has heard of an upstream since
-// a verdict.
-func (f *Forwarder) Acquit(t directory.Ticket) {
-	f.verdicts = slices.DeleteFunc(f.verdicts, func(v verdict) bool { return v.ticket == t })
+// MarkAlive takes the refutation of a balancer that has heard of an upstream since
+// its death was announced.
+func (f *Forwarder) MarkAlive(t directory.Ticket) {
+	f.deaths = slices.DeleteFunc(f.deaths, func(d death) bool { return d.ticket == t })
 	if h := f.health[t]; h != nil {
 		h.restart()
 	}
 }
 
-// Convict takes the belief of other balancers that an upstream has been silent
-// for a time. It reports whether this balancer objects, since it has seen
+// MarkDead takes the belief of other balancers that an upstream has been silent
+// for a time. It reports whether this balancer refutes that, since it has seen
 // progress meanwhile; otherwise new flows avoid the upstream, and its open flows
-// are reset unless another balancer objects in time.
-func (f *Forwarder) Convict(now time.Time, t directory.Ticket, silence time.Duration) (objection bool) {
+// are reset unless another balancer refutes it in time.
+func (f *Forwarder) MarkDead(now time.Time, t directory.Ticket, silence time.Duration) (refuted bool) {
 	h := f.health[t]
 	if h == nil {
 		h = &health{}
@@ -36,9 +36,9 @@
 		return true
 	}
 	h.extend(now)
-	f.verdicts = append(f.verdicts, verdict{
+	f.deaths = append(f.deaths, death{
 		ticket: t,
-		due:    now.Add(ObjectionWait),
+		due:    now.Add(RefuteWait),
 	})
 	return false
 }
@@ -50,13 +50,13 @@
 	return r
 }
 
-// execute resets the flows of upstreams on which nobody objected.
-func (f *Forwarder) execute(now time.Time, v *directory.View) {
-	for len(f.verdicts) > 0 && !now.Before(f.verdicts[0].due) {
-		t, due := f.verdicts[0].ticket, f.verdicts[0].due
-		f.verdicts = f.verdicts[1:]
+// applyDeaths resets the flows of upstreams whose death nobody refuted.
+func (f *Forwarder) applyDeaths(now time.Time, v *directory.View) {
+	for len(f.deaths) > 0 && !now.Before(f.deaths[0].due) {
+		t, due := f.deaths[0].ticket, f.deaths[0].due
+		f.deaths = f.deaths[1:]
 		h := f.health[t]
-		if h == nil || h.state == Dead || h.progressed.After(due.Add(-ObjectionWait)) {
+		if h == nil || h.state == Dead || h.progressed.After(due.Add(-RefuteWait)) {
 			continue
 		}
 		h.state = Dead
--- a/flow/jury.go
+++ b/flow/detector.go
@@ -11,11 +11,11 @@
 	// reportLife is how long a balancer's report counts: longer than the second
 	// repeat of a packet takes.
 	reportLife = time.Second
-	// verdictPause is the time between two verdicts on one upstream.
-	verdictPause = 2 * time.Second
-	// ObjectionWait is how long a verdict waits for balancers that have heard of
+	// deathPause is the time between two announcements of a death of one upstream.
+	deathPause = 2 * time.Second
+	// RefuteWait is how long a death waits for balancers that have heard of
 	// the upstream since: a few round trips within a zone.
-	ObjectionWait = 60 * time.Millisecond
+	RefuteWait = 60 * time.Millisecond
 )
 
 // A Report tells what one balancer has seen of an upstream's silence.
@@ -31,15 +31,15 @@
 	Silence time.Duration
 }
 
-// A Jury joins the reports of a zone's balancers on the upstreams that one
+// A Detector joins the reports of a zone's balancers on the upstreams that one
 // balancer watches. Each sees too few of an upstream's flows to judge it soon.
 // It is not safe for concurrent use.
-type Jury struct {
-	cases map[directory.Ticket]*docket
+type Detector struct {
+	subjects map[directory.Ticket]*subject
 }
 
-// docket holds the reports on one upstream by the incarnation of who sent them.
-type docket struct {
+// subject holds the reports on one upstream by the incarnation of who sent them.
+type subject struct {
 	reports map[uint64]reported
 	judged  time.Time
 }
@@ -49,45 +49,45 @@
 	at     time.Time
 }
 
-// NewJury returns a jury without reports.
-func NewJury() *Jury {
-	return &Jury{cases: make(map[directory.Ticket]*docket)}
+// NewDetector returns a detector without reports.
+func NewDetector() *Detector {
+	return &Detector{subjects: make(map[directory.Ticket]*subject)}
 }
 
 // Hear takes a report of the balancer with an incarnation. It returns the
 // reports joined, and whether they show that the upstream is dead: then Silence
 // is the time in which progress contradicts that.
-func (j *Jury) Hear(now time.Time, incarnation uint64, r Report) (joined Report, dead bool) {
-	c := j.cases[r.Ticket]
+func (d *Detector) Hear(now time.Time, incarnation uint64, r Report) (joined Report, dead bool) {
+	c := d.subjects[r.Ticket]
 	if c == nil {
-		c = &docket{reports: make(map[uint64]reported)}
-		j.cases[r.Ticket] = c
+		c = &subject{reports: make(map[uint64]reported)}
+		d.subjects[r.Ticket] = c
 	}
 	c.reports[incarnation] = reported{
 		report: r,
 		at:     now,
 	}
 	joined = c.join(now, r.Ticket)
-	if !joined.conclusive() || !c.judged.IsZero() && now.Sub(c.judged) < verdictPause {
+	if !joined.conclusive() || !c.judged.IsZero() && now.Sub(c.judged) < deathPause {
 		return joined, false
 	}
 	c.judged = now
-	// Balancers that were answered before all of that object to nothing.
+	// Balancers that were answered before all of that refute nothing.
 	joined.Silence = min(joined.Silence, deadAfter)
 	return joined, true
 }
 
 // Prune forgets upstreams without recent reports.
-func (j *Jury) Prune(now time.Time) {
-	for t, c := range j.cases {
-		if c.join(now, t); len(c.reports) == 0 && now.Sub(c.judged) >= verdictPause {
-			delete(j.cases, t)
+func (d *Detector) Prune(now time.Time) {
+	for t, c := range d.subjects {
+		if c.join(now, t); len(c.reports) == 0 && now.Sub(c.judged) >= deathPause {
+			delete(d.subjects, t)
 		}
 	}
 }
 
 // join adds up the reports that still count.
-func (c *docket) join(now time.Time, t directory.Ticket) Report {
+func (c *subject) join(now time.Time, t directory.Ticket) Report {
 	joined := Report{Ticket: t}
 	for incarnation, r := range c.reports {
 		age := now.Sub(r.at)
--- a/flow/jury_test.go
+++ b/flow/detector_test.go
@@ -14,11 +14,11 @@
 	report Report
 }
 
-func TestJury(t *testing.T) {
+func TestDetector(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		reports []heard
-		// dead tells for each report whether it makes a verdict.
+		// dead tells for each report whether it makes a death.
 		dead []bool
 	}{
 		{
@@ -119,7 +119,7 @@
 			dead: []bool{false, false},
 		},
 		{
-			name: "first packets that nobody answers, and one verdict for them",
+			name: "first packets that nobody answers, and one death for them",
 			reports: []heard{
 				{
 					from:   1,
@@ -140,30 +140,30 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Now()
-			j := NewJury()
+			j := NewDetector()
 			for i, h := range test.reports {
 				h.report.Ticket = 7
 				joined, dead := j.Hear(start.Add(h.at), h.from, h.report)
 				require.Equal(t, test.dead[i], dead, i)
 				if dead {
-					require.LessOrEqual(t, joined.Silence, deadAfter, "an older first packet is no reason to object")
+					require.LessOrEqual(t, joined.Silence, deadAfter, "an older first packet is no refutation")
 				}
 			}
 			j.Prune(start.Add(time.Minute))
-			require.Empty(t, j.cases)
+			require.Empty(t, j.subjects)
 		})
 	}
 }
 
-// TestSharedVerdict replays a verdict at a balancer that sees too little of an
+// TestSharedDeath replays a death that peers announce, at a balancer that sees too little of an
 // upstream to judge it.
-func TestSharedVerdict(t *testing.T) {
+func TestSharedDeath(t *testing.T) {
 	for _, test := range []struct {
 		name string
 		// progress tells that the upstream has answered here meanwhile.
 		progress bool
-		acquit   bool
-		// late tells that it answers after the verdict.
+		alive    bool
+		// late tells that it answers after that.
 		late   bool
 		resets int
 		zone   string
@@ -174,19 +174,19 @@
 			zone:   "b",
 		},
 		{
-			name:     "a balancer that was answered objects",
+			name:     "a balancer that was answered refutes it",
 			progress: true,
 			zone:     "a",
 		},
 		{
-			name: "the upstream answers after the verdict",
+			name: "the upstream answers after that",
 			late: true,
 			zone: "a",
 		},
 		{
-			name:   "another balancer objects",
-			acquit: true,
-			zone:   "a",
+			name:  "another balancer refutes it",
+			alive: true,
+			zone:  "a",
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -199,16 +199,16 @@
 				w.pass(100 * time.Millisecond)
 			}
 			ticket := c.host.Ticket()
-			require.Equal(t, test.progress, w.forwarder.Convict(w.now, ticket, 500*time.Millisecond))
-			if test.acquit {
-				w.forwarder.Acquit(ticket)
+			require.Equal(t, test.progress, w.forwarder.MarkDead(w.now, ticket, 500*time.Millisecond))
+			if test.alive {
+				w.forwarder.MarkAlive(ticket)
 			}
 			if test.late {
 				c.request()
 				w.pass(roundTrip)
 				c.answered()
 			}
-			w.pass(ObjectionWait)
+			w.pass(RefuteWait)
 			require.Equal(t, test.zone, w.client(boardAddress).open().Upstream.Zone)
 			require.Len(t, w.forwarder.Resets(), test.resets)
 		})
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -29,7 +29,7 @@
 	beliefs    []Belief
 	resets     []Packet
 	reports    []Report
-	verdicts   []verdict
+	deaths     []death
 }
 
 // An Option changes a forwarder from its defaults.
@@ -81,7 +81,7 @@
 // Forward decides on a packet that came at now, with what v tells.
 func (f *Forwarder) Forward(now time.Time, v *directory.View, p *Packet) Decision {
 	f.forget(now, v)
-	f.execute(now, v)
+	f.applyDeaths(now, v)
 	k := p.key()
 	s := f.flows.find(k)
 	if p.Flags.Has(Open) {
