fix: lapses are forgiven at every balancer, late copies of a first packet keep their host

Cause: found by reading the code: only the balancer that read the store after an outage kept hosts eligible whose entries had lapsed, its peers dropped them for two seconds; and a copy of a first packet that came after the flow was open was placed anew, so that a second host answered the client. Change: each balancer notes outages by the store's age, and forgives what lapsed since it began; copies follow the remembered first packet.

--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -50,7 +50,11 @@
 	table    *member.Table
 	detector *flow.Detector
 	reading  bool
-	// forgive is until when entries that lapse count as a mistake.
+	// outage tells that the store has been silent for longer than outageLimit, or
+	// was until recently, and since is when it last answered before that. Entries
+	// that lapsed since then count as a mistake until forgive.
+	outage  bool
+	since   time.Time
 	forgive time.Time
 	pruned  time.Time
 	// wanted is the highest revision that a peer has told of, and source the
@@ -165,23 +169,36 @@
 // that lapsed while the store was away.
 func (s *spread) forgiven(now time.Time) func(*directory.Upstream) bool {
 	return func(u *directory.Upstream) bool {
-		return u.Lapsed && now.Before(s.forgive)
+		return u.Lapsed && u.Departed.After(s.since) && (s.outage || now.Before(s.forgive))
 	}
 }
 
 // readDelta takes what the store has answered.
 func (s *spread) readDelta(now time.Time, delta *directory.Delta) {
-	if age := s.tracker.PlatformAge(now); age > outageLimit && s.dir.Revision() > 0 {
-		s.forgive = now.Add(directory.LapseGrace)
-		s.daemon.log.Info(now, "store: back after silence", logs.F("age_ms", age.Milliseconds()))
-	}
 	s.tracker.PlatformAnswered(now)
+	s.noteOutage(now)
 	if err := s.apply(now, delta, s.daemon.incarnation, "store"); errors.Is(err, directory.ErrGap) {
 		// The reader starts from the directory's revision.
 		s.daemon.log.Warn(now, "store: gap", logs.F("base", delta.Base))
 	}
 }
 
+// noteOutage takes the time since the store last answered anybody.
+func (s *spread) noteOutage(now time.Time) {
+	age := s.tracker.PlatformAge(now)
+	silent := age > outageLimit
+	switch {
+	case silent && !s.outage:
+		s.outage = true
+		s.since = now.Add(-age)
+		s.daemon.log.Warn(now, "store: silent", logs.F("age_ms", age.Milliseconds()))
+	case !silent && s.outage:
+		s.outage = false
+		s.forgive = now.Add(directory.LapseGrace)
+		s.daemon.log.Info(now, "store: back after silence", logs.F("for_ms", now.Sub(s.since).Milliseconds()))
+	}
+}
+
 // seed takes the addresses of other balancers.
 func (s *spread) seed(now time.Time, seeds []netip.AddrPort) {
 	vms := make([]config.VM, 0, len(seeds))
@@ -203,6 +220,7 @@
 	for _, m := range s.tracker.Tick(now) {
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
 	}
+	s.noteOutage(now)
 	s.review(now)
 	s.daemon.counters.answered(now, s.tracker.PlatformAge(now))
 	s.catchUp(ctx, now)
--- a/filbertflow/internal/daemon/spread_test.go
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -134,3 +134,77 @@
 	require.Equal(t, uint64(40), d.Revision())
 	require.Len(t, d.Since(0).Items, 20)
 }
+
+// TestLapsesAreForgivenAfterAnOutage states that a host whose entry went while
+// the store was away stays eligible until it had the time to come back, also at
+// a balancer that hears of both from a peer, and that one that went before the
+// outage does not.
+func TestLapsesAreForgivenAfterAnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// silence is the time without a word of the store.
+		silence time.Duration
+		// before tells that the entry went before that.
+		before   bool
+		eligible int
+	}{
+		{
+			name:     "after an outage",
+			silence:  2 * outageLimit,
+			eligible: 1,
+		},
+		{
+			name:    "while the store answers",
+			silence: time.Second,
+		},
+		{
+			name:    "before an outage",
+			silence: 2 * outageLimit,
+			before:  true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDaemon(t)
+			s := d.spread
+			ctx := context.Background()
+			now := time.Now()
+			key := directory.Key{
+				Kind: directory.KindUpstream,
+				Name: "1",
+			}
+			change := func(revision uint64, i directory.Item) {
+				i.Key, i.Revision = key, revision
+				require.NoError(t, s.apply(now, &directory.Delta{
+					Base:     revision - 1,
+					Revision: revision,
+					Items:    []directory.Item{i},
+				}, 0, "peer"))
+			}
+			change(1, directory.Item{Upstream: &directory.Upstream{
+				ID:      "1",
+				Service: "board",
+				Zone:    "a",
+				Address: netip.MustParseAddrPort("127.0.0.1:80"),
+			}})
+			s.tracker.PlatformAnswered(now)
+			s.tick(ctx, now)
+			if test.before {
+				change(2, directory.Item{Deleted: true})
+			}
+			for range int(test.silence / time.Second) {
+				now = now.Add(time.Second)
+				s.tick(ctx, now)
+			}
+			if !test.before {
+				change(2, directory.Item{Deleted: true})
+			}
+			require.Len(t, d.view.Load().Eligible("board"), test.eligible)
+			s.tracker.PlatformAnswered(now)
+			s.tick(ctx, now)
+			require.Len(t, d.view.Load().Eligible("board"), test.eligible)
+			now = now.Add(directory.LapseGrace + tick)
+			s.tick(ctx, now)
+			require.Empty(t, d.view.Load().Eligible("board"))
+		})
+	}
+}
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -92,8 +92,14 @@
 
 // open decides on the first packet of a flow, or on a copy of it.
 func (f *Forwarder) open(now time.Time, v *directory.View, p *Packet, k key, s *state) Decision {
-	if s != nil && s.opening && s.next == p.Sequence {
+	switch {
+	case s == nil || s.first != p.Sequence:
+	case s.opening:
 		return f.reopen(now, v, p, k, s)
+	case !s.closed:
+		// The flow is open: another host would answer the copy and mislead the
+		// client.
+		return f.copied(s)
 	}
 	if v.Plan == nil {
 		return Decision{Reason: ReasonNotReady}
@@ -112,14 +118,7 @@
 	h := f.healthOf(u)
 	f.repeated(now, h, s)
 	if s.copies < moveCopies && !now.Before(h.avoid) && placeable(v, u) {
-		return Decision{
-			Action:   Forward,
-			Reason:   ReasonCopy,
-			Upstream: u,
-			Ticket:   u.Ticket(),
-			Service:  u.Service,
-			Load:     h.load,
-		}
+		return f.copied(s)
 	}
 	d := f.place(now, v, p, k, u)
 	if d.Action != Forward {
@@ -134,6 +133,19 @@
 	return d
 }
 
+// copied sends a copy of a flow's first packet where that one went.
+func (f *Forwarder) copied(s *state) Decision {
+	u := s.upstream
+	return Decision{
+		Action:   Forward,
+		Reason:   ReasonCopy,
+		Upstream: u,
+		Ticket:   u.Ticket(),
+		Service:  u.Service,
+		Load:     f.healthOf(u).load,
+	}
+}
+
 // moveCopies is the number of the copy that goes to another upstream: the first
 // copy answers the loss of a packet, the second one the loss of an upstream.
 const moveCopies = 2
@@ -321,6 +333,7 @@
 	f.put(k, &state{
 		upstream:     u,
 		opening:      true,
+		first:        p.Sequence,
 		next:         p.Sequence,
 		acknowledged: p.Acknowledged,
 		sent:         now,
--- a/flow/forwarder_test.go
+++ b/flow/forwarder_test.go
@@ -467,3 +467,31 @@
 		require.Equal(t, loads[ticket], h.load)
 	}
 }
+
+// TestForwarderTakesLateCopies replays a copy of a first packet that comes after
+// the flow is open: another host would answer it, and the client would follow
+// that host's ticket.
+func TestForwarderTakesLateCopies(t *testing.T) {
+	w := newWorld(t, 6)
+	c := w.client(boardAddress)
+	c.open()
+	first := c.host
+	w.pass(roundTrip)
+	c.ack = 5000
+	c.acknowledge()
+	c.request()
+	for range 5 {
+		w.client(boardAddress).established()
+	}
+	late := Packet{
+		Client:   c.addr,
+		Service:  c.to,
+		Flags:    Open,
+		Sequence: 1000,
+	}
+	d := w.send(late)
+	require.Equal(t, ReasonCopy, d.Reason)
+	require.Equal(t, first, d.Upstream)
+	require.Equal(t, Forward, c.again().Action)
+	w.requireLoads(t)
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -17,6 +17,8 @@
 	working bool
 	// starts is set while the packet is decided on that begins a request.
 	starts bool
+	// first is the number of the flow's first packet, where it was seen here.
+	first uint32
 	// next is the number after the last byte that the client sent.
 	next uint32
 	// acknowledged is the highest byte that the client expects.
