fix: a seed's answer does not end a pull in progress

Cause: found by reading: introductions cleared the mark of a pull from a peer, so that a second pull could begin beside it. Change: merge takes a peer's answer, pulled ends a pull.

--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -153,7 +153,7 @@
 		d.log.Info(time.Now(), "peer: seed does not answer", logs.F("peer_address", peer), logs.F("error", err.Error()))
 		return
 	}
-	d.must(ctx, func(now time.Time) { d.spread.pulled(now, delta) })
+	d.must(ctx, func(now time.Time) { d.spread.merge(now, delta) })
 	records, err := d.fetchMembers(ctx, peer)
 	if err != nil {
 		d.log.Info(time.Now(), "peer: seed does not tell members", logs.F("peer_address", peer), logs.F("error", err.Error()))
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -352,9 +352,13 @@
 // pulled takes the answer of a peer; delta is nil where there is none.
 func (s *spread) pulled(now time.Time, delta *directory.Delta) {
 	s.pulling = false
-	if delta == nil {
-		return
+	if delta != nil {
+		s.merge(now, delta)
 	}
+}
+
+// merge takes what a peer knows, also of hosts whose entries went.
+func (s *spread) merge(now time.Time, delta *directory.Delta) {
 	if err := s.apply(now, delta, s.daemon.incarnation, "peer"); err != nil {
 		s.daemon.log.Warn(now, "peer: gap", logs.F("base", delta.Base))
 	}
--- a/filbertflow/internal/daemon/spread_test.go
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -208,3 +208,15 @@
 		})
 	}
 }
+
+// TestIntroductionLeavesPullsAlone states that what a seed tells at the start
+// does not end a pull in progress: a second one would begin beside it.
+func TestIntroductionLeavesPullsAlone(t *testing.T) {
+	d := newDaemon(t)
+	d.spread.pulling = true
+	d.spread.merge(time.Now(), &directory.Delta{Revision: 1})
+	require.True(t, d.spread.pulling)
+	require.Equal(t, uint64(1), d.spread.dir.Revision())
+	d.spread.pulled(time.Now(), nil)
+	require.False(t, d.spread.pulling)
+}
