fix: a pause is no evidence against upstreams; changes in a row make one view

There, 20.8% of a balancer's processor went into views of 3,000 hosts, one for each datagram of changes. Ruled out: a longer age for first packets (a freeze has no bound). Change: first packets are not shared; a process that did not run for 300 ms takes no evidence for 1.5 s; a death is refuted by progress since its oldest packet again; views are at least 100 ms apart.

--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -114,7 +114,11 @@
 	// viewed is closed with the first view.
 	viewed chan struct{}
 	// owners is the table of members for the goroutine of packets.
-	owners  atomic.Pointer[member.Table]
+	owners atomic.Pointer[member.Table]
+	// ticked is when the goroutine of the directory last ran, and resumed when the
+	// process last ran again after a pause, in nanoseconds since the start.
+	ticked  atomic.Int64
+	resumed atomic.Int64
 	leaving atomic.Bool
 	left    chan struct{}
 	calls   *ring.Ring[func(time.Time)]
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -98,7 +98,7 @@
 		return
 	}
 	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
-		logs.F("repeats", joined.Repeats), logs.F("openings", joined.Openings), logs.F("silence_ms", joined.Silence.Milliseconds()))
+		logs.F("repeats", joined.Repeats), logs.F("silence_ms", joined.Silence.Milliseconds()))
 	s.daemon.shared.add(sharedBelief{
 		ticket:  r.Ticket,
 		silence: joined.Silence,
--- a/filbertflow/internal/daemon/pause.go
+++ b/filbertflow/internal/daemon/pause.go
@@ -43,3 +43,27 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// stallLimit is the shortest time between two ticks that is taken for a pause of
+// the process: a core's share may keep it from running for a tenth of a second.
+const stallLimit = 300 * time.Millisecond
+
+// sinceStart returns a time as nanoseconds since the daemon's start.
+func (d *Daemon) sinceStart(at time.Time) int64 {
+	return int64(at.Sub(d.counters.latency.start))
+}
+
+// noteRunning takes that the process runs at now, and reports whether it had not
+// for a while; tick tells that the goroutine of the directory calls.
+func (d *Daemon) noteRunning(now time.Time, tick bool) (stalled bool) {
+	at := d.sinceStart(now)
+	last := d.ticked.Load()
+	stalled = last != 0 && at-last >= int64(stallLimit)
+	if stalled {
+		d.resumed.Store(at)
+	}
+	if stalled || tick {
+		d.ticked.Store(at)
+	}
+	return stalled
+}
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -24,6 +24,9 @@
 	// outageLimit is the silence of the store after which entries may have
 	// lapsed by mistake: two unanswered watches.
 	outageLimit = 2 * (watchWait + 500*time.Millisecond)
+	// publishInterval is the shortest time between two views for changes: a view
+	// costs a walk over all hosts.
+	publishInterval = 100 * time.Millisecond
 	// pruneInterval is the time between two looks for what can be forgotten.
 	pruneInterval = 10 * time.Second
 )
@@ -57,6 +60,10 @@
 	since   time.Time
 	forgive time.Time
 	pruned  time.Time
+	// published is when the view was made last, and unpublished tells that the
+	// directory has changed since.
+	published   time.Time
+	unpublished bool
 	// wanted is the highest revision that a peer has told of, and source the
 	// peer; behind is since when it is wanted.
 	wanted  uint64
@@ -130,6 +137,11 @@
 	for i := range changed {
 		s.logItem(now, &changed[i], from)
 	}
+	if now.Sub(s.published) < publishInterval {
+		// The next tick publishes: changes often come in a row of datagrams.
+		s.unpublished = true
+		return
+	}
 	s.publish(now)
 }
 
@@ -156,6 +168,7 @@
 func (s *spread) publish(now time.Time) {
 	first := s.daemon.view.Load() == nil
 	v := s.dir.View(now, s.forgiven(now))
+	s.published, s.unpublished = now, false
 	s.daemon.view.Store(v)
 	s.daemon.counters.upstreams.Store(int64(v.Upstreams()))
 	s.daemon.counters.revision.Store(v.Revision)
@@ -213,6 +226,7 @@
 
 // tick does what is due.
 func (s *spread) tick(ctx context.Context, now time.Time) {
+	s.daemon.noteRunning(now, true)
 	if pause := s.clock.Tick(now); pause > 0 {
 		s.daemon.log.Warn(now, "daemon: was suspended", logs.F("for_ms", pause.Milliseconds()))
 		s.tracker.Wake(now, now.Add(-pause))
@@ -224,7 +238,7 @@
 	s.review(now)
 	s.daemon.counters.answered(now, s.tracker.PlatformAge(now))
 	s.catchUp(ctx, now)
-	if s.dir.Settling(now) || now.Before(s.forgive.Add(directory.LapseGrace)) {
+	if s.unpublished || s.dir.Settling(now) || now.Before(s.forgive.Add(directory.LapseGrace)) {
 		s.publish(now)
 	}
 	if now.Sub(s.pruned) >= pruneInterval {
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -64,6 +64,8 @@
 	reset     []byte
 	packet    flow.Packet
 	empty     directory.View
+	// resumed is the daemon's resumed that was taken last.
+	resumed int64
 }
 
 // next takes one packet.
@@ -88,6 +90,7 @@
 	if view == nil {
 		view = &t.empty
 	}
+	t.noteResumed(now)
 	t.takeShared(now)
 	decision := t.forwarder.Forward(now, view, &t.packet)
 	t.act(n, &decision)
@@ -97,6 +100,17 @@
 	t.report(now, n, view, &decision)
 }
 
+// noteResumed tells the forwarder where the process has not run for a while.
+func (t *traffic) noteResumed(now time.Time) {
+	d := t.daemon
+	d.noteRunning(now, false)
+	if resumed := d.resumed.Load(); resumed != t.resumed {
+		t.resumed = resumed
+		t.forwarder.Resumed(now)
+		d.log.Warn(now, "daemon: did not run for a while")
+	}
+}
+
 // act carries a decision out.
 func (t *traffic) act(n int, decision *flow.Decision) {
 	d := t.daemon
--- a/flow/death.go
+++ b/flow/death.go
@@ -50,6 +50,21 @@
 	return r
 }
 
+// Resumed takes that the process has not run for a while until now. What was
+// unanswered meanwhile counts against no upstream, nor does what waited to be
+// read: its clients may have left.
+func (f *Forwarder) Resumed(now time.Time) {
+	f.distrust = now.Add(resumeTime)
+	f.deaths = nil
+	for _, h := range f.health {
+		h.restart()
+	}
+}
+
+// resumeTime is how long after a pause packets are no evidence: a client gives a
+// first packet up after 1.4 s, and what waited is read within that.
+const resumeTime = 1500 * time.Millisecond
+
 // applyDeaths resets the flows of upstreams whose death nobody refuted.
 func (f *Forwarder) applyDeaths(now time.Time, v *directory.View) {
 	for len(f.deaths) > 0 && !now.Before(f.deaths[0].due) {
@@ -78,9 +93,5 @@
 	if !h.since.IsZero() {
 		r.Silence = now.Sub(h.since)
 	}
-	if h.openings > 0 && now.Sub(h.opened) >= deadOpeningAge {
-		r.Openings = h.due(now)
-		r.Silence = max(r.Silence, now.Sub(h.opened))
-	}
 	f.reports = append(f.reports, r)
 }
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -25,8 +25,6 @@
 	// their repeats, since the upstream's last progress there.
 	Flows   int
 	Repeats int
-	// Openings is the number of first packets that are overdue since then.
-	Openings int
 	// Silence is the time since the first unanswered packet.
 	Silence time.Duration
 }
@@ -55,8 +53,8 @@
 }
 
 // Hear takes a report of the balancer with an incarnation. It returns the
-// reports joined, and whether they show that the upstream is dead: then Silence
-// is the time in which progress contradicts that.
+// reports joined, and whether they show that the upstream is dead, unless it has
+// shown progress to another balancer within Silence.
 func (d *Detector) Hear(now time.Time, incarnation uint64, r Report) (joined Report, dead bool) {
 	c := d.subjects[r.Ticket]
 	if c == nil {
@@ -72,8 +70,6 @@
 		return joined, false
 	}
 	c.judged = now
-	// Balancers that were answered before all of that refute nothing.
-	joined.Silence = min(joined.Silence, deadAfter)
 	return joined, true
 }
 
@@ -97,13 +93,13 @@
 		}
 		joined.Flows += r.report.Flows
 		joined.Repeats += r.report.Repeats
-		joined.Openings += r.report.Openings
 		joined.Silence = max(joined.Silence, r.report.Silence+age)
 	}
 	return joined
 }
 
-// conclusive reports whether r shows that an upstream is dead.
+// conclusive reports whether r shows that an upstream is dead. Only clients that
+// wait repeat packets; a first packet may be unanswered since its client left.
 func (r *Report) conclusive() bool {
-	return r.Flows >= suspectFlows && r.Repeats >= deadRepeats && r.Silence >= deadAfter || r.Openings >= deadOpenings
+	return r.Flows >= suspectFlows && r.Repeats >= deadRepeats && r.Silence >= deadAfter
 }
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -30,6 +30,8 @@
 	resets     []Packet
 	reports    []Report
 	deaths     []death
+	// distrust is until when packets are no evidence of silence.
+	distrust time.Time
 }
 
 // An Option changes a forwarder from its defaults.
@@ -268,6 +270,9 @@
 	}
 	s.copies++
 	s.last = now
+	if now.Before(f.distrust) {
+		return
+	}
 	changed := h.repeat(now, s)
 	f.report(now, s.upstream.Ticket(), h)
 	if !changed {
@@ -328,7 +333,9 @@
 // remember takes a new flow.
 func (f *Forwarder) remember(now time.Time, k key, u *directory.Upstream, p *Packet) {
 	h := f.healthOf(u)
-	h.open(now)
+	if !now.Before(f.distrust) {
+		h.open(now)
+	}
 	f.attempts.add(now, p, u.Ticket())
 	f.put(k, &state{
 		upstream:     u,
--- a/flow/health.go
+++ b/flow/health.go
@@ -108,8 +108,6 @@
 	openings int
 	opened   time.Time
 	early    [deadOpenings]time.Time
-	// told is the number of overdue first packets that were reported.
-	told int
 	// avoid is until when new flows avoid the upstream.
 	avoid time.Time
 	// pause is the length of the last such time.
@@ -208,7 +206,7 @@
 	}
 	h.silent, h.repeats = 0, 0
 	h.since = time.Time{}
-	h.openings, h.told = 0, 0
+	h.openings = 0
 	h.opened = time.Time{}
 	h.state = Answering
 	h.avoid = time.Time{}
--- a/flow/place.go
+++ b/flow/place.go
@@ -59,10 +59,6 @@
 func (f *Forwarder) review(now time.Time, hosts []*directory.Upstream) {
 	for _, u := range hosts {
 		h := f.healthOf(u)
-		if due := h.due(now); due > h.told {
-			h.told = due
-			f.report(now, u.Ticket(), h)
-		}
 		if h.overdue(now) {
 			f.believe(u, h, now.Sub(h.since))
 			f.abandon(u.Ticket())
--- a/wire/health.go
+++ b/wire/health.go
@@ -38,21 +38,19 @@
 // NewSilence returns the message for a report.
 func NewSilence(r *flow.Report) *Silence {
 	return &Silence{
-		Ticket:   uint32(r.Ticket),
-		Flows:    uint32(r.Flows),
-		Repeats:  uint32(r.Repeats),
-		Openings: uint32(r.Openings),
-		Silence:  milliseconds(r.Silence),
+		Ticket:  uint32(r.Ticket),
+		Flows:   uint32(r.Flows),
+		Repeats: uint32(r.Repeats),
+		Silence: milliseconds(r.Silence),
 	}
 }
 
 // Report returns what m says.
 func (x *Silence) Report() flow.Report {
 	return flow.Report{
-		Ticket:   directory.Ticket(x.GetTicket()),
-		Flows:    int(x.GetFlows()),
-		Repeats:  int(x.GetRepeats()),
-		Openings: int(x.GetOpenings()),
-		Silence:  duration(x.GetSilence()),
+		Ticket:  directory.Ticket(x.GetTicket()),
+		Flows:   int(x.GetFlows()),
+		Repeats: int(x.GetRepeats()),
+		Silence: duration(x.GetSilence()),
 	}
 }
