fix: first packets count against an upstream for 2.5 s only

Cause: the evidence of unanswered first packets had no end where an upstream has few flows: clients that leave, or whose flow goes on by another balancer, add up over time. Change: openingsTime; a case of TestForwarderTrustsLivingHost that failed before.

--- a/flow/forwarder_test.go
+++ b/flow/forwarder_test.go
@@ -272,6 +272,16 @@
 				}
 			},
 		},
+		{
+			name: "clients leave now and then",
+			replay: func(w *world, _ []*client) {
+				for range 2 * deadOpenings {
+					w.client(boardAddress).open()
+					w.pass(openingsTime)
+				}
+				w.client(boardAddress).open()
+			},
+		},
 		{
 			name: "packets waited while the balancer did not run",
 			replay: func(w *world, _ []*client) {
--- a/flow/health.go
+++ b/flow/health.go
@@ -32,6 +32,10 @@
 	// deadOpenings is the number of unanswered first packets, with no progress on
 	// any flow since, before open flows are reset.
 	deadOpenings = 3
+	// openingsTime is the time within which they must have come: a new flow is
+	// tried once a second. A client that leaves, or whose flow goes on by another
+	// balancer, leaves one unanswered now and then.
+	openingsTime = 2500 * time.Millisecond
 	// deadOpeningAge is how long the last one of them must have been unanswered:
 	// longer than a balancer may be kept from running in its share of a core.
 	deadOpeningAge = 250 * time.Millisecond
@@ -129,6 +133,9 @@
 
 // open takes the first packet of a flow.
 func (h *health) open(now time.Time) {
+	if h.openings > 0 && now.Sub(h.early[0]) >= openingsTime {
+		h.openings = 0
+	}
 	if h.openings == 0 || now.Sub(h.opened) >= retryAfter {
 		h.opened = now
 	}
