--- a/flow/forwarder_test.go
+++ b/flow/forwarder_test.go
@@ -272,6 +272,22 @@
 				}
 			},
 		},
+		{
+			name: "a client gives up at its deadline, another one loses packets later",
+			replay: func(w *world, flows []*client) {
+				flows[0].request()
+				for range 3 {
+					w.pass(800 * time.Millisecond)
+					flows[0].again()
+				}
+				w.pass(20 * time.Second)
+				flows[1].request()
+				w.pass(200 * time.Millisecond)
+				flows[1].again()
+				w.pass(400 * time.Millisecond)
+				flows[1].again()
+			},
+		},
 		{
 			name: "clients leave now and then",
 			replay: func(w *world, _ []*client) {
--- a/flow/health.go
+++ b/flow/health.go
@@ -19,6 +19,10 @@
 	// deadRepeats is the number of repeats, on suspectFlows flows or more,
 	// before open flows are reset: a reset of a living flow can't be undone.
 	deadRepeats = 3
+	// repeatsTime is the longest time from one repeat to the next that adds to it:
+	// the longest interval of a client's repeats, and some. A client that gives up
+	// leaves its repeats unanswered for good.
+	repeatsTime = 2 * time.Second
 	// deadAfter is how long an upstream must have been silent on all flows
 	// before open ones are reset.
 	deadAfter = 400 * time.Millisecond
@@ -104,6 +108,8 @@
 	// since is when the first packet was sent that is unanswered; zero unless
 	// silent is positive.
 	since time.Time
+	// repeated is when the last of the repeats came.
+	repeated time.Time
 	// progressed is when the upstream last showed progress here.
 	progressed time.Time
 	// openings is the number of first packets since the last progress, opened
@@ -180,10 +186,12 @@
 // repeat takes a repeated packet of a flow, and reports whether this changed
 // what is believed.
 func (h *health) repeat(now time.Time, s *state) bool {
-	if h.state != Answering && !now.Before(h.avoid) {
+	returned := h.state != Answering && !now.Before(h.avoid)
+	if stale := h.silent > 0 && now.Sub(h.repeated) >= repeatsTime; returned || stale {
 		// The upstream may have returned: only new evidence counts.
 		h.restart()
 	}
+	h.repeated = now
 	h.repeats++
 	if s.epoch != h.epoch+1 {
 		s.epoch = h.epoch + 1
