fix: signals are taken from the program's initialization on

Traced by its log and the soak's: at 4.0 s all balancers were killed and a SIGHUP went to the process that had just been started and had not subscribed to signals yet; the system's default ended it. Ruled out: an end by a fault of the program (no panic, no report of the race detector in any log).

--- a/filbertflow/internal/cmd/config.go
+++ b/filbertflow/internal/cmd/config.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"filbertworks.example/filbertworks/filbertflow/internal/daemon"
 	"filbertworks.example/filbertworks/filbertflow/internal/settings"
+	"filbertworks.example/filbertworks/filbertflow/internal/signals"
 	"filbertworks.example/filbertworks/platform"
 )
 
@@ -30,15 +30,10 @@
 // serve runs a daemon until it has left after SIGTERM or SIGINT, or at once
 // after a second of these.
 func serve(path string, s *settings.Settings, stdout, stderr io.Writer) int {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	// A reader of the logs that goes away must not end the process.
-	signal.Ignore(syscall.SIGPIPE)
-	defer signal.Stop(signals)
 	c := newConfig(path, s, stdout)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go c.attend(ctx, signals, cancel)
+	go c.attend(ctx, signals.C(), cancel)
 	if err := c.daemon.Run(ctx); err != nil {
 		return fail(stderr, exitFailure, err)
 	}
@@ -80,7 +75,7 @@
 }
 
 // attend handles signals and changes of the settings file until ctx ends.
-func (c *config) attend(ctx context.Context, signals <-chan os.Signal, stop func()) {
+func (c *config) attend(ctx context.Context, received <-chan os.Signal, stop func()) {
 	ticker := time.NewTicker(watchSettings)
 	defer ticker.Stop()
 	known, err := os.ReadFile(c.path)
@@ -92,7 +87,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-signals:
+		case s := <-received:
 			switch {
 			case s == syscall.SIGHUP:
 				known = c.reload(known, true)
