fix: beliefs of peers are taken without a client's packet

Cause: the goroutine of packets took peers' beliefs on upstreams only when the next packet came. A balancer that clients send little to (each of 300 gets a packet every few hundred milliseconds) refuted a death long after those who had asked had reset their flows, and measured its own last progress against the time of that packet. It also reset the idle flows of a dead upstream late. Change: a death or a refutation ends the wait for the next packet by the socket's read deadline, now and when the death takes effect; a belief counts from when it was heard.

--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -28,7 +30,9 @@
 
 // sharedBelief tells that an upstream is dead, or refutes that.
 type sharedBelief struct {
-	ticket  directory.Ticket
+	ticket directory.Ticket
+	// heard is when it came; it counts from then.
+	heard   time.Time
 	silence time.Duration
 	alive   bool
 }
@@ -59,7 +63,7 @@
 			t.daemon.log.Info(now, "upstream: refuted by a peer", logs.F("upstream", t.daemon.nameOf(b.ticket)))
 			continue
 		}
-		if t.forwarder.MarkDead(now, b.ticket, b.silence) {
+		if t.forwarder.MarkDead(b.heard, b.ticket, b.silence) {
 			ticket := b.ticket
 			t.daemon.call(func(now time.Time) { t.daemon.spread.refute(now, ticket) })
 		}
@@ -99,11 +103,27 @@
 	}
 	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
 		logs.F("repeats", joined.Repeats), logs.F("silence_ms", joined.Silence.Milliseconds()))
-	s.daemon.shared.add(sharedBelief{
+	s.daemon.hearDeath(now, &joined)
+	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(&joined)}})
+}
+
+// hearDeath takes the belief that an upstream is dead. The goroutine of packets
+// wakes for it now, to refute it in time, and when it takes effect.
+func (d *Daemon) hearDeath(now time.Time, r *flow.Report) {
+	d.shared.add(sharedBelief{
 		ticket:  r.Ticket,
-		silence: joined.Silence,
+		heard:   now,
+		silence: r.Silence,
 	})
-	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(&joined)}})
+	d.wakePackets()
+	time.AfterFunc(flow.RefuteWait, d.wakePackets)
+}
+
+// wakePackets ends the wait of the goroutine of packets for the next one.
+func (d *Daemon) wakePackets() {
+	if err := d.packets.SetReadDeadline(time.Now()); err != nil && !errors.Is(err, net.ErrClosed) {
+		d.counters.socketErrors.Add(1)
+	}
 }
 
 // refute tells the zone that an upstream answers.
@@ -124,16 +144,15 @@
 	}
 	for _, v := range m.GetDeaths() {
 		r := v.Report()
-		s.daemon.shared.add(sharedBelief{
-			ticket:  r.Ticket,
-			silence: r.Silence,
-		})
+		s.daemon.hearDeath(now, &r)
 	}
 	for _, t := range m.GetRefutations() {
 		s.daemon.shared.add(sharedBelief{
 			ticket: directory.Ticket(t),
+			heard:  now,
 			alive:  true,
 		})
+		s.daemon.wakePackets()
 	}
 }
 
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
@@ -73,6 +74,10 @@
 	d := t.daemon
 	room := d.options.Headroom
 	n, err := d.packets.Read(t.buffer[room:])
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.wake()
+		return
+	}
 	if err != nil {
 		if !errors.Is(err, net.ErrClosed) {
 			d.counters.socketErrors.Add(1)
@@ -86,10 +91,7 @@
 		d.log.Warn(now, "packets: malformed", logs.F("size", n))
 		return
 	}
-	view := d.view.Load()
-	if view == nil {
-		view = &t.empty
-	}
+	view := t.view()
 	t.noteResumed(now)
 	t.takeShared(now)
 	decision := t.forwarder.Forward(now, view, &t.packet)
@@ -100,6 +102,28 @@
 	t.report(now, n, view, &decision)
 }
 
+// view returns what is known of the directory.
+func (t *traffic) view() *directory.View {
+	if v := t.daemon.view.Load(); v != nil {
+		return v
+	}
+	return &t.empty
+}
+
+// wake takes peers' beliefs between two packets.
+func (t *traffic) wake() {
+	// Whatever comes or is due after this ends the next wait.
+	if err := t.daemon.packets.SetReadDeadline(time.Time{}); err != nil {
+		return
+	}
+	now, view := time.Now(), t.view()
+	t.noteResumed(now)
+	t.takeShared(now)
+	t.forwarder.Advance(now, view)
+	t.abandon(now)
+	t.reportBeliefs(now, view)
+}
+
 // noteResumed tells the forwarder where the process has not run for a while.
 func (t *traffic) noteResumed(now time.Time) {
 	d := t.daemon
@@ -159,12 +183,7 @@
 // report logs a decision, unless it only follows an earlier one.
 func (t *traffic) report(now time.Time, n int, v *directory.View, decision *flow.Decision) {
 	log := t.daemon.log
-	for _, b := range t.forwarder.Beliefs() {
-		t.daemon.counters.beliefs[b.State].Add(1)
-		log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID), logs.F("revision", v.Revision),
-			logs.F("silent_flows", b.Flows), logs.F("silence_ms", b.Silence.Milliseconds()),
-			logs.F("shared", b.Shared))
-	}
+	t.reportBeliefs(now, v)
 	room := t.daemon.options.Headroom
 	id, named := "", false
 	if t.packet.Length > 0 {
@@ -179,6 +198,16 @@
 	}
 }
 
+// reportBeliefs logs what changed in the beliefs on upstreams.
+func (t *traffic) reportBeliefs(now time.Time, v *directory.View) {
+	for _, b := range t.forwarder.Beliefs() {
+		t.daemon.counters.beliefs[b.State].Add(1)
+		t.daemon.log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID), logs.F("revision", v.Revision),
+			logs.F("silent_flows", b.Flows), logs.F("silence_ms", b.Silence.Milliseconds()),
+			logs.F("shared", b.Shared))
+	}
+}
+
 // fields returns what decided on the packet.
 func (t *traffic) fields(v *directory.View, decision *flow.Decision) []logs.Field {
 	fields := []logs.Field{
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -60,6 +60,12 @@
 	return f
 }
 
+// Advance takes that it is now, without a packet: the open flows of upstreams
+// whose death nobody has refuted in time are reset.
+func (f *Forwarder) Advance(now time.Time, v *directory.View) {
+	f.applyDeaths(now, v)
+}
+
 // Beliefs returns what changed in the beliefs since the last call.
 func (f *Forwarder) Beliefs() []Belief {
 	b := f.beliefs
