feat: a starting balancer asks one member for the directory

Cause: each starting balancer asked all three seeds for the whole directory. At 299 balancers the busiest sent 1,038 kB/s. Ruled out: heartbeats (11.6 kB/s each way at every balancer alike), changes (5 kB/s), health reports (0.1 kB/s). Change: seeds are asked for members; the directory comes from a member of the own zone, picked at random among those that do not just start, at a seed only where no member has it. Connecting is bounded by 100 ms, as the members of a seed's view may have lost power. Before: TestIntroduction fails (3 calls of seeds, 0 of members). After: it passes.

--- /dev/null
+++ b/filbertflow/internal/daemon/introduction.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/member"
+)
+
+const (
+	// introductionSources is the number of members, beside the seed that named
+	// them, that a starting balancer asks for the directory, one after the other.
+	introductionSources = 3
+	// introductionDial bounds the time to connect to one of them: some round
+	// trips between zones. One that has lost its power does not answer.
+	introductionDial = 100 * time.Millisecond
+)
+
+// introduce asks the seeds for members, and one of these for the directory. The
+// seeds are the same for all that start, and the directory is a hundred times
+// larger than the members of a zone.
+func (d *Daemon) introduce(ctx context.Context) {
+	seeds := d.peerAddresses(d.options.Seeds)
+	sources := make(chan []netip.AddrPort, len(seeds))
+	for _, a := range seeds {
+		d.duties.Go(func() { sources <- d.askSeed(ctx, a) })
+	}
+	for range seeds {
+		select {
+		case s := <-sources:
+			if d.fetchDirectory(ctx, s) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askSeed gets the members from a seed and returns whom to ask for the
+// directory; nobody where it does not answer.
+func (d *Daemon) askSeed(ctx context.Context, seed netip.AddrPort) []netip.AddrPort {
+	records, err := d.fetchMembers(ctx, seed)
+	if err != nil {
+		d.log.Info(time.Now(), "peer: seed does not answer", logs.F("peer_address", seed), logs.F("error", err.Error()))
+		return nil
+	}
+	d.must(ctx, func(now time.Time) {
+		for i := range records {
+			d.spread.tracker.Merge(now, &records[i])
+		}
+	})
+	return append(d.directorySources(records), seed)
+}
+
+// directorySources returns members of the own zone that have run for a while, in
+// random order.
+func (d *Daemon) directorySources(records []member.Record) []netip.AddrPort {
+	var sources []netip.AddrPort
+	for _, i := range rand.Perm(len(records)) {
+		r := &records[i]
+		if r.Zone != d.options.Zone || r.Name == d.options.Name || r.Joining || r.Suspected || r.State != member.Alive {
+			continue
+		}
+		sources = append(sources, r.Control)
+		if len(sources) == introductionSources {
+			break
+		}
+	}
+	return sources
+}
+
+// fetchDirectory gets the directory from the first of the sources that knows it,
+// and reports whether one did.
+func (d *Daemon) fetchDirectory(ctx context.Context, sources []netip.AddrPort) bool {
+	for _, a := range sources {
+		delta, err := d.fetchChanges(ctx, a, 0, introductionDial)
+		if err != nil {
+			d.log.Info(time.Now(), "peer: can't get the directory", logs.F("peer_address", a), logs.F("error", err.Error()))
+			continue
+		}
+		if delta.Revision > 0 {
+			d.must(ctx, func(now time.Time) { d.spread.merge(now, delta) })
+			return true
+		}
+	}
+	return false
+}
--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -140,32 +140,6 @@
 	d.counters.peerBytes.Add(uint64(len(data)))
 }
 
-// introduce asks the seeds for members and changes, once.
-func (d *Daemon) introduce(ctx context.Context) {
-	for _, a := range d.peerAddresses(d.options.Seeds) {
-		d.duties.Go(func() { d.introduceTo(ctx, a) })
-	}
-}
-
-func (d *Daemon) introduceTo(ctx context.Context, peer netip.AddrPort) {
-	delta, err := d.fetchChanges(ctx, peer, 0)
-	if err != nil {
-		d.log.Info(time.Now(), "peer: seed does not answer", logs.F("peer_address", peer), logs.F("error", err.Error()))
-		return
-	}
-	d.must(ctx, func(now time.Time) { d.spread.merge(now, delta) })
-	records, err := d.fetchMembers(ctx, peer)
-	if err != nil {
-		d.log.Info(time.Now(), "peer: seed does not tell members", logs.F("peer_address", peer), logs.F("error", err.Error()))
-		return
-	}
-	d.must(ctx, func(now time.Time) {
-		for i := range records {
-			d.spread.tracker.Merge(now, &records[i])
-		}
-	})
-}
-
 // must hands an event to the goroutine of the directory, waiting for room.
 func (d *Daemon) must(ctx context.Context, f func(time.Time)) {
 	for !d.call(f) && ctx.Err() == nil {
@@ -185,9 +159,12 @@
 	return peers
 }
 
-// dial connects to a peer.
-func (d *Daemon) dial(ctx context.Context, peer netip.AddrPort) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+// dial connects to a peer within a time.
+func (d *Daemon) dial(ctx context.Context, peer netip.AddrPort, timeout time.Duration) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: keepAlive,
+	}
 	c, err := dialer.DialContext(ctx, "tcp4", peer.String())
 	if err != nil {
 		return nil, eris.Wrap(err, "dial peer")
@@ -195,11 +172,12 @@
 	return drpcconn.New(c), nil
 }
 
-// fetchChanges returns what leads from a revision to the one known at a peer.
-func (d *Daemon) fetchChanges(ctx context.Context, peer netip.AddrPort, since uint64) (*directory.Delta, error) {
+// fetchChanges returns what leads from a revision to the one known at a peer that
+// can be connected to within a time.
+func (d *Daemon) fetchChanges(ctx context.Context, peer netip.AddrPort, since uint64, dial time.Duration) (*directory.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	conn, err := d.dial(ctx, peer)
+	conn, err := d.dial(ctx, peer, dial)
 	if err != nil {
 		return nil, err
 	}
@@ -230,7 +208,7 @@
 func (d *Daemon) fetchMembers(ctx context.Context, peer netip.AddrPort) ([]member.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	conn, err := d.dial(ctx, peer)
+	conn, err := d.dial(ctx, peer, pullTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -355,7 +355,7 @@
 	s.behind = now
 	d := s.daemon
 	d.duties.Go(func() {
-		delta, err := d.fetchChanges(ctx, peer, since)
+		delta, err := d.fetchChanges(ctx, peer, since, pullTimeout)
 		if err != nil {
 			d.log.Warn(time.Now(), "peer: can't get changes", logs.F("peer_address", peer), logs.F("error", err.Error()))
 		}
