feat: a refuted death may be announced again at once

Ruled out: late reports (two watchers had them at 0.40 to 0.45 s of silence). Change: a refutation has the age of the progress. The silence counts from then, repeats that came later stay evidence, and the death can be announced with the next report. The refutation goes to the balancer that announced the death, which tells the zone once: n instead of up to n^2 datagrams. Before: a refuted death could not be announced for 2 s (TestRefutedDeaths needs it after 0.1 s).

--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -34,7 +34,10 @@
 	// heard is when it came; it counts from then.
 	heard   time.Time
 	silence time.Duration
-	alive   bool
+	// refutation is set where the upstream is alive.
+	refutation *flow.Refutation
+	// from is the balancer that told of a death; not valid for this one.
+	from netip.AddrPort
 }
 
 // add takes a belief.
@@ -58,14 +61,15 @@
 // takeShared applies peers' beliefs to the forwarder.
 func (t *traffic) takeShared(now time.Time) {
 	for _, b := range t.daemon.shared.take() {
-		if b.alive {
-			t.forwarder.MarkAlive(b.ticket)
-			t.daemon.log.Info(now, "upstream: refuted by a peer", logs.F("upstream", t.daemon.nameOf(b.ticket)))
+		if b.refutation != nil {
+			t.forwarder.MarkAlive(b.heard, *b.refutation)
+			t.daemon.log.Info(now, "upstream: refuted by a peer", logs.F("upstream", t.daemon.nameOf(b.ticket)),
+				logs.F("progress_age_ms", b.refutation.Age.Milliseconds()))
 			continue
 		}
-		if t.forwarder.MarkDead(b.heard, b.ticket, b.silence) {
-			ticket := b.ticket
-			t.daemon.call(func(now time.Time) { t.daemon.spread.refute(now, ticket) })
+		if r, refuted := t.forwarder.MarkDead(b.heard, b.ticket, b.silence); refuted {
+			from := b.from
+			t.daemon.call(func(now time.Time) { t.daemon.spread.refute(now, from, r) })
 		}
 	}
 }
@@ -103,17 +107,18 @@
 	}
 	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
 		logs.F("repeats", joined.Repeats), logs.F("silence_ms", joined.Silence.Milliseconds()))
-	s.daemon.hearDeath(now, &joined)
+	s.daemon.hearDeath(now, netip.AddrPort{}, &joined)
 	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(&joined)}})
 }
 
-// hearDeath takes the belief that an upstream is dead. The goroutine of packets
-// wakes for it now, to refute it in time, and when it takes effect.
-func (d *Daemon) hearDeath(now time.Time, r *flow.Report) {
+// hearDeath takes the belief of a balancer that an upstream is dead. The goroutine
+// of packets wakes for it now, to refute it in time, and when it takes effect.
+func (d *Daemon) hearDeath(now time.Time, from netip.AddrPort, r *flow.Report) {
 	d.shared.add(sharedBelief{
 		ticket:  r.Ticket,
 		heard:   now,
 		silence: r.Silence,
+		from:    from,
 	})
 	d.wakePackets()
 	time.AfterFunc(flow.RefuteWait, d.wakePackets)
@@ -126,14 +131,32 @@
 	}
 }
 
-// refute tells the zone that an upstream answers.
-func (s *spread) refute(now time.Time, t directory.Ticket) {
-	s.daemon.log.Info(now, "upstream: refuted", logs.F("upstream", s.daemon.nameOf(t)))
-	s.sendHealth(s.zonePeers(), &wire.Health{Refutations: []uint32{uint32(t)}})
+// refute tells the balancer that announced a death that the upstream answers.
+func (s *spread) refute(now time.Time, from netip.AddrPort, r flow.Refutation) {
+	s.daemon.log.Info(now, "upstream: refuted", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("progress_age_ms", r.Age.Milliseconds()))
+	if !from.IsValid() {
+		s.hearRefutation(now, r)
+		return
+	}
+	s.sendHealth([]netip.AddrPort{from}, &wire.Health{Refutations: []*wire.Refutation{wire.NewRefutation(&r)}})
+}
+
+// hearRefutation takes a refutation; the balancer that announced the death tells
+// the zone.
+func (s *spread) hearRefutation(now time.Time, r flow.Refutation) {
+	s.daemon.shared.add(sharedBelief{
+		ticket:     r.Ticket,
+		heard:      now,
+		refutation: &r,
+	})
+	s.daemon.wakePackets()
+	if s.detector.Refute(now, r) {
+		s.sendHealth(s.zonePeers(), &wire.Health{Refutations: []*wire.Refutation{wire.NewRefutation(&r)}})
+	}
 }
 
 // hearHealth takes a datagram on silent upstreams.
-func (s *spread) hearHealth(now time.Time, data []byte) {
+func (s *spread) hearHealth(now time.Time, from netip.AddrPort, data []byte) {
 	m, err := wire.ParseHealth(data)
 	if err != nil {
 		s.daemon.counters.malformed.Add(1)
@@ -144,15 +167,10 @@
 	}
 	for _, v := range m.GetDeaths() {
 		r := v.Report()
-		s.daemon.hearDeath(now, &r)
-	}
-	for _, t := range m.GetRefutations() {
-		s.daemon.shared.add(sharedBelief{
-			ticket: directory.Ticket(t),
-			heard:  now,
-			alive:  true,
-		})
-		s.daemon.wakePackets()
+		s.daemon.hearDeath(now, from, &r)
+	}
+	for _, v := range m.GetRefutations() {
+		s.hearRefutation(now, v.Refutation())
 	}
 }
 
--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -296,7 +296,7 @@
 		s.hearDelta(ctx, now, from, data)
 		return
 	case wire.IsHealth(data):
-		s.hearHealth(now, data)
+		s.hearHealth(now, from, data)
 		return
 	}
 	var h member.Heartbeat
--- a/filbertflow/internal/daemon/spread_test.go
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -67,7 +67,7 @@
 	health, err := wire.AppendHealth(nil, &wire.Health{
 		Reports:     []*wire.Silence{wire.NewSilence(&r)},
 		Deaths:      []*wire.Silence{wire.NewSilence(&r)},
-		Refutations: []uint32{7},
+		Refutations: []*wire.Refutation{{Ticket: 7}},
 	})
 	require.NoError(t, err)
 	delta, err := wire.AppendDelta(nil, time.Now(), &directory.Delta{
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -142,7 +142,7 @@
 func TestBeliefsAreTakenWithoutPackets(t *testing.T) {
 	t.Run("refutes what it has heard of since", func(t *testing.T) {
 		q := newQuiet(t)
-		q.daemon.hearDeath(time.Now(), &flow.Report{
+		q.daemon.hearDeath(time.Now(), netip.AddrPort{}, &flow.Report{
 			Ticket:  q.upstream.Ticket(),
 			Silence: time.Minute,
 		})
@@ -155,7 +155,7 @@
 	})
 	t.Run("resets idle flows of the dead", func(t *testing.T) {
 		q := newQuiet(t)
-		q.daemon.hearDeath(time.Now(), &flow.Report{Ticket: q.upstream.Ticket()})
+		q.daemon.hearDeath(time.Now(), netip.AddrPort{}, &flow.Report{Ticket: q.upstream.Ticket()})
 		require.Equal(t, platform.HeadSize, q.client.receive(time.Second))
 	})
 }
--- a/flow/death.go
+++ b/flow/death.go
@@ -14,33 +14,49 @@
 }
 
 // MarkAlive takes the refutation of a balancer that has heard of an upstream since
-// its death was announced.
-func (f *Forwarder) MarkAlive(t directory.Ticket) {
-	f.deaths = slices.DeleteFunc(f.deaths, func(d death) bool { return d.ticket == t })
-	if h := f.health[t]; h != nil {
+// its death was announced. Repeats that came later stay evidence of silence.
+func (f *Forwarder) MarkAlive(now time.Time, r Refutation) {
+	f.deaths = slices.DeleteFunc(f.deaths, func(d death) bool { return d.ticket == r.Ticket })
+	h := f.health[r.Ticket]
+	if h == nil {
+		return
+	}
+	at := now.Add(-r.Age)
+	if h.state == Dead || h.silent == 0 || !h.repeated.After(at) {
 		h.restart()
+		return
+	}
+	h.elsewhere = at
+	if h.since.Before(at) {
+		h.since = at
+	}
+	if h.state == Answering {
+		h.avoid = time.Time{}
 	}
 }
 
 // MarkDead takes the belief of other balancers that an upstream has been silent
-// for a time. It reports whether this balancer refutes that, since it has seen
-// progress meanwhile; otherwise new flows avoid the upstream, and its open flows
-// are reset unless another balancer refutes it in time.
-func (f *Forwarder) MarkDead(now time.Time, t directory.Ticket, silence time.Duration) (refuted bool) {
+// for a time. Where this balancer has seen progress meanwhile, it refutes that;
+// otherwise new flows avoid the upstream, and its open flows are reset unless
+// another balancer refutes it in time.
+func (f *Forwarder) MarkDead(now time.Time, t directory.Ticket, silence time.Duration) (r Refutation, refuted bool) {
 	h := f.health[t]
 	if h == nil {
 		h = &health{}
 		f.health[t] = h
 	}
-	if !h.progressed.IsZero() && now.Sub(h.progressed) < silence {
-		return true
+	if age := now.Sub(h.progressed); !h.progressed.IsZero() && age < silence {
+		return Refutation{
+			Ticket: t,
+			Age:    age,
+		}, true
 	}
 	h.extend(now)
 	f.deaths = append(f.deaths, death{
 		ticket: t,
 		due:    now.Add(RefuteWait),
 	})
-	return false
+	return Refutation{}, false
 }
 
 // Reports returns what is new on silent upstreams since the last call.
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -29,6 +29,13 @@
 	Silence time.Duration
 }
 
+// A Refutation tells that an upstream has shown progress at a balancer.
+type Refutation struct {
+	Ticket directory.Ticket
+	// Age is the time since the last progress.
+	Age time.Duration
+}
+
 // A Detector joins the reports of a zone's balancers on the upstreams that one
 // balancer watches. Each sees too few of an upstream's flows to judge it soon.
 // It is not safe for concurrent use.
@@ -39,7 +46,10 @@
 // subject holds the reports on one upstream by the incarnation of who sent them.
 type subject struct {
 	reports map[uint64]reported
-	judged  time.Time
+	// judged is when its death was announced, zero where that was refuted.
+	judged time.Time
+	// progressed is the last progress that a refutation told of.
+	progressed time.Time
 }
 
 type reported struct {
@@ -73,6 +83,21 @@
 	return joined, true
 }
 
+// Refute takes that an upstream has shown progress: its silence counts from then.
+// It reports whether a death was announced here that this is the first to refute.
+func (d *Detector) Refute(now time.Time, r Refutation) bool {
+	c := d.subjects[r.Ticket]
+	if c == nil {
+		return false
+	}
+	if at := now.Add(-r.Age); at.After(c.progressed) {
+		c.progressed = at
+	}
+	first := !c.judged.IsZero()
+	c.judged = time.Time{}
+	return first
+}
+
 // Prune forgets upstreams without recent reports.
 func (d *Detector) Prune(now time.Time) {
 	for t, c := range d.subjects {
@@ -87,7 +112,7 @@
 	joined := Report{Ticket: t}
 	for incarnation, r := range c.reports {
 		age := now.Sub(r.at)
-		if age >= reportLife {
+		if age >= reportLife || !r.at.After(c.progressed) {
 			delete(c.reports, incarnation)
 			continue
 		}
@@ -95,6 +120,9 @@
 		joined.Repeats += r.report.Repeats
 		joined.Silence = max(joined.Silence, r.report.Silence+age)
 	}
+	if !c.progressed.IsZero() {
+		joined.Silence = min(joined.Silence, now.Sub(c.progressed))
+	}
 	return joined
 }
 
--- a/flow/detector_test.go
+++ b/flow/detector_test.go
@@ -200,9 +200,10 @@
 				w.pass(100 * time.Millisecond)
 			}
 			ticket := c.host.Ticket()
-			require.Equal(t, test.progress, w.forwarder.MarkDead(w.now, ticket, 500*time.Millisecond))
+			_, refuted := w.forwarder.MarkDead(w.now, ticket, 500*time.Millisecond)
+			require.Equal(t, test.progress, refuted)
 			if test.alive {
-				w.forwarder.MarkAlive(ticket)
+				w.forwarder.MarkAlive(w.now, Refutation{Ticket: ticket})
 			}
 			if test.late {
 				c.request()
@@ -264,3 +265,87 @@
 	require.Empty(t, w.forwarder.Reports())
 	require.Equal(t, Forward, idle.request().Action)
 }
+
+// TestRefutedDeaths states when a death may be announced again. It could only
+// after two seconds: hosts that went dark right after one of their packets had
+// been lost were believed alive for a second longer.
+func TestRefutedDeaths(t *testing.T) {
+	silent := func(d time.Duration) Report {
+		return Report{
+			Flows:   3,
+			Repeats: 4,
+			Silence: d,
+		}
+	}
+	for _, test := range []struct {
+		name string
+		// age is that of the progress at the refutation.
+		age time.Duration
+		// next is when the next report comes, after the refutation.
+		next    time.Duration
+		dead    bool
+		silence time.Duration
+	}{
+		{
+			name:    "progress right after the first unanswered packet",
+			age:     390 * time.Millisecond,
+			next:    100 * time.Millisecond,
+			dead:    true,
+			silence: 490 * time.Millisecond,
+		},
+		{
+			name:    "progress lately",
+			age:     10 * time.Millisecond,
+			next:    100 * time.Millisecond,
+			silence: 110 * time.Millisecond,
+		},
+		{
+			name:    "progress lately, and silence for long enough since",
+			age:     10 * time.Millisecond,
+			next:    deadAfter,
+			dead:    true,
+			silence: deadAfter + 10*time.Millisecond,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := NewDetector()
+			now := time.Now()
+			_, dead := d.Hear(now, 1, silent(420*time.Millisecond))
+			require.True(t, dead)
+			r := Refutation{Age: test.age}
+			require.True(t, d.Refute(now, r))
+			require.False(t, d.Refute(now, r), "the zone is told once")
+			joined, dead := d.Hear(now.Add(test.next), 1, silent(420*time.Millisecond+test.next))
+			require.Equal(t, test.dead, dead)
+			require.Equal(t, test.silence, joined.Silence)
+		})
+	}
+}
+
+// TestRepeatsAfterTheRefutedProgressCount states that a refutation ends a belief,
+// but not the evidence that came after the progress that it tells of.
+func TestRepeatsAfterTheRefutedProgressCount(t *testing.T) {
+	w := newWorld(t, 1)
+	first, second := w.client(boardAddress).established(), w.client(boardAddress).established()
+	first.request()
+	second.request()
+	w.pass(200 * time.Millisecond)
+	first.again()
+	ticket := first.host.Ticket()
+	w.forwarder.MarkAlive(w.now, Refutation{
+		Ticket: ticket,
+		Age:    190 * time.Millisecond,
+	})
+	second.again()
+	w.pass(100 * time.Millisecond)
+	require.Equal(t, Report{
+		Ticket:  ticket,
+		Flows:   2,
+		Repeats: 2,
+		Silence: 190 * time.Millisecond,
+	}, w.forwarder.Reports()[1])
+	w.forwarder.MarkAlive(w.now, Refutation{Ticket: ticket})
+	w.pass(100 * time.Millisecond)
+	first.again()
+	require.Equal(t, 1, w.forwarder.Reports()[0].Flows)
+}
--- a/flow/health.go
+++ b/flow/health.go
@@ -110,8 +110,10 @@
 	since time.Time
 	// repeated is when the last of the repeats came.
 	repeated time.Time
-	// progressed is when the upstream last showed progress here.
+	// progressed is when the upstream last showed progress here, and elsewhere when
+	// it last did at another balancer that told of it.
 	progressed time.Time
+	elsewhere  time.Time
 	// openings is the number of first packets since the last progress, opened
 	// when the first of them was sent, and early when the first deadOpenings
 	// were.
@@ -199,6 +201,9 @@
 		if h.since.IsZero() || s.sent.Before(h.since) {
 			h.since = s.sent
 		}
+		if h.since.Before(h.elsewhere) {
+			h.since = h.elsewhere
+		}
 	}
 	before := h.state
 	switch {
--- a/wire/health.go
+++ b/wire/health.go
@@ -35,6 +35,22 @@
 	return m, nil
 }
 
+// NewRefutation returns the message for a refutation.
+func NewRefutation(r *flow.Refutation) *Refutation {
+	return &Refutation{
+		Ticket: uint32(r.Ticket),
+		Age:    milliseconds(r.Age),
+	}
+}
+
+// Refutation returns what m says.
+func (x *Refutation) Refutation() flow.Refutation {
+	return flow.Refutation{
+		Ticket: directory.Ticket(x.GetTicket()),
+		Age:    duration(x.GetAge()),
+	}
+}
+
 // NewSilence returns the message for a report.
 func NewSilence(r *flow.Report) *Silence {
 	return &Silence{
