feat: upstreams that should have answered are probed by a connection

A balancer sees one first packet without an answer and nothing else, too little to reset flows; three of them at one balancer in 2.5 s are rare where 28 balancers share a zone. Change: an upstream of the own zone that has left a first packet unanswered for 50 ms is probed by a connection that is closed at once; refusals at two balancers of the zone make its death. Before: the idle flow of TestCrashedUpstreamIsProbed is not reset.

--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -122,8 +122,10 @@
 	leaving atomic.Bool
 	left    chan struct{}
 	calls   *ring.Ring[func(time.Time)]
-	spread  *spread
-	shared  shared
+	// probes are the upstreams to probe.
+	probes *ring.Ring[*directory.Upstream]
+	spread *spread
+	shared shared
 	// reads wakes the reader; it holds whether this balancer reads.
 	reads    chan bool
 	packets  *net.UDPConn
@@ -141,6 +143,7 @@
 		viewed:      make(chan struct{}),
 		left:        make(chan struct{}),
 		calls:       ring.New[func(time.Time)](callRing),
+		probes:      ring.New[*directory.Upstream](probeRing),
 		reads:       make(chan bool, 1),
 	}
 	d.source = o.Source(SourceObserver{
@@ -210,7 +213,7 @@
 	d.log.Info(time.Now(), "daemon: started", logs.F("zone", d.options.Zone),
 		logs.F("packets", d.options.Packets), logs.F("incarnation", d.incarnation))
 	for _, duty := range []func(context.Context){
-		d.read, d.spread.run, d.hearPeers, d.servePeers, d.forward, d.serveProbes, d.serveMetrics, d.introduce,
+		d.read, d.spread.run, d.hearPeers, d.servePeers, d.forward, d.serveProbes, d.serveMetrics, d.introduce, d.probe,
 	} {
 		d.duties.Go(func() { duty(ctx) })
 	}
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -101,12 +101,16 @@
 // hearReport joins a report with others; where they show that the upstream is
 // dead, the zone is told.
 func (s *spread) hearReport(now time.Time, sender uint64, r flow.Report) {
-	joined, dead := s.detector.Hear(now, sender, r)
+	joined, dead := s.detector.Hear(now, sender, r, len(s.zonePeers())+1)
 	if !dead {
+		if s.detector.Unconfirmed(now, s.daemon.incarnation, r.Ticket) {
+			s.daemon.probeTicket(r.Ticket)
+		}
 		return
 	}
 	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
-		logs.F("repeats", joined.Repeats), logs.F("silence_ms", joined.Silence.Milliseconds()))
+		logs.F("repeats", joined.Repeats), logs.F("silence_ms", joined.Silence.Milliseconds()),
+		logs.F("refusals", joined.Refusals))
 	s.daemon.hearDeath(now, netip.AddrPort{}, &joined)
 	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(&joined)}})
 }
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -67,6 +67,8 @@
 	empty     directory.View
 	// resumed is the daemon's resumed that was taken last.
 	resumed int64
+	// waking tells that a timer will wake the goroutine of packets.
+	waking bool
 }
 
 // next takes one packet.
@@ -98,6 +100,7 @@
 	t.act(n, &decision)
 	t.abandon(now)
 	t.shareReports()
+	t.probeDoubts(now)
 	d.counters.decided(&decision, time.Since(now), t.forwarder.Flows())
 	t.report(now, n, view, &decision)
 }
@@ -117,13 +120,27 @@
 		return
 	}
 	now, view := time.Now(), t.view()
+	t.waking = false
 	t.noteResumed(now)
 	t.takeShared(now)
 	t.forwarder.Advance(now, view)
 	t.abandon(now)
+	t.probeDoubts(now)
 	t.reportBeliefs(now, view)
 }
 
+// probeDoubts has upstreams probed that should have answered, and wakes when the
+// next ones should have.
+func (t *traffic) probeDoubts(now time.Time) {
+	for _, u := range t.forwarder.Doubts() {
+		t.daemon.probes.Offer(u)
+	}
+	if next := t.forwarder.Next(); !next.IsZero() && !t.waking {
+		t.waking = true
+		time.AfterFunc(next.Sub(now), t.daemon.wakePackets)
+	}
+}
+
 // noteResumed tells the forwarder where the process has not run for a while.
 func (t *traffic) noteResumed(now time.Time) {
 	d := t.daemon
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -52,8 +52,11 @@
 	daemon   *Daemon
 	upstream *directory.Upstream
 	client   *endpoint
+	host     *endpoint
 }
 
+var serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
+
 func newQuiet(t *testing.T) *quiet {
 	t.Helper()
 	d := newDaemon(t)
@@ -66,7 +69,6 @@
 		Address: host.address(),
 		Slots:   2,
 	}
-	service := netip.MustParseAddrPort("198.18.0.1:443")
 	now := time.Now()
 	_, err := d.spread.dir.Apply(now, &directory.Delta{
 		Revision: 2,
@@ -79,7 +81,7 @@
 					Services: []directory.Service{{Name: "board"}},
 					Routes: []directory.Route{{
 						Name:    "board",
-						Address: service,
+						Address: serviceAddress,
 						Targets: []directory.Target{{
 							Service: "board",
 							Weight:  1,
@@ -101,28 +103,39 @@
 	d.spread.publish(now)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.duties.Go(func() { d.forward(ctx) })
+	d.duties.Go(func() { d.probe(ctx) })
 	t.Cleanup(d.duties.Wait)
 	t.Cleanup(cancel)
-	balancer := d.packets.LocalAddr().(*net.UDPAddr).AddrPort()
-	for _, acknowledged := range []uint32{0, 5000} {
-		_, err := client.conn.WriteToUDPAddrPort(clientPacket(service, u.Ticket(), acknowledged), balancer)
-		require.NoError(t, err)
-		require.NotZero(t, host.receive(time.Second))
-	}
-	return &quiet{
+	q := &quiet{
 		daemon:   d,
 		upstream: &u,
 		client:   client,
+		host:     host,
 	}
+	q.send(t, flowPort, 0)
+	q.send(t, flowPort, 5000)
+	return q
+}
+
+// flowPort is the client's port of the open flow.
+const flowPort = 40001
+
+// send sends a flow's first packet, or the one that acknowledges the answer to it.
+func (q *quiet) send(t *testing.T, port uint16, acknowledged uint32) {
+	t.Helper()
+	to := q.daemon.packets.LocalAddr().(*net.UDPAddr).AddrPort()
+	_, err := q.client.conn.WriteToUDPAddrPort(clientPacket(port, q.upstream.Ticket(), acknowledged), to)
+	require.NoError(t, err)
+	require.NotZero(t, q.host.receive(time.Second))
 }
 
 // clientPacket returns the first packet of a flow, or the one that acknowledges
 // the answer to it.
-func clientPacket(service netip.AddrPort, ticket directory.Ticket, acknowledged uint32) []byte {
+func clientPacket(port uint16, ticket directory.Ticket, acknowledged uint32) []byte {
 	b, _ := platform.Codec{}.AppendReset(nil, &flow.Packet{
 		// A reset has the addresses the other way round.
-		Client:       service,
-		Service:      netip.MustParseAddrPort("127.0.0.1:40001"),
+		Client:       serviceAddress,
+		Service:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port),
 		Acknowledged: 1000,
 	})
 	const flags, acknowledgement = 22, 27
@@ -159,3 +172,37 @@
 		require.Equal(t, platform.HeadSize, q.client.receive(time.Second))
 	})
 }
+
+// TestCrashedUpstreamIsProbed states that the idle flows of an upstream are reset
+// soon after it has left one first packet unanswered, where its address refuses
+// connections, and not where it takes them.
+func TestCrashedUpstreamIsProbed(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		listens bool
+		size    int
+	}{
+		{
+			name: "refuses connections",
+			size: platform.HeadSize,
+		},
+		{
+			name:    "takes connections",
+			listens: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := newQuiet(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			q.daemon.duties.Go(func() { q.daemon.spread.run(ctx) })
+			t.Cleanup(cancel)
+			if test.listens {
+				l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(q.upstream.Address))
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = l.Close() })
+			}
+			q.send(t, flowPort+1, 0)
+			require.Equal(t, test.size, q.client.receive(500*time.Millisecond))
+		})
+	}
+}
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -13,6 +13,9 @@
 	reportLife = time.Second
 	// deathPause is the time between two announcements of a death of one upstream.
 	deathPause = 2 * time.Second
+	// refusals is the number of balancers that must find connections refused, in
+	// zones that have as many.
+	refusals = 2
 	// RefuteWait is how long a death waits for balancers that have heard of
 	// the upstream since: a few round trips within a zone.
 	RefuteWait = 60 * time.Millisecond
@@ -27,6 +30,9 @@
 	Repeats int
 	// Silence is the time since the first unanswered packet.
 	Silence time.Duration
+	// Refusals is the number of balancers at which the upstream's address refuses
+	// connections.
+	Refusals int
 }
 
 // A Refutation tells that an upstream has shown progress at a balancer.
@@ -46,6 +52,10 @@
 // subject holds the reports on one upstream by the incarnation of who sent them.
 type subject struct {
 	reports map[uint64]reported
+	// refused has when each balancer told that connections are refused.
+	refused map[uint64]time.Time
+	// probed is when this balancer last probed it for another one's report.
+	probed time.Time
 	// judged is when its death was announced, zero where that was refuted.
 	judged time.Time
 	// progressed is the last progress that a refutation told of.
@@ -62,27 +72,46 @@
 	return &Detector{subjects: make(map[directory.Ticket]*subject)}
 }
 
-// Hear takes a report of the balancer with an incarnation. It returns the
-// reports joined, and whether they show that the upstream is dead, unless it has
-// shown progress to another balancer within Silence.
-func (d *Detector) Hear(now time.Time, incarnation uint64, r Report) (joined Report, dead bool) {
+// Hear takes a report of the balancer with an incarnation, one of a zone's living
+// balancers. It returns the reports joined, and whether they show that the
+// upstream is dead, unless it has shown progress to another balancer within
+// Silence.
+func (d *Detector) Hear(now time.Time, incarnation uint64, r Report, balancers int) (joined Report, dead bool) {
 	c := d.subjects[r.Ticket]
 	if c == nil {
-		c = &subject{reports: make(map[uint64]reported)}
+		c = &subject{
+			reports: make(map[uint64]reported),
+			refused: make(map[uint64]time.Time),
+		}
 		d.subjects[r.Ticket] = c
 	}
-	c.reports[incarnation] = reported{
-		report: r,
-		at:     now,
-	}
+	c.take(now, incarnation, r)
 	joined = c.join(now, r.Ticket)
-	if !joined.conclusive() || !c.judged.IsZero() && now.Sub(c.judged) < deathPause {
+	if !joined.conclusive(balancers) || !c.judged.IsZero() && now.Sub(c.judged) < deathPause {
 		return joined, false
 	}
 	c.judged = now
+	if joined.refused(balancers) {
+		// What the upstream showed before it refused contradicts nothing.
+		joined.Silence = 0
+	}
 	return joined, true
 }
 
+// Unconfirmed reports whether the balancer with an incarnation is to find out by
+// itself that an upstream refuses connections, as another one has told.
+func (d *Detector) Unconfirmed(now time.Time, incarnation uint64, t directory.Ticket) bool {
+	c := d.subjects[t]
+	if c == nil || now.Sub(c.probed) < probeInterval {
+		return false
+	}
+	if at, own := c.refused[incarnation]; len(c.refused) == 0 || own && now.Sub(at) < reportLife {
+		return false
+	}
+	c.probed = now
+	return true
+}
+
 // Refute takes that an upstream has shown progress: its silence counts from then.
 // It reports whether a death was announced here that this is the first to refute.
 func (d *Detector) Refute(now time.Time, r Refutation) bool {
@@ -101,12 +130,24 @@
 // Prune forgets upstreams without recent reports.
 func (d *Detector) Prune(now time.Time) {
 	for t, c := range d.subjects {
-		if c.join(now, t); len(c.reports) == 0 && now.Sub(c.judged) >= deathPause {
+		if c.join(now, t); len(c.reports)+len(c.refused) == 0 && now.Sub(c.judged) >= deathPause {
 			delete(d.subjects, t)
 		}
 	}
 }
 
+// take keeps a balancer's last report on silence, and its last on refusals.
+func (c *subject) take(now time.Time, incarnation uint64, r Report) {
+	if r.Refusals > 0 {
+		c.refused[incarnation] = now
+		return
+	}
+	c.reports[incarnation] = reported{
+		report: r,
+		at:     now,
+	}
+}
+
 // join adds up the reports that still count.
 func (c *subject) join(now time.Time, t directory.Ticket) Report {
 	joined := Report{Ticket: t}
@@ -120,6 +161,13 @@
 		joined.Repeats += r.report.Repeats
 		joined.Silence = max(joined.Silence, r.report.Silence+age)
 	}
+	for incarnation, at := range c.refused {
+		if now.Sub(at) >= reportLife || !at.After(c.progressed) {
+			delete(c.refused, incarnation)
+			continue
+		}
+		joined.Refusals++
+	}
 	if !c.progressed.IsZero() {
 		joined.Silence = min(joined.Silence, now.Sub(c.progressed))
 	}
@@ -127,7 +175,16 @@
 }
 
 // conclusive reports whether r shows that an upstream is dead. Only clients that
-// wait repeat packets; a first packet may be unanswered since its client left.
-func (r *Report) conclusive() bool {
+// wait repeat packets; a first packet may be unanswered since its client left. A
+// refusal may come from a path that one balancer alone has.
+func (r *Report) conclusive(balancers int) bool {
+	if r.refused(balancers) {
+		return true
+	}
 	return r.Flows >= suspectFlows && r.Repeats >= deadRepeats && r.Silence >= deadAfter
 }
+
+// refused reports whether enough of a zone's balancers found connections refused.
+func (r *Report) refused(balancers int) bool {
+	return r.Refusals > 0 && r.Refusals >= min(refusals, balancers)
+}
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -30,6 +30,10 @@
 	resets     []Packet
 	reports    []Report
 	deaths     []death
+	// openings are the first packets whose answers are not due yet, in the order
+	// of time, and doubts the upstreams to probe.
+	openings []opening
+	doubts   []*directory.Upstream
 	// distrust is until when packets are no evidence of silence.
 	distrust time.Time
 }
@@ -61,9 +65,11 @@
 }
 
 // Advance takes that it is now, without a packet: the open flows of upstreams
-// whose death nobody has refuted in time are reset.
+// whose death nobody has refuted in time are reset, and upstreams are doubted that
+// should have answered.
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
 	f.applyDeaths(now, v)
+	f.doubt(now)
 }
 
 // Beliefs returns what changed in the beliefs since the last call.
@@ -89,7 +95,7 @@
 // Forward decides on a packet that came at now, with what v tells.
 func (f *Forwarder) Forward(now time.Time, v *directory.View, p *Packet) Decision {
 	f.forget(now, v)
-	f.applyDeaths(now, v)
+	f.Advance(now, v)
 	k := p.key()
 	s := f.flows.find(k)
 	if p.Flags.Has(Open) {
@@ -341,6 +347,12 @@
 	h := f.healthOf(u)
 	if !now.Before(f.distrust) {
 		h.open(now)
+		if u.Zone == f.zone {
+			f.openings = append(f.openings, opening{
+				upstream: u,
+				at:       now,
+			})
+		}
 	}
 	f.attempts.add(now, p, u.Ticket())
 	f.put(k, &state{
--- a/flow/health.go
+++ b/flow/health.go
@@ -120,6 +120,8 @@
 	openings int
 	opened   time.Time
 	early    [deadOpenings]time.Time
+	// probed is when it was last probed for a first packet without an answer.
+	probed time.Time
 	// avoid is until when new flows avoid the upstream.
 	avoid time.Time
 	// pause is the length of the last such time.
--- a/wire/health.go
+++ b/wire/health.go
@@ -54,19 +54,21 @@
 // NewSilence returns the message for a report.
 func NewSilence(r *flow.Report) *Silence {
 	return &Silence{
-		Ticket:  uint32(r.Ticket),
-		Flows:   uint32(r.Flows),
-		Repeats: uint32(r.Repeats),
-		Silence: milliseconds(r.Silence),
+		Ticket:   uint32(r.Ticket),
+		Flows:    uint32(r.Flows),
+		Repeats:  uint32(r.Repeats),
+		Silence:  milliseconds(r.Silence),
+		Refusals: uint32(r.Refusals),
 	}
 }
 
 // Report returns what m says.
 func (x *Silence) Report() flow.Report {
 	return flow.Report{
-		Ticket:  directory.Ticket(x.GetTicket()),
-		Flows:   int(x.GetFlows()),
-		Repeats: int(x.GetRepeats()),
-		Silence: duration(x.GetSilence()),
+		Ticket:   directory.Ticket(x.GetTicket()),
+		Flows:    int(x.GetFlows()),
+		Repeats:  int(x.GetRepeats()),
+		Silence:  duration(x.GetSilence()),
+		Refusals: int(x.GetRefusals()),
 	}
 }
