test: which upstreams are probed, and what refusals show

Change: tables for flow.Doubts, refusals in flow.Detector, and probes for another balancer's report.

--- /dev/null
+++ b/flow/doubt_test.go
@@ -0,0 +1,162 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/directory"
+)
+
+// TestDoubts states which upstreams are probed: those of the own zone that leave
+// a first packet unanswered, twice a second at most.
+func TestDoubts(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// zone is that of the hosts that take new flows.
+		zone string
+		play func(w *world, c *client)
+		// doubted is the number of probes.
+		doubted int
+	}{
+		{
+			name:    "no answer",
+			zone:    "a",
+			play:    func(w *world, _ *client) { w.pass(refuseAfter) },
+			doubted: 1,
+		},
+		{
+			name: "not due yet",
+			zone: "a",
+			play: func(w *world, _ *client) { w.pass(refuseAfter - time.Millisecond) },
+		},
+		{
+			name: "an answer",
+			zone: "a",
+			play: func(w *world, c *client) {
+				w.pass(roundTrip)
+				c.ack = 5000
+				c.acknowledge()
+				w.pass(refuseAfter)
+			},
+		},
+		{
+			name: "a host of another zone",
+			zone: "b",
+			play: func(w *world, _ *client) { w.pass(refuseAfter) },
+		},
+		{
+			name: "again and again",
+			zone: "a",
+			play: func(w *world, _ *client) {
+				for range 10 {
+					w.client(boardAddress).open()
+					w.pass(probeInterval / 5)
+				}
+			},
+			doubted: 2,
+		},
+		{
+			name: "after a pause of the process",
+			zone: "a",
+			play: func(w *world, _ *client) {
+				w.pass(4 * time.Second)
+				w.forwarder.Resumed(w.now)
+				w.client(boardAddress).open()
+				w.pass(refuseAfter)
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			if test.zone == "b" {
+				w.set(directory.Item{Key: directory.Key{
+					Kind: directory.KindZoneOut,
+					Name: "a",
+				}})
+			}
+			c := w.client(boardAddress)
+			require.Equal(t, test.zone, c.open().Upstream.Zone)
+			test.play(w, c)
+			w.forwarder.Advance(w.now, w.dir.View(w.now, nil))
+			require.Len(t, w.forwarder.Doubts(), test.doubted)
+		})
+	}
+}
+
+// TestRefusals states when refused connections make a death, and that what an
+// upstream showed before does not refute it.
+func TestRefusals(t *testing.T) {
+	refusal := Report{Refusals: 1}
+	for _, test := range []struct {
+		name      string
+		balancers int
+		from      []uint64
+		apart     time.Duration
+		dead      bool
+	}{
+		{
+			name:      "one balancer of several",
+			balancers: 3,
+			from:      []uint64{1},
+		},
+		{
+			name:      "one balancer twice",
+			balancers: 3,
+			from:      []uint64{1, 1},
+		},
+		{
+			name:      "two balancers",
+			balancers: 3,
+			from:      []uint64{1, 2},
+			dead:      true,
+		},
+		{
+			name:      "two balancers, too far apart",
+			balancers: 3,
+			from:      []uint64{1, 2},
+			apart:     reportLife,
+		},
+		{
+			name:      "a zone with one balancer",
+			balancers: 1,
+			from:      []uint64{1},
+			dead:      true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := NewDetector()
+			now := time.Now()
+			d.Hear(now, 9, Report{
+				Flows:   1,
+				Repeats: 1,
+				Silence: 300 * time.Millisecond,
+			}, test.balancers)
+			var joined Report
+			var dead bool
+			for _, from := range test.from {
+				joined, dead = d.Hear(now, from, refusal, test.balancers)
+				now = now.Add(test.apart)
+			}
+			require.Equal(t, test.dead, dead)
+			if dead {
+				require.Zero(t, joined.Silence)
+			}
+		})
+	}
+}
+
+// TestUnconfirmedRefusals states when a balancer probes for another one's report.
+func TestUnconfirmedRefusals(t *testing.T) {
+	const own, other = 1, 2
+	d := NewDetector()
+	now := time.Now()
+	require.False(t, d.Unconfirmed(now, own, 0))
+	d.Hear(now, other, Report{Refusals: 1}, 3)
+	require.True(t, d.Unconfirmed(now, own, 0))
+	require.False(t, d.Unconfirmed(now, own, 0), "a probe is on its way")
+	now = now.Add(probeInterval)
+	d.Hear(now, own, Report{Refusals: 1}, 3)
+	require.False(t, d.Unconfirmed(now, own, 0), "its own result is known")
+}
