feat: a request without an answer for 300 ms has its upstream probed

Cause: with three balancers in a zone crashed hosts were often not probed: a balancer does not see the resets that a crashed host sends, so the host's flows go on to count as its load, new flows go to others, and no first packet is left unanswered. Change: a request that is unanswered for 300 ms, with no progress on any flow of the host at this balancer since, is a doubt too; ten of those a second at most, so that an overload costs little.

--- a/flow/doubt_test.go
+++ b/flow/doubt_test.go
@@ -57,6 +57,45 @@
 			},
 			doubted: 2,
 		},
+		{
+			name: "a request without an answer",
+			zone: "a",
+			play: func(w *world, c *client) {
+				w.pass(roundTrip)
+				c.ack = 5000
+				c.acknowledge()
+				c.request()
+				w.pass(requestDoubt)
+			},
+			doubted: 1,
+		},
+		{
+			name: "a request with an answer",
+			zone: "a",
+			play: func(w *world, c *client) {
+				w.pass(roundTrip)
+				c.ack = 5000
+				c.acknowledge()
+				c.request()
+				w.pass(requestDoubt / 2)
+				c.answered()
+				w.pass(requestDoubt)
+			},
+		},
+		{
+			name: "progress on another flow since the request",
+			zone: "a",
+			play: func(w *world, c *client) {
+				other := w.client(boardAddress).established()
+				c.ack = 5000
+				c.acknowledge()
+				c.request()
+				w.pass(requestDoubt / 2)
+				other.request()
+				other.answered()
+				w.pass(requestDoubt / 2)
+			},
+		},
 		{
 			name: "after a pause of the process",
 			zone: "a",
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -30,10 +30,13 @@
 	resets     []Packet
 	reports    []Report
 	deaths     []death
-	// openings are the first packets whose answers are not due yet, in the order
-	// of time, and doubts the upstreams to probe.
-	openings []opening
+	// openings and requests are the packets whose answers are not due yet, in the
+	// order of time, doubts the upstreams to probe, and spaced is when a request
+	// last led to one.
+	openings []expectation
+	requests []expectation
 	doubts   []*directory.Upstream
+	spaced   time.Time
 	// distrust is until when packets are no evidence of silence.
 	distrust time.Time
 }
@@ -254,6 +257,7 @@
 		}
 		if s.sent.IsZero() {
 			s.sent, s.last = now, now
+			f.expect(now, s)
 		}
 	case content && !progress:
 		f.repeated(now, h, s)
@@ -347,15 +351,9 @@
 	h := f.healthOf(u)
 	if !now.Before(f.distrust) {
 		h.open(now)
-		if u.Zone == f.zone {
-			f.openings = append(f.openings, opening{
-				upstream: u,
-				at:       now,
-			})
-		}
 	}
 	f.attempts.add(now, p, u.Ticket())
-	f.put(k, &state{
+	s := &state{
 		upstream:     u,
 		opening:      true,
 		first:        p.Sequence,
@@ -363,7 +361,9 @@
 		acknowledged: p.Acknowledged,
 		sent:         now,
 		last:         now,
-	})
+	}
+	f.put(k, s)
+	f.expect(now, s)
 }
 
 // adopt takes an open flow that another balancer opened.
@@ -377,6 +377,7 @@
 	if p.Length > 0 {
 		s.sent, s.last = now, now
 		f.work(f.healthOf(u), s, true)
+		f.expect(now, s)
 	}
 	if p.Flags.Has(Finish) || p.Flags.Has(Reset) {
 		f.drop(s)
