feat: flowlab plays loads against many balancers in simulated time

Change: module flowlab: an emulator of users, routers and hosts around the real flow.Forwarder and flow.Detector at any number of balancers, load files in deploy/loads, a table and a plot (docs/reference/flowlab.md). Not done: estimates of load with their error, zones that share hosts.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PROGRAMS := filbertd filbertflow filbertctl standin/platform standin/upstream standin/caller
+PROGRAMS := filbertd filbertflow filbertctl flowlab standin/platform standin/upstream standin/caller
 
 .PHONY: build
 build: ## build every program into bin/
--- /dev/null
+++ b/flowlab/internal/cmd/playcmd.go
@@ -0,0 +1,113 @@
+package cmd
+
+import (
+	"io"
+	"os"
+	"runtime"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"filbertworks.example/filbertworks/flowlab/internal/emulation"
+	"filbertworks.example/filbertworks/flowlab/internal/report"
+)
+
+// playCommand plays loads.
+type playCommand struct {
+	Balancers []int    `long:"balancers" value-name:"N" default:"9" default:"90" default:"300" description:"number of balancers; may be repeated"`
+	Policy    []string `long:"policy" value-name:"NAME" default:"alone" default:"shared" default:"probed" description:"policy of the balancers; may be repeated"`
+	Seeds     uint64   `long:"seeds" value-name:"N" default:"3" description:"number of runs of each, with the seeds from 1 on"`
+	Plot      string   `long:"plot" value-name:"FILE" description:"write an SVG plot of the seconds"`
+	Loads     struct {
+		Files []string `positional-arg-name:"LOAD" required:"1" description:"TOML file that describes a load"`
+	} `positional-args:"yes"`
+	stdout io.Writer
+}
+
+// job is one run.
+type job struct {
+	load    *emulation.Load
+	options emulation.Options
+	result  *emulation.Result
+	err     error
+}
+
+// Execute plays all loads with all options, and prints a table.
+func (c *playCommand) Execute([]string) error {
+	jobs, err := c.jobs()
+	if err != nil {
+		return err
+	}
+	run(jobs)
+	results := make([]*emulation.Result, 0, len(jobs))
+	for _, j := range jobs {
+		if j.err != nil {
+			return j.err
+		}
+		results = append(results, j.result)
+	}
+	rows := report.Rows(results)
+	if err := report.WriteTable(c.stdout, rows); err != nil {
+		return err
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return writePlot(c.Plot, rows)
+}
+
+// jobs returns the runs that are asked for.
+func (c *playCommand) jobs() ([]*job, error) {
+	var jobs []*job
+	for _, path := range c.Loads.Files {
+		l, err := emulation.ReadLoad(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, n := range c.Balancers {
+			for _, p := range c.Policy {
+				for seed := range c.Seeds {
+					jobs = append(jobs, &job{
+						load: l,
+						options: emulation.Options{
+							Balancers: n,
+							Policy:    p,
+							Seed:      seed + 1,
+						},
+					})
+				}
+			}
+		}
+	}
+	return jobs, nil
+}
+
+// run plays jobs, as many at a time as there are processors.
+func run(jobs []*job) {
+	waiting := make(chan *job)
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for j := range waiting {
+				j.result, j.err = emulation.Play(j.load, j.options)
+			}
+		})
+	}
+	for _, j := range jobs {
+		waiting <- j
+	}
+	close(waiting)
+	workers.Wait()
+}
+
+func writePlot(path string, rows []*report.Row) error {
+	f, err := os.Create(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return eris.Wrap(err, "create plot")
+	}
+	if err := report.WritePlot(f, rows); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return eris.Wrap(f.Close(), "close plot")
+}
--- /dev/null
+++ b/flowlab/internal/emulation/emulation_test.go
@@ -0,0 +1,173 @@
+package emulation
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loads is the directory of the loads that the project keeps.
+const loads = "../../../deploy/loads"
+
+func readLoad(t *testing.T, name string) *Load {
+	t.Helper()
+	l, err := ReadLoad(filepath.Join(loads, name+".toml"))
+	require.NoError(t, err)
+	return l
+}
+
+func play(t *testing.T, l *Load, o Options) *Result {
+	t.Helper()
+	r, err := Play(l, o)
+	require.NoError(t, err)
+	return r
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	l := readLoad(t, "dark")
+	l.Length.Duration = 6 * time.Second
+	o := Options{
+		Balancers: 9,
+		Policy:    PolicyProbed,
+		Seed:      3,
+	}
+	require.Equal(t, play(t, l, o), play(t, l, o))
+}
+
+// TestPolicies states what each policy brings over the simpler one under the load
+// that it is for, and that none resets the flow of a living host.
+func TestPolicies(t *testing.T) {
+	for _, test := range []struct {
+		load      string
+		balancers int
+		better    string
+		worse     string
+	}{
+		{
+			load:      "dark",
+			balancers: 90,
+			better:    PolicyShared,
+			worse:     PolicyAlone,
+		},
+		{
+			load:      "crash",
+			balancers: 90,
+			better:    PolicyProbed,
+			worse:     PolicyShared,
+		},
+		{
+			load:      "crash",
+			balancers: 9,
+			better:    PolicyProbed,
+			worse:     PolicyShared,
+		},
+	} {
+		t.Run(test.load, func(t *testing.T) {
+			t.Parallel()
+			l := readLoad(t, test.load)
+			o := Options{
+				Balancers: test.balancers,
+				Policy:    test.better,
+				Seed:      1,
+			}
+			better := play(t, l, o)
+			o.Policy = test.worse
+			worse := play(t, l, o)
+			require.Zero(t, better.Broken)
+			require.Zero(t, worse.Broken)
+			require.Len(t, better.Found, better.Failed)
+			require.Less(t, 2*better.Total().Failed, worse.Total().Failed)
+		})
+	}
+}
+
+// TestNoLivingFlowIsReset plays all loads of the project.
+func TestNoLivingFlowIsReset(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(loads, "*.toml"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			t.Parallel()
+			l, err := ReadLoad(f)
+			require.NoError(t, err)
+			l.Length.Duration = 8 * time.Second
+			r := play(t, l, Options{
+				Balancers: 30,
+				Policy:    PolicyProbed,
+				Seed:      2,
+			})
+			require.Zero(t, r.Broken)
+			require.Greater(t, r.Total().Share(), 0.8)
+		})
+	}
+}
+
+func TestPlayRefuses(t *testing.T) {
+	l := readLoad(t, "dark")
+	for _, o := range []Options{
+		{
+			Balancers: 2,
+			Policy:    PolicyShared,
+		},
+		{
+			Balancers: 9,
+			Policy:    "best",
+		},
+	} {
+		_, err := Play(l, o)
+		require.ErrorIs(t, err, ErrOptions)
+	}
+}
+
+func TestReadLoadRefuses(t *testing.T) {
+	const good = `
+name = "x"
+length = "1s"
+zones = 1
+hosts = { count = 1, slots = 1, queue = 1, work = "1ms" }
+`
+	const users = `users = { count = 1, rate = 1.0, requests = 1.0, aim = "1s", deadline = "1s" }
+`
+	for _, test := range []struct {
+		name string
+		text string
+		says string
+	}{
+		{
+			name: "no TOML",
+			text: "name",
+		},
+		{
+			name: "no users",
+			text: good,
+			says: "users.count",
+		},
+		{
+			name: "unknown fault",
+			text: good + users + `faults = [{ kind = "flood", share = 0.5 }]`,
+			says: `"flood"`,
+		},
+		{
+			name: "no share",
+			text: good + users + `faults = [{ kind = "crash" }]`,
+			says: "share of crash",
+		},
+		{
+			name: "no factor",
+			text: good + users + `faults = [{ kind = "slow", share = 0.5 }]`,
+			says: "factor of slow",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "load.toml")
+			require.NoError(t, os.WriteFile(path, []byte(test.text), 0o600))
+			_, err := ReadLoad(path)
+			require.ErrorIs(t, err, ErrLoad)
+			require.ErrorContains(t, err, test.says)
+		})
+	}
+}
--- /dev/null
+++ b/flowlab/internal/emulation/result.go
@@ -0,0 +1,127 @@
+package emulation
+
+import (
+	"slices"
+	"time"
+
+	"filbertworks.example/filbertworks/flow"
+)
+
+// windowLength is the time that one window of a result counts.
+const windowLength = time.Second
+
+// A Window counts the requests that began in a second.
+type Window struct {
+	Asked  int
+	InAim  int
+	Late   int
+	Failed int
+}
+
+// add adds another window's counts.
+func (w *Window) add(o Window) {
+	w.Asked += o.Asked
+	w.InAim += o.InAim
+	w.Late += o.Late
+	w.Failed += o.Failed
+}
+
+// Share returns the share of the requests that was answered in aim; one where
+// there was none.
+func (w Window) Share() float64 {
+	if n := w.InAim + w.Late + w.Failed; n > 0 {
+		return float64(w.InAim) / float64(n)
+	}
+	return 1
+}
+
+// A Result is what came of a run.
+type Result struct {
+	Load    string
+	Options Options
+	Windows []Window
+	// Failed is the number of hosts that failed, Found the times until the first
+	// balancer took each for dead; those that none found are left out.
+	Failed int
+	Found  []time.Duration
+	// Broken is the number of flows of living hosts that balancers reset.
+	Broken int
+	// Probes is the number of connections that probed hosts.
+	Probes int
+}
+
+func newResult(l *Load, o Options) *Result {
+	return &Result{
+		Load:    l.Name,
+		Options: o,
+		Windows: make([]Window, int(l.Length.Duration/windowLength)+1),
+	}
+}
+
+// Total returns the counts of the whole run.
+func (r *Result) Total() Window {
+	var t Window
+	for _, w := range r.Windows {
+		t.add(w)
+	}
+	return t
+}
+
+// Worst returns the smallest share in aim of a second with requests.
+func (r *Result) Worst() float64 {
+	worst := 1.0
+	for _, w := range r.Windows {
+		worst = min(worst, w.Share())
+	}
+	return worst
+}
+
+// FoundMedian returns the median time until a failed host was taken for dead;
+// zero where none was.
+func (r *Result) FoundMedian() time.Duration {
+	if len(r.Found) == 0 {
+		return 0
+	}
+	return r.Found[len(r.Found)/2]
+}
+
+func (r *Result) window(at time.Time) *Window {
+	return &r.Windows[int(at.Sub(epoch)/windowLength)]
+}
+
+func (r *Result) asked(e *emulation) {
+	r.window(e.now).Asked++
+}
+
+// finished counts a request where it began.
+func (r *Result) finished(e *emulation, q *request, answered bool) {
+	w := r.window(q.sent)
+	switch {
+	case !answered:
+		w.Failed++
+	case e.now.Sub(q.sent) <= e.load.Users.Aim.Duration:
+		w.InAim++
+	default:
+		w.Late++
+	}
+}
+
+// believed takes what a balancer believes of a host.
+func (r *Result) believed(e *emulation, h *host, s flow.State) {
+	if s != flow.Dead || h.failed.IsZero() || !h.found.IsZero() {
+		return
+	}
+	h.found = e.now
+	r.Found = append(r.Found, e.now.Sub(h.failed))
+}
+
+// abandoned takes a flow that a balancer resets since its host is dead.
+func (r *Result) abandoned(c *conn) {
+	if c.open && !c.closed && c.host.condition == serving && c.host.life == c.life {
+		r.Broken++
+	}
+}
+
+func (r *Result) finish() {
+	slices.Sort(r.Found)
+}
--- /dev/null
+++ b/flowlab/main.go
@@ -0,0 +1,13 @@
+// Command flowlab plays loads against the decisions of balancers in simulated
+// time, and reports what the users get.
+package main
+
+import (
+	"os"
+
+	"filbertworks.example/filbertworks/flowlab/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
