feat: probes are counted by result and logged with the address

Cause: the line of a probe had an error text instead of a result, and no metric told how many there were or were left out. Change: results taken, refused and lost, counted as filbertflow.probes; filbertflow.probes.skipped counts upstreams that found the ring full.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -17,6 +17,7 @@
 	requests     atomic.Uint64
 	abandoned    atomic.Uint64
 	beliefs      [flow.States]atomic.Uint64
+	probes       [probeResults]atomic.Uint64
 	peers        [peerStates]atomic.Int64
 	malformed    atomic.Uint64
 	socketErrors atomic.Uint64
@@ -48,6 +49,18 @@
 	c.storeAnswered.Store(int64(now.Sub(c.latency.start) - age))
 }
 
+// byProbeResult returns the number of probes with each result.
+func (c *counters) byProbeResult() []sample {
+	samples := make([]sample, 0, probeResults)
+	for i := range c.probes {
+		samples = append(samples, sample{
+			value: int64(c.probes[i].Load()),
+			label: probeResult(i).String(),
+		})
+	}
+	return samples
+}
+
 // byPeerState returns the number of balancers in each state.
 func (c *counters) byPeerState() []sample {
 	samples := make([]sample, 0, peerStates)
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -165,6 +165,17 @@
 			attribute:   "state",
 			samples:     c.byState,
 		},
+		{
+			name:        "filbertflow.probes",
+			description: "Connections to upstreams that should have answered.",
+			attribute:   "result",
+			samples:     c.byProbeResult,
+		},
+		{
+			name:        "filbertflow.probes.skipped",
+			description: "Upstreams left unprobed since too many waited.",
+			samples:     one(func() int64 { return int64(d.probes.Refused()) }),
+		},
 		{
 			name:        "filbertflow.malformed",
 			description: "Datagrams that could not be read.",
--- a/filbertflow/internal/daemon/probe.go
+++ b/filbertflow/internal/daemon/probe.go
@@ -23,6 +23,46 @@
 	probeRing = 64
 )
 
+// A probeResult is what came of a probe.
+type probeResult uint8
+
+// Results of probes.
+const (
+	// probeTaken tells that a process listens.
+	probeTaken probeResult = iota
+	// probeRefused tells that none does.
+	probeRefused
+	// probeLost tells that there was no answer.
+	probeLost
+)
+
+// probeResults is the number of results.
+const probeResults = int(probeLost) + 1
+
+// String returns r's name.
+func (r probeResult) String() string {
+	switch r {
+	case probeRefused:
+		return "refused"
+	case probeLost:
+		return "lost"
+	default:
+		return "taken"
+	}
+}
+
+// resultOf returns the result of a connection that failed with err, if any.
+func resultOf(err error) probeResult {
+	switch {
+	case err == nil:
+		return probeTaken
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return probeRefused
+	default:
+		return probeLost
+	}
+}
+
 // probe connects to upstreams that are doubted, until ctx ends.
 func (d *Daemon) probe(ctx context.Context) {
 	slots := make(chan struct{}, maxProbes)
@@ -52,9 +92,14 @@
 	if err == nil {
 		err = conn.Close()
 	}
-	refused := errors.Is(err, syscall.ECONNREFUSED)
-	d.log.Info(time.Now(), "upstream: probed", logs.F("upstream", u.ID), logs.F("refused", refused), logs.F("error", errorText(err)))
-	if !refused {
+	result := resultOf(err)
+	d.counters.probes[result].Add(1)
+	fields := []logs.Field{logs.F("upstream", u.ID), logs.F("address", u.Address), logs.F("result", result.String())}
+	if result == probeLost {
+		fields = append(fields, logs.F("error", err.Error()))
+	}
+	d.log.Info(time.Now(), "upstream: probed", fields...)
+	if result != probeRefused {
 		return
 	}
 	r := flow.Report{
@@ -74,11 +119,3 @@
 		d.probes.Offer(u)
 	}
 }
-
-// errorText returns what err says; empty for none.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
