feat: upstreams with late requests are avoided by the zone

Ruled out: deaths (none was believed), repeats (hosts acknowledge requests that they queue). Change: a request that is unanswered for 300 ms and not repeated is reported to the host's watchers; two within a second make the host busy, and new flows of the zone avoid it for a second. After a pause of the process nothing that was expected before it is reported or probed.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -17,6 +17,7 @@
 	requests     atomic.Uint64
 	abandoned    atomic.Uint64
 	beliefs      [flow.States]atomic.Uint64
+	busy         atomic.Uint64
 	probes       [probeResults]atomic.Uint64
 	peers        [peerStates]atomic.Int64
 	malformed    atomic.Uint64
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -28,14 +28,16 @@
 	beliefs []sharedBelief
 }
 
-// sharedBelief tells that an upstream is dead, or refutes that.
+// sharedBelief tells that an upstream is dead or busy, or refutes a death.
 type sharedBelief struct {
 	ticket directory.Ticket
 	// heard is when it came; it counts from then.
 	heard   time.Time
 	silence time.Duration
-	// refutation is set where the upstream is alive.
+	// refutation is set where the upstream is alive, and busy where it is behind
+	// with its work.
 	refutation *flow.Refutation
+	busy       bool
 	// from is the balancer that told of a death; not valid for this one.
 	from netip.AddrPort
 }
@@ -61,19 +63,31 @@
 // takeShared applies peers' beliefs to the forwarder.
 func (t *traffic) takeShared(now time.Time) {
 	for _, b := range t.daemon.shared.take() {
-		if b.refutation != nil {
+		switch {
+		case b.busy:
+			t.forwarder.MarkBusy(b.heard, b.ticket)
+			t.daemon.counters.busy.Add(1)
+			t.daemon.log.Info(now, "upstream: busy", logs.F("upstream", t.daemon.nameOf(b.ticket)))
+		case b.refutation != nil:
 			t.forwarder.MarkAlive(b.heard, *b.refutation)
 			t.daemon.log.Info(now, "upstream: refuted by a peer", logs.F("upstream", t.daemon.nameOf(b.ticket)),
 				logs.F("progress_age_ms", b.refutation.Age.Milliseconds()))
-			continue
-		}
-		if r, refuted := t.forwarder.MarkDead(b.heard, b.ticket, b.silence); refuted {
-			from := b.from
-			t.daemon.call(func(now time.Time) { t.daemon.spread.refute(now, from, r) })
+		default:
+			t.takeDeath(&b)
 		}
 	}
 }
 
+// takeDeath applies the belief that an upstream is dead, or refutes it.
+func (t *traffic) takeDeath(b *sharedBelief) {
+	r, refuted := t.forwarder.MarkDead(b.heard, b.ticket, b.silence)
+	if !refuted {
+		return
+	}
+	from := b.from
+	t.daemon.call(func(now time.Time) { t.daemon.spread.refute(now, from, r) })
+}
+
 // shareReports hands what was seen of silent upstreams to their watchers.
 func (t *traffic) shareReports() {
 	reports := t.forwarder.Reports()
@@ -98,21 +112,45 @@
 	}
 }
 
-// hearReport joins a report with others; where they show that the upstream is
-// dead, the zone is told.
+// hearReport joins a report with others, and tells the zone what they show.
 func (s *spread) hearReport(now time.Time, sender uint64, r flow.Report) {
-	joined, dead := s.detector.Hear(now, sender, r, len(s.zonePeers())+1)
-	if !dead {
+	joined, found := s.detector.Hear(now, sender, r, len(s.zonePeers())+1)
+	switch found {
+	case flow.FoundDead:
+		s.announceDeath(now, &joined)
+	case flow.FoundBusy:
+		s.announceBusy(now, &joined)
+	case flow.FoundNothing:
 		if s.detector.Unconfirmed(now, s.daemon.incarnation, r.Ticket) {
 			s.daemon.probeTicket(r.Ticket)
 		}
-		return
 	}
-	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(r.Ticket)), logs.F("silent_flows", joined.Flows),
+}
+
+// announceDeath tells the zone that an upstream is dead.
+func (s *spread) announceDeath(now time.Time, joined *flow.Report) {
+	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.nameOf(joined.Ticket)), logs.F("silent_flows", joined.Flows),
 		logs.F("repeats", joined.Repeats), logs.F("silence_ms", joined.Silence.Milliseconds()),
 		logs.F("refusals", joined.Refusals))
-	s.daemon.hearDeath(now, netip.AddrPort{}, &joined)
-	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(&joined)}})
+	s.daemon.hearDeath(now, netip.AddrPort{}, joined)
+	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(joined)}})
+}
+
+// announceBusy tells the zone that an upstream is behind with its work.
+func (s *spread) announceBusy(now time.Time, joined *flow.Report) {
+	s.daemon.log.Info(now, "upstream: reported busy", logs.F("upstream", s.daemon.nameOf(joined.Ticket)), logs.F("late", joined.Late))
+	s.daemon.hearBusy(now, joined.Ticket)
+	s.sendHealth(s.zonePeers(), &wire.Health{Busy: []uint32{uint32(joined.Ticket)}})
+}
+
+// hearBusy takes the belief that an upstream is behind with its work. The next
+// packet applies it.
+func (d *Daemon) hearBusy(now time.Time, t directory.Ticket) {
+	d.shared.add(sharedBelief{
+		ticket: t,
+		heard:  now,
+		busy:   true,
+	})
 }
 
 // hearDeath takes the belief of a balancer that an upstream is dead. The goroutine
@@ -176,6 +214,9 @@
 	for _, v := range m.GetRefutations() {
 		s.hearRefutation(now, v.Refutation())
 	}
+	for _, t := range m.GetBusy() {
+		s.daemon.hearBusy(now, directory.Ticket(t))
+	}
 }
 
 func (s *spread) sendHealth(to []netip.AddrPort, m *wire.Health) {
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -165,6 +165,11 @@
 			attribute:   "state",
 			samples:     c.byState,
 		},
+		{
+			name:        "filbertflow.beliefs.busy",
+			description: "Times that an upstream was taken to be behind with its work.",
+			samples:     one(func() int64 { return int64(c.busy.Load()) }),
+		},
 		{
 			name:        "filbertflow.probes",
 			description: "Connections to upstreams that should have answered.",
--- a/flow/death.go
+++ b/flow/death.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// MarkBusy takes the belief of other balancers that an upstream is behind with its
+// work: new flows avoid it for a while.
+func (f *Forwarder) MarkBusy(now time.Time, t directory.Ticket) {
+	h := f.health[t]
+	if h == nil {
+		h = &health{}
+		f.health[t] = h
+	}
+	h.busy = now.Add(busyTime)
+}
+
 // MarkDead takes the belief of other balancers that an upstream has been silent
 // for a time. Where this balancer has seen progress meanwhile, it refutes that;
 // otherwise new flows avoid the upstream, and its open flows are reset unless
@@ -72,6 +83,7 @@
 func (f *Forwarder) Resumed(now time.Time) {
 	f.distrust = now.Add(resumeTime)
 	f.deaths = nil
+	f.openings, f.requests = nil, nil
 	for _, h := range f.health {
 		h.restart()
 	}
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -16,6 +16,11 @@
 	// refusals is the number of balancers that must find connections refused, in
 	// zones that have as many.
 	refusals = 2
+	// busyLate is the number of late requests within reportLife that show that an
+	// upstream is behind with its work.
+	busyLate = 2
+	// busyTime is how long new flows avoid an upstream that is.
+	busyTime = time.Second
 	// RefuteWait is how long a death waits for balancers that have heard of
 	// the upstream since: a few round trips within a zone.
 	RefuteWait = 60 * time.Millisecond
@@ -33,8 +38,25 @@
 	// Refusals is the number of balancers at which the upstream's address refuses
 	// connections.
 	Refusals int
+	// Late is the number of requests that have been unanswered for requestDoubt
+	// since the last report.
+	Late int
 }
 
+// A Finding is what reports show of an upstream.
+type Finding uint8
+
+// Findings.
+const (
+	// FoundNothing tells that the reports don't suffice.
+	FoundNothing Finding = iota
+	// FoundBusy tells that the upstream is behind with its work.
+	FoundBusy
+	// FoundDead tells that it is dead, unless it has shown progress to another
+	// balancer meanwhile.
+	FoundDead
+)
+
 // A Refutation tells that an upstream has shown progress at a balancer.
 type Refutation struct {
 	Ticket directory.Ticket
@@ -56,6 +78,10 @@
 	refused map[uint64]time.Time
 	// probed is when this balancer last probed it for another one's report.
 	probed time.Time
+	// late has when requests were reported late, and busied is when the upstream
+	// was last found busy.
+	late   []time.Time
+	busied time.Time
 	// judged is when its death was announced, zero where that was refuted.
 	judged time.Time
 	// progressed is the last progress that a refutation told of.
@@ -73,10 +99,9 @@
 }
 
 // Hear takes a report of the balancer with an incarnation, one of a zone's living
-// balancers. It returns the reports joined, and whether they show that the
-// upstream is dead, unless it has shown progress to another balancer within
-// Silence.
-func (d *Detector) Hear(now time.Time, incarnation uint64, r Report, balancers int) (joined Report, dead bool) {
+// balancers. It returns the reports joined, and what they show. A death is refuted
+// by progress that another balancer has seen within Silence.
+func (d *Detector) Hear(now time.Time, incarnation uint64, r Report, balancers int) (joined Report, found Finding) {
 	c := d.subjects[r.Ticket]
 	if c == nil {
 		c = &subject{
@@ -85,17 +110,20 @@
 		}
 		d.subjects[r.Ticket] = c
 	}
+	if r.Late > 0 {
+		return c.takeLate(now, r)
+	}
 	c.take(now, incarnation, r)
 	joined = c.join(now, r.Ticket)
 	if !joined.conclusive(balancers) || !c.judged.IsZero() && now.Sub(c.judged) < deathPause {
-		return joined, false
+		return joined, FoundNothing
 	}
 	c.judged = now
 	if joined.refused(balancers) {
 		// What the upstream showed before it refused contradicts nothing.
 		joined.Silence = 0
 	}
-	return joined, true
+	return joined, FoundDead
 }
 
 // Unconfirmed reports whether the balancer with an incarnation is to find out by
@@ -130,12 +158,29 @@
 // Prune forgets upstreams without recent reports.
 func (d *Detector) Prune(now time.Time) {
 	for t, c := range d.subjects {
-		if c.join(now, t); len(c.reports)+len(c.refused) == 0 && now.Sub(c.judged) >= deathPause {
+		if c.join(now, t); len(c.reports)+len(c.refused) == 0 && now.Sub(c.busied) >= busyTime && now.Sub(c.judged) >= deathPause {
 			delete(d.subjects, t)
 		}
 	}
 }
 
+// takeLate counts requests that are late, and finds an upstream with several of
+// them busy.
+func (c *subject) takeLate(now time.Time, r Report) (Report, Finding) {
+	for range r.Late {
+		c.late = append(c.late, now)
+	}
+	for len(c.late) > 0 && now.Sub(c.late[0]) >= reportLife {
+		c.late = c.late[1:]
+	}
+	r.Late = len(c.late)
+	if len(c.late) < busyLate || now.Sub(c.busied) < busyTime/2 {
+		return r, FoundNothing
+	}
+	c.busied = now
+	return r, FoundBusy
+}
+
 // take keeps a balancer's last report on silence, and its last on refusals.
 func (c *subject) take(now time.Time, incarnation uint64, r Report) {
 	if r.Refusals > 0 {
--- a/flow/detector_test.go
+++ b/flow/detector_test.go
@@ -147,7 +147,8 @@
 			j := NewDetector()
 			for i, h := range test.reports {
 				h.report.Ticket = 7
-				_, dead := j.Hear(start.Add(h.at), h.from, h.report, 3)
+				_, found := j.Hear(start.Add(h.at), h.from, h.report, 3)
+				dead := found == FoundDead
 				require.Equal(t, test.dead[i], dead, i)
 			}
 			j.Prune(start.Add(time.Minute))
@@ -310,13 +311,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			d := NewDetector()
 			now := time.Now()
-			_, dead := d.Hear(now, 1, silent(420*time.Millisecond), 3)
-			require.True(t, dead)
+			_, found := d.Hear(now, 1, silent(420*time.Millisecond), 3)
+			require.Equal(t, FoundDead, found)
 			r := Refutation{Age: test.age}
 			require.True(t, d.Refute(now, r))
 			require.False(t, d.Refute(now, r), "the zone is told once")
-			joined, dead := d.Hear(now.Add(test.next), 1, silent(420*time.Millisecond+test.next), 3)
-			require.Equal(t, test.dead, dead)
+			joined, found := d.Hear(now.Add(test.next), 1, silent(420*time.Millisecond+test.next), 3)
+			require.Equal(t, test.dead, found == FoundDead)
 			require.Equal(t, test.silence, joined.Silence)
 		})
 	}
--- a/flow/doubt.go
+++ b/flow/doubt.go
@@ -70,14 +70,28 @@
 		f.openings = f.openings[1:]
 	}
 	for len(f.requests) > 0 && !now.Before(f.requests[0].due) {
-		e := &f.requests[0]
-		if e.state.sent.Equal(e.at) && now.Sub(f.spaced) >= requestSpacing && f.doubtOne(now, e) {
-			f.spaced = now
-		}
+		f.doubtRequest(now, &f.requests[0])
 		f.requests = f.requests[1:]
 	}
 }
 
+// doubtRequest reports a request that is late, and has its upstream probed.
+func (f *Forwarder) doubtRequest(now time.Time, e *expectation) {
+	if e.state.closed || !e.state.sent.Equal(e.at) {
+		return
+	}
+	if e.state.copies == 0 {
+		// The host has acknowledged it: the client repeats what is lost.
+		f.reports = append(f.reports, Report{
+			Ticket: e.state.upstream.Ticket(),
+			Late:   1,
+		})
+	}
+	if now.Sub(f.spaced) >= requestSpacing && f.doubtOne(now, e) {
+		f.spaced = now
+	}
+}
+
 // doubtOne has the upstream of a packet probed, unless it has shown progress since
 // or has just been probed, and reports that.
 func (f *Forwarder) doubtOne(now time.Time, e *expectation) bool {
--- a/flow/doubt_test.go
+++ b/flow/doubt_test.go
@@ -173,13 +173,13 @@
 				Silence: 300 * time.Millisecond,
 			}, test.balancers)
 			var joined Report
-			var dead bool
+			var found Finding
 			for _, from := range test.from {
-				joined, dead = d.Hear(now, from, refusal, test.balancers)
+				joined, found = d.Hear(now, from, refusal, test.balancers)
 				now = now.Add(test.apart)
 			}
-			require.Equal(t, test.dead, dead)
-			if dead {
+			require.Equal(t, test.dead, found == FoundDead)
+			if test.dead {
 				require.Zero(t, joined.Silence)
 			}
 		})
@@ -199,3 +199,73 @@
 	d.Hear(now, own, Report{Refusals: 1}, 3)
 	require.False(t, d.Unconfirmed(now, own, 0), "its own result is known")
 }
+
+// TestBusy states when late requests show that an upstream is behind with its work,
+// and that new flows then avoid it for a while.
+func TestBusy(t *testing.T) {
+	late := Report{Late: 1}
+	d := NewDetector()
+	now := time.Now()
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		found Finding
+	}{
+		{
+			name: "one late request",
+		},
+		{
+			name:  "another one, too late",
+			after: reportLife,
+		},
+		{
+			name:  "two within a second",
+			after: reportLife / 2,
+			found: FoundBusy,
+		},
+		{
+			name:  "the zone has just been told",
+			after: busyTime / 4,
+		},
+		{
+			name:  "it goes on",
+			after: busyTime / 4,
+			found: FoundBusy,
+		},
+	} {
+		now = now.Add(test.after)
+		_, found := d.Hear(now, 1, late, 3)
+		require.Equal(t, test.found, found, test.name)
+	}
+	w := newWorld(t, 2)
+	c := w.client(boardAddress)
+	busy := c.open().Upstream
+	w.forwarder.MarkBusy(w.now, busy.Ticket())
+	for range 3 {
+		require.NotEqual(t, busy.ID, w.client(boardAddress).open().Upstream.ID)
+	}
+	w.pass(busyTime)
+	require.Equal(t, Answering, w.forwarder.healthOf(busy).state)
+	require.False(t, now.Before(w.forwarder.healthOf(busy).avoid))
+}
+
+// TestLateRequestsAreReported states that a request is reported once, although its
+// upstream makes progress elsewhere.
+func TestLateRequestsAreReported(t *testing.T) {
+	w := newWorld(t, 1)
+	c, other := w.client(boardAddress).established(), w.client(boardAddress).established()
+	c.request()
+	w.pass(requestDoubt / 2)
+	other.request()
+	other.answered()
+	w.pass(requestDoubt / 2)
+	w.forwarder.Advance(w.now, w.view())
+	require.Equal(t, []Report{{
+		Ticket: c.host.Ticket(),
+		Late:   1,
+	}}, w.forwarder.Reports())
+	require.Empty(t, w.forwarder.Doubts())
+	w.pass(requestDoubt)
+	w.forwarder.Advance(w.now, w.view())
+	require.Empty(t, w.forwarder.Reports())
+}
--- a/flow/health.go
+++ b/flow/health.go
@@ -122,8 +122,10 @@
 	early    [deadOpenings]time.Time
 	// probed is when it was last probed for a first packet without an answer.
 	probed time.Time
-	// avoid is until when new flows avoid the upstream.
+	// avoid is until when new flows avoid the upstream, and busy until when they do
+	// since it is behind with its work.
 	avoid time.Time
+	busy  time.Time
 	// pause is the length of the last such time.
 	pause time.Duration
 	// tokens are the flows that a cold upstream may get now.
@@ -180,7 +182,7 @@
 
 // avoided reports whether new flows avoid the upstream.
 func (h *health) avoided(now time.Time) bool {
-	if now.Before(h.avoid) {
+	if now.Before(h.avoid) || now.Before(h.busy) {
 		return true
 	}
 	age := now.Sub(h.opened)
--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -134,23 +134,29 @@
 	}
 }
 
-// hear joins a report with others, and tells the zone of a death.
+// hear joins a report with others, and tells the zone what they show.
 func (b *balancer) hear(sender uint64, r flow.Report) {
 	if b.down {
 		return
 	}
 	peers := b.peers()
-	joined, dead := b.detector.Hear(b.e.now, sender, r, len(peers))
-	if !dead {
-		if b.detector.Unconfirmed(b.e.now, b.id, r.Ticket) {
-			if u := b.e.view.ByTicket(r.Ticket); u != nil {
-				b.probe(u.ID)
-			}
+	joined, found := b.detector.Hear(b.e.now, sender, r, len(peers))
+	switch found {
+	case flow.FoundDead:
+		for _, p := range peers {
+			b.e.after(zoneLink, func() { p.hearDeath(b, joined) })
+		}
+	case flow.FoundBusy:
+		for _, p := range peers {
+			b.e.after(zoneLink, func() { p.forwarder.MarkBusy(b.e.now, r.Ticket) })
+		}
+	case flow.FoundNothing:
+		if !b.detector.Unconfirmed(b.e.now, b.id, r.Ticket) {
+			return
+		}
+		if u := b.e.view.ByTicket(r.Ticket); u != nil {
+			b.probe(u.ID)
 		}
-		return
-	}
-	for _, p := range peers {
-		b.e.after(zoneLink, func() { p.hearDeath(b, joined) })
 	}
 }
 
--- a/flowlab/internal/emulation/emulation_test.go
+++ b/flowlab/internal/emulation/emulation_test.go
@@ -64,6 +64,12 @@
 			better:    PolicyProbed,
 			worse:     PolicyShared,
 		},
+		{
+			load:      "slow",
+			balancers: 90,
+			better:    PolicyShared,
+			worse:     PolicyAlone,
+		},
 	} {
 		t.Run(test.load, func(t *testing.T) {
 			t.Parallel()
--- a/wire/health.go
+++ b/wire/health.go
@@ -59,6 +59,7 @@
 		Repeats:  uint32(r.Repeats),
 		Silence:  milliseconds(r.Silence),
 		Refusals: uint32(r.Refusals),
+		Late:     uint32(r.Late),
 	}
 }
 
@@ -70,5 +71,6 @@
 		Repeats:  int(x.GetRepeats()),
 		Silence:  duration(x.GetSilence()),
 		Refusals: int(x.GetRefusals()),
+		Late:     int(x.GetLate()),
 	}
 }
