fix: a report's number of late requests is bounded

Cause: found in reading the diff: the detector kept one entry for each late request of a report, and a datagram can tell of 4,294,967,295. Change: a report adds busyLate entries at most. Before: TestDatagramsBeforeTheFirstTick with such a datagram runs out of 6 GB of memory. After: it passes in 13 ms.

--- a/filbertflow/internal/daemon/spread_test.go
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -70,6 +71,18 @@
 		Refutations: []*wire.Refutation{{Ticket: 7}},
 	})
 	require.NoError(t, err)
+	absurd, err := wire.AppendHealth(nil, &wire.Health{
+		Reports: []*wire.Silence{{
+			Ticket: 7,
+			Late:   math.MaxUint32,
+		}},
+		Refutations: []*wire.Refutation{{
+			Ticket: 7,
+			Age:    math.MaxUint32,
+		}},
+		Busy: []uint32{0, 7},
+	})
+	require.NoError(t, err)
 	delta, err := wire.AppendDelta(nil, time.Now(), &directory.Delta{
 		Base:     3,
 		Revision: 3,
@@ -83,6 +96,10 @@
 			name: "reports, deaths and refutations",
 			data: health,
 		},
+		{
+			name: "more late requests than can be",
+			data: absurd,
+		},
 		{
 			name: "changes after a gap",
 			data: delta,
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -167,7 +167,7 @@
 // takeLate counts requests that are late, and finds an upstream with several of
 // them busy.
 func (c *subject) takeLate(now time.Time, r Report) (Report, Finding) {
-	for range r.Late {
+	for range min(r.Late, busyLate) {
 		c.late = append(c.late, now)
 	}
 	for len(c.late) > 0 && now.Sub(c.late[0]) >= reportLife {
