fix: a balancer that no upstream answers resets no flow by itself

All that are behind ask the peer with the highest revision, which is the reader, so that hundreds of answers of 100 kB fill its 10 Mbit/s when many hosts change. Its own forwarded packets wait behind them, and after three repeats of one client it takes the host for silent. Change: (1) a flow is reset by itself only where another upstream has answered a packet that was sent after that flow's; (2) a balancer that is behind asks one of those that told of news, at random. Before: TestForwarderGivesUpSilentFlow/at_a_balancer_that_no_host_answers and TestLaggardsAskDifferentPeers fail. After: both pass.

--- a/filbertflow/internal/daemon/spread.go
+++ b/filbertflow/internal/daemon/spread.go
@@ -64,9 +64,11 @@
 	// directory has changed since.
 	published   time.Time
 	unpublished bool
-	// wanted is the highest revision that a peer has told of, and source the
-	// peer; behind is since when it is wanted.
+	// wanted is the highest revision that a peer has told of, tellers how often
+	// one was told of that is not known here, and source one of those peers;
+	// behind is since when it is wanted.
 	wanted  uint64
+	tellers int
 	source  netip.AddrPort
 	behind  time.Time
 	pulling bool
@@ -323,16 +325,21 @@
 	}
 }
 
-// want takes a peer's word that it has a revision.
+// want takes a peer's word that it has a revision. Of those that are ahead one is
+// asked, picked at random: the reader is always the furthest.
 func (s *spread) want(now time.Time, revision uint64, peer netip.AddrPort) {
-	if revision <= s.dir.Revision() || revision < s.wanted {
+	if revision <= s.dir.Revision() {
 		return
 	}
 	if s.wanted <= s.dir.Revision() {
 		s.behind = now
+		s.tellers = 0
+	}
+	s.wanted = max(s.wanted, revision)
+	s.tellers++
+	if rand.IntN(s.tellers) == 0 {
+		s.source = peer
 	}
-	s.wanted = revision
-	s.source = peer
 }
 
 // catchUp asks a peer for changes that should have come by now.
@@ -342,7 +349,7 @@
 	}
 }
 
-// pull asks the peer that has told of the highest revision for it.
+// pull asks a peer that is ahead for what it knows.
 func (s *spread) pull(ctx context.Context, now time.Time) {
 	if s.pulling {
 		return
--- a/filbertflow/internal/daemon/spread_test.go
+++ b/filbertflow/internal/daemon/spread_test.go
@@ -284,3 +284,22 @@
 	require.Len(t, views, 2)
 	require.True(t, d.view.Load().Out("t"))
 }
+
+// TestLaggardsAskDifferentPeers states that balancers that are behind do not all ask
+// the reader, which is always ahead of all others. They did: its link was full, and
+// the packets that it forwarded waited.
+func TestLaggardsAskDifferentPeers(t *testing.T) {
+	const laggards, peers = 50, 10
+	asked := make(map[netip.AddrPort]int)
+	for range laggards {
+		d := newDaemon(t)
+		for i := range peers {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7)
+			d.spread.want(time.Now(), uint64(100+i), address)
+		}
+		asked[d.spread.source]++
+	}
+	reader := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, peers - 1}), 7)
+	require.Less(t, asked[reader], laggards/2)
+	require.Greater(t, len(asked), peers/2)
+}
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -39,6 +39,9 @@
 	spaced   time.Time
 	// distrust is until when packets are no evidence of silence.
 	distrust time.Time
+	// answered is when the latest packet was sent that any upstream has answered:
+	// until then this balancer's own way out was sound.
+	answered time.Time
 }
 
 // An Option changes a forwarder from its defaults.
@@ -217,7 +220,7 @@
 		d.Action, d.Reason = Reject, ReasonReplaced
 	case f.healthOf(u).state == Dead:
 		d.Action, d.Reason = Reject, ReasonDead
-	case s.copies >= flowRepeats && f.healthOf(u).progressed.Before(s.sent):
+	case s.copies >= flowRepeats && f.healthOf(u).progressed.Before(s.sent) && f.answered.After(s.sent):
 		d.Action, d.Reason = Reject, ReasonSilent
 	}
 	return d
@@ -271,6 +274,9 @@
 func (f *Forwarder) advanced(now time.Time, h *health, s *state, p *Packet) {
 	s.opening = false
 	s.acknowledged = p.Acknowledged
+	if s.sent.After(f.answered) {
+		f.answered = s.sent
+	}
 	s.sent, s.last = time.Time{}, time.Time{}
 	s.copies = 0
 	f.work(h, s, false)
--- a/flow/health.go
+++ b/flow/health.go
@@ -45,7 +45,8 @@
 	deadOpeningAge = 250 * time.Millisecond
 	// flowRepeats is the number of repeats after which a flow is reset by itself,
 	// where its upstream has shown no progress since the first transmission: four
-	// transmissions were lost, 1.4 s have passed.
+	// transmissions were lost, 1.4 s have passed. Another upstream must have
+	// answered a later packet: a balancer whose own link is full gets no answers.
 	flowRepeats = 3
 	// avoidFirst is how long new flows avoid a silent upstream at first: its entry
 	// lapses after three heartbeats of 1.2 s at most. The time doubles up to
--- a/flow/silent_test.go
+++ b/flow/silent_test.go
@@ -175,18 +175,26 @@
 func TestForwarderGivesUpSilentFlow(t *testing.T) {
 	for _, test := range []struct {
 		name string
-		// progress tells that another flow of the host makes progress meanwhile.
-		progress bool
-		want     Action
+		// progress tells that another flow of the host makes progress meanwhile,
+		// and elsewhere that a flow of another host does.
+		progress  bool
+		elsewhere bool
+		want      Action
 	}{
 		{
-			name: "that nobody answers",
-			want: Reject,
+			name:      "that nobody answers",
+			elsewhere: true,
+			want:      Reject,
 		},
 		{
-			name:     "whose host answers others",
-			progress: true,
-			want:     Forward,
+			name:      "whose host answers others",
+			progress:  true,
+			elsewhere: true,
+			want:      Forward,
+		},
+		{
+			name: "at a balancer that no host answers",
+			want: Forward,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -205,12 +213,24 @@
 				other.request()
 				other.answered()
 			}
+			if test.elsewhere {
+				w.away(c.host).established()
+			}
 			w.pass(wait)
 			require.Equal(t, test.want, c.again().Action)
 		})
 	}
 }
 
+// away returns a client whose flow goes to another host than one.
+func (w *world) away(u *directory.Upstream) *client {
+	w.set(directory.Item{Key: directory.Key{
+		Kind: directory.KindZoneOut,
+		Name: u.Zone,
+	}})
+	return w.client(boardAddress)
+}
+
 func TestForwarderResetsAfterReplacement(t *testing.T) {
 	w := newWorld(t, 1)
 	c := w.client(boardAddress).established()
