fix: what is decided between two packets is carried out like the rest

Cause: found in reading the change: the goroutine of packets had two lists of what follows a decision, one after a packet and one after a wake, and the second lacked the reports. A request that was found late between two packets was reported with the next packet. Ruled out: a lost report (the new test hears none within a second). Change: both ways go through one function, traffic.settle. Before: TestLateRequestsAreReportedWithoutPackets fails. After: it and the package's tests pass five times with the race detector.

--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -98,9 +98,7 @@
 	t.takeShared(now)
 	decision := t.forwarder.Forward(now, view, &t.packet)
 	t.act(n, &decision)
-	t.abandon(now)
-	t.shareReports()
-	t.probeDoubts(now)
+	t.settle(now, view)
 	d.counters.decided(&decision, time.Since(now), t.forwarder.Flows())
 	t.report(now, n, view, &decision)
 }
@@ -124,7 +122,13 @@
 	t.noteResumed(now)
 	t.takeShared(now)
 	t.forwarder.Advance(now, view)
+	t.settle(now, view)
+}
+
+// settle carries out what the forwarder has decided beside a packet's way.
+func (t *traffic) settle(now time.Time, view *directory.View) {
 	t.abandon(now)
+	t.shareReports()
 	t.probeDoubts(now)
 	t.reportBeliefs(now, view)
 }
@@ -200,7 +204,6 @@
 // report logs a decision, unless it only follows an earlier one.
 func (t *traffic) report(now time.Time, n int, v *directory.View, decision *flow.Decision) {
 	log := t.daemon.log
-	t.reportBeliefs(now, v)
 	room := t.daemon.options.Headroom
 	id, named := "", false
 	if t.packet.Length > 0 {
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -122,13 +122,37 @@
 
 // send sends a flow's first packet, or the one that acknowledges the answer to it.
 func (q *quiet) send(t *testing.T, port uint16, acknowledged uint32) {
+	t.Helper()
+	q.deliver(t, clientPacket(port, q.upstream.Ticket(), acknowledged))
+}
+
+// request sends a request on the open flow.
+func (q *quiet) request(t *testing.T) {
+	t.Helper()
+	const length = 16
+	content := []byte("a request")
+	p := append(clientPacket(flowPort, q.upstream.Ticket(), 5000), content...)
+	binary.BigEndian.PutUint16(p[length:], uint16(len(content)))
+	q.deliver(t, p)
+}
+
+// deliver sends a packet that reaches the host.
+func (q *quiet) deliver(t *testing.T, packet []byte) {
 	t.Helper()
 	to := q.daemon.packets.LocalAddr().(*net.UDPAddr).AddrPort()
-	_, err := q.client.conn.WriteToUDPAddrPort(clientPacket(port, q.upstream.Ticket(), acknowledged), to)
+	_, err := q.client.conn.WriteToUDPAddrPort(packet, to)
 	require.NoError(t, err)
 	require.NotZero(t, q.host.receive(time.Second))
 }
 
+// listen makes the host's address take connections.
+func (q *quiet) listen(t *testing.T) {
+	t.Helper()
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(q.upstream.Address))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+}
+
 // clientPacket returns the first packet of a flow, or the one that acknowledges
 // the answer to it.
 func clientPacket(port uint16, ticket directory.Ticket, acknowledged uint32) []byte {
@@ -197,12 +221,24 @@
 			q.daemon.duties.Go(func() { q.daemon.spread.run(ctx) })
 			t.Cleanup(cancel)
 			if test.listens {
-				l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(q.upstream.Address))
-				require.NoError(t, err)
-				t.Cleanup(func() { _ = l.Close() })
+				q.listen(t)
 			}
 			q.send(t, flowPort+1, 0)
 			require.Equal(t, test.size, q.client.receive(500*time.Millisecond))
 		})
 	}
 }
+
+// TestLateRequestsAreReportedWithoutPackets states that a request that is late is
+// reported when it is, although no packet comes. The report waited for the next
+// one.
+func TestLateRequestsAreReportedWithoutPackets(t *testing.T) {
+	q := newQuiet(t)
+	q.listen(t)
+	q.request(t)
+	select {
+	case <-q.daemon.calls.C():
+	case <-time.After(time.Second):
+		t.Fatal("no report")
+	}
+}
