fix: filbertctl trace tells of unreadable lines always, and all digits

Cause: where no line told of an id, the number of lines that could not be read was not told either: a log in a wrong format looked like one without the request. And numbers were read as float64, so that incarnations came out as 2.04e+18, equal for different processes. Ruled out: lines without a time (they count as unreadable, as before; the comment said otherwise). Change: the error has the number of unreadable lines; numbers keep their digits. Before: testdata/scripts/trace.txtar fails on both. After: it passes.

--- a/filbertctl/internal/cmd/trace.go
+++ b/filbertctl/internal/cmd/trace.go
@@ -39,7 +39,7 @@
 // A Trace is what logs tell of a request, in the order of time.
 type Trace struct {
 	Lines []LogLine `json:"lines"`
-	// Skipped is the number of lines that are no JSON objects.
+	// Skipped is the number of lines that are no JSON objects with a time.
 	Skipped int `json:"skipped"`
 }
 
@@ -58,6 +58,9 @@
 	}
 	result.Lines = related(all, o.Arguments.ID)
 	if len(result.Lines) == 0 {
+		if result.Skipped > 0 {
+			return eris.Errorf("no line tells of %q; %s", o.Arguments.ID, result.unreadable())
+		}
 		return eris.Errorf("no line tells of %q", o.Arguments.ID)
 	}
 	return o.config.write(result, func(w io.Writer) {
@@ -65,11 +68,16 @@
 			printf(w, "%s\n", result.Lines[i].String())
 		}
 		if result.Skipped > 0 {
-			printf(w, "%d lines could not be read\n", result.Skipped)
+			printf(w, "%s\n", result.unreadable())
 		}
 	})
 }
 
+// unreadable tells how many lines could not be read.
+func (t *Trace) unreadable() string {
+	return fmt.Sprintf("%d lines could not be read", t.Skipped)
+}
+
 // String returns the line for people.
 func (l *LogLine) String() string {
 	names := make([]string, 0, len(l.Fields))
@@ -84,13 +92,13 @@
 	return fmt.Sprintf("%s %s %s%s", l.Time.Format("15:04:05.000"), l.Balancer, l.Message, b.String())
 }
 
-// text returns a field as text; numbers have no decimals.
+// text returns a field as text; empty for what is neither text nor a number.
 func (l *LogLine) text(name string) string {
 	switch v := l.Fields[name].(type) {
 	case string:
 		return v
-	case float64:
-		return fmt.Sprintf("%.0f", v)
+	case json.Number:
+		return v.String()
 	default:
 		return ""
 	}
@@ -119,7 +127,10 @@
 		return LogLine{}, false
 	}
 	var l LogLine
-	if json.Unmarshal(data[i:], &l) != nil || json.Unmarshal(data[i:], &l.Fields) != nil {
+	fields := json.NewDecoder(bytes.NewReader(data[i:]))
+	// Incarnations have more digits than a float64.
+	fields.UseNumber()
+	if json.Unmarshal(data[i:], &l) != nil || fields.Decode(&l.Fields) != nil {
 		return LogLine{}, false
 	}
 	for _, n := range []string{"time", "balancer", "msg", "level"} {
