refactor: programs share one command line

Cause: filbertd and filbertflow had the same 46 lines of flags, exit codes and messages, the stand-ins the same 30. Sharing them in the library would have brought go-flags into it. Ruled out: internal/ of the root module, for that reason. Change: module commandline: Parse for all, Daemon for programs that serve by a settings file.

--- a/filbertflow/internal/cmd/config.go
+++ b/filbertflow/internal/cmd/config.go
@@ -29,15 +29,12 @@
 
 // serve runs a daemon until it has left after SIGTERM or SIGINT, or at once
 // after a second of these.
-func serve(path string, s *settings.Settings, stdout, stderr io.Writer) int {
+func serve(path string, s *settings.Settings, stdout io.Writer) error {
 	c := newConfig(path, s, stdout)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go c.attend(ctx, signals.C(), cancel)
-	if err := c.daemon.Run(ctx); err != nil {
-		return fail(stderr, exitFailure, err)
-	}
-	return exitOK
+	return c.daemon.Run(ctx)
 }
 
 func newConfig(path string, s *settings.Settings, stdout io.Writer) *config {
--- a/standin/caller/internal/cmd/cmd.go
+++ b/standin/caller/internal/cmd/cmd.go
@@ -9,10 +9,10 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"filbertworks.example/filbertworks/commandline"
 	"filbertworks.example/filbertworks/config"
 	"filbertworks.example/filbertworks/internal/standin"
 	"filbertworks.example/filbertworks/standin/caller/internal/flow"
@@ -38,14 +38,9 @@
 	log := logrus.New()
 	log.SetOutput(stderr)
 	var o options
-	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.ParseArgs(arguments); err != nil {
-		if flags.WroteHelp(err) {
-			_, _ = io.WriteString(stdout, err.Error()+"\n")
-			return 0
-		}
-		log.Errorf("caller: %v", err)
-		return 2
+	fail := func(err error) { log.Errorf("caller: %v", err) }
+	if _, code, ok := commandline.Parse("caller", &o, arguments, stdout, fail); !ok {
+		return code
 	}
 	r, err := run(&o, log)
 	if err != nil {
--- a/standin/upstream/internal/cmd/cmd.go
+++ b/standin/upstream/internal/cmd/cmd.go
@@ -10,10 +10,10 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"filbertworks.example/filbertworks/commandline"
 	"filbertworks.example/filbertworks/config"
 	"filbertworks.example/filbertworks/internal/standin"
 	"filbertworks.example/filbertworks/standin/upstream/internal/host"
@@ -34,26 +34,17 @@
 	log := logrus.New()
 	log.SetOutput(stderr)
 	var o options
-	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.ParseArgs(arguments); err != nil {
-		return report(err, stdout, log)
+	fail := func(err error) { log.Errorf("upstream: %v", err) }
+	if _, code, ok := commandline.Parse("upstream", &o, arguments, stdout, fail); !ok {
+		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, &o, log); err != nil {
-		log.Errorf("upstream: %v", err)
-		return 1
+		fail(err)
+		return commandline.ExitFailure
 	}
-	return 0
-}
-
-func report(err error, stdout io.Writer, log *logrus.Logger) int {
-	if flags.WroteHelp(err) {
-		_, _ = io.WriteString(stdout, err.Error()+"\n")
-		return 0
-	}
-	log.Errorf("upstream: %v", err)
-	return 2
+	return commandline.ExitOK
 }
 
 func run(ctx context.Context, o *options, log *logrus.Logger) error {
