--- /dev/null
+++ b/commandline/service.go
@@ -0,0 +1,23 @@
+package commandline
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+)
+
+// Serve runs a program that serves until SIGINT or SIGTERM and returns its exit
+// code. Options and fail are as for Parse; run's context ends with the signal.
+func Serve(name string, options any, arguments []string, stdout io.Writer, fail func(error), run func(context.Context) error) int {
+	if _, code, ok := Parse(name, options, arguments, stdout, fail); !ok {
+		return code
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx); err != nil {
+		fail(err)
+		return ExitFailure
+	}
+	return ExitOK
+}
--- a/flow/detector_test.go
+++ b/flow/detector_test.go
@@ -14,6 +14,19 @@
 	report Report
 }
 
+// heardOf returns a report of a balancer's flows at a time.
+func heardOf(at time.Duration, from uint64, flows, repeats int, silence time.Duration) heard {
+	return heard{
+		at:   at,
+		from: from,
+		report: Report{
+			Flows:   flows,
+			Repeats: repeats,
+			Silence: silence,
+		},
+	}
+}
+
 func TestDetector(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -22,122 +35,41 @@
 		dead []bool
 	}{
 		{
-			name: "one flow's repeats are no evidence",
-			reports: []heard{{
-				from: 1,
-				report: Report{
-					Flows:   1,
-					Repeats: 5,
-					Silence: 3 * time.Second,
-				},
-			}},
-			dead: []bool{false},
+			name:    "one flow's repeats are no evidence",
+			reports: []heard{heardOf(0, 1, 1, 5, 3*time.Second)},
+			dead:    []bool{false},
 		},
 		{
 			name: "three balancers with one repeat each",
 			reports: []heard{
-				{
-					from: 1,
-					report: Report{
-						Flows:   1,
-						Repeats: 1,
-						Silence: 200 * time.Millisecond,
-					},
-				},
-				{
-					at:   100 * time.Millisecond,
-					from: 2,
-					report: Report{
-						Flows:   1,
-						Repeats: 1,
-						Silence: 200 * time.Millisecond,
-					},
-				},
-				{
-					at:   250 * time.Millisecond,
-					from: 3,
-					report: Report{
-						Flows:   1,
-						Repeats: 1,
-						Silence: 200 * time.Millisecond,
-					},
-				},
+				heardOf(0, 1, 1, 1, 200*time.Millisecond),
+				heardOf(100*time.Millisecond, 2, 1, 1, 200*time.Millisecond),
+				heardOf(250*time.Millisecond, 3, 1, 1, 200*time.Millisecond),
 			},
 			dead: []bool{false, false, true},
 		},
 		{
 			name: "a balancer's reports replace each other",
 			reports: []heard{
-				{
-					from: 1,
-					report: Report{
-						Flows:   1,
-						Repeats: 1,
-						Silence: 500 * time.Millisecond,
-					},
-				},
-				{
-					from: 1,
-					report: Report{
-						Flows:   1,
-						Repeats: 2,
-						Silence: 700 * time.Millisecond,
-					},
-				},
-				{
-					from: 1,
-					report: Report{
-						Flows:   1,
-						Repeats: 3,
-						Silence: 900 * time.Millisecond,
-					},
-				},
+				heardOf(0, 1, 1, 1, 500*time.Millisecond),
+				heardOf(0, 1, 1, 2, 700*time.Millisecond),
+				heardOf(0, 1, 1, 3, 900*time.Millisecond),
 			},
 			dead: []bool{false, false, false},
 		},
 		{
 			name: "old reports don't count",
 			reports: []heard{
-				{
-					from: 1,
-					report: Report{
-						Flows:   2,
-						Repeats: 2,
-						Silence: 500 * time.Millisecond,
-					},
-				},
-				{
-					at:   reportLife,
-					from: 2,
-					report: Report{
-						Flows:   1,
-						Repeats: 1,
-						Silence: 500 * time.Millisecond,
-					},
-				},
+				heardOf(0, 1, 2, 2, 500*time.Millisecond),
+				heardOf(reportLife, 2, 1, 1, 500*time.Millisecond),
 			},
 			dead: []bool{false, false},
 		},
 		{
 			name: "one death for reports that go on",
 			reports: []heard{
-				{
-					from: 1,
-					report: Report{
-						Flows:   2,
-						Repeats: 3,
-						Silence: 500 * time.Millisecond,
-					},
-				},
-				{
-					at:   100 * time.Millisecond,
-					from: 2,
-					report: Report{
-						Flows:   1,
-						Repeats: 1,
-						Silence: 200 * time.Millisecond,
-					},
-				},
+				heardOf(0, 1, 2, 3, 500*time.Millisecond),
+				heardOf(100*time.Millisecond, 2, 1, 1, 200*time.Millisecond),
 			},
 			dead: []bool{true, false},
 		},
--- a/standin/upstream/internal/cmd/cmd.go
+++ b/standin/upstream/internal/cmd/cmd.go
@@ -6,8 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,16 +33,7 @@
 	log.SetOutput(stderr)
 	var o options
 	fail := func(err error) { log.Errorf("upstream: %v", err) }
-	if _, code, ok := commandline.Parse("upstream", &o, arguments, stdout, fail); !ok {
-		return code
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, &o, log); err != nil {
-		fail(err)
-		return commandline.ExitFailure
-	}
-	return commandline.ExitOK
+	return commandline.Serve("upstream", &o, arguments, stdout, fail, func(ctx context.Context) error { return run(ctx, &o, log) })
 }
 
 func run(ctx context.Context, o *options, log *logrus.Logger) error {
