refactor: one emulator of users and hosts

Cause: flow's load_test.go and flowlab each had a schedule, hosts with slots and queues, users on flows and a comparison of policies: written twice. New load "overload", 1.9 times what the hosts bear, bound 90% of what they can do.

--- a/flowlab/internal/cmd/playcmd.go
+++ b/flowlab/internal/cmd/playcmd.go
@@ -16,6 +16,7 @@
 type playCommand struct {
 	Balancers []int    `long:"balancers" value-name:"N" default:"9" default:"90" default:"300" description:"number of balancers; may be repeated"`
 	Policy    []string `long:"policy" value-name:"NAME" default:"alone" default:"shared" default:"probed" description:"policy of the balancers; may be repeated"`
+	Placement []string `long:"placement" value-name:"NAME" default:"forwarder" description:"way to choose the host of a new flow; may be repeated"`
 	Seeds     uint64   `long:"seeds" value-name:"N" default:"3" description:"number of runs of each, with the seeds from 1 on"`
 	Plot      string   `long:"plot" value-name:"FILE" description:"write an SVG plot of the seconds"`
 	Loads     struct {
@@ -64,22 +65,35 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, n := range c.Balancers {
-			for _, p := range c.Policy {
+		for _, o := range c.options() {
+			jobs = append(jobs, &job{
+				load:    l,
+				options: o,
+			})
+		}
+	}
+	return jobs, nil
+}
+
+// options returns what each load is played with.
+func (c *playCommand) options() []emulation.Options {
+	runs := len(c.Balancers) * len(c.Policy) * len(c.Placement) * int(c.Seeds)
+	all := make([]emulation.Options, 0, runs)
+	for _, n := range c.Balancers {
+		for _, policy := range c.Policy {
+			for _, placement := range c.Placement {
 				for seed := range c.Seeds {
-					jobs = append(jobs, &job{
-						load: l,
-						options: emulation.Options{
-							Balancers: n,
-							Policy:    p,
-							Seed:      seed + 1,
-						},
+					all = append(all, emulation.Options{
+						Balancers: n,
+						Policy:    policy,
+						Placement: placement,
+						Seed:      seed + 1,
 					})
 				}
 			}
 		}
 	}
-	return jobs, nil
+	return all
 }
 
 // run plays jobs, as many at a time as there are processors.
--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -56,6 +56,9 @@
 	switch d.Action {
 	case flow.Forward:
 		h := b.e.hosts[d.Upstream.ID]
+		if d.Reason == flow.ReasonPlaced {
+			h = b.e.place(b.zone, h, &p)
+		}
 		if b.e.rand.Float64() >= b.e.load.Loss {
 			b.e.after(b.linkTo(h), func() { c.reach(h, &p) })
 		}
--- a/flowlab/internal/emulation/emulation.go
+++ b/flowlab/internal/emulation/emulation.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -53,6 +54,22 @@
 // Policies are all policies, the simplest first.
 var Policies = []string{PolicyAlone, PolicyShared, PolicyProbed}
 
+// Placements are ways to choose the host of a new flow: that of the balancer, and
+// others to compare it with, of which the last two know what no balancer does.
+const (
+	// PlacementForwarder is the balancer's own choice.
+	PlacementForwarder = "forwarder"
+	// PlacementRendezvous takes the highest rendezvous score.
+	PlacementRendezvous = "rendezvous"
+	// PlacementTwoChoices takes the less loaded of two random hosts.
+	PlacementTwoChoices = "two choices"
+	// PlacementLeastFlows takes the host with the fewest open flows.
+	PlacementLeastFlows = "least flows"
+)
+
+// Placements are all placements.
+var Placements = []string{PlacementForwarder, PlacementRendezvous, PlacementTwoChoices, PlacementLeastFlows}
+
 // ErrOptions reports options that can't be played.
 var ErrOptions = eris.New("unusable options")
 
@@ -61,6 +78,8 @@
 	// Balancers is the number of balancers of all zones.
 	Balancers int
 	Policy    string
+	// Placement is PlacementForwarder where it is empty.
+	Placement string
 	Seed      uint64
 }
 
@@ -81,8 +100,6 @@
 	// flows are the open flows by the client's address and port.
 	flows  map[netip.AddrPort]*conn
 	serial uint32
-	// rate is what the rate of requests is multiplied by.
-	rate   float64
 	result *Result
 }
 
@@ -91,9 +108,15 @@
 	if o.Balancers < l.Zones {
 		return nil, eris.Wrapf(ErrOptions, "%d balancers for %d zones", o.Balancers, l.Zones)
 	}
-	if o.Policy != PolicyAlone && o.Policy != PolicyShared && o.Policy != PolicyProbed {
+	if !slices.Contains(Policies, o.Policy) {
 		return nil, eris.Wrapf(ErrOptions, "unknown policy %q", o.Policy)
 	}
+	if o.Placement == "" {
+		o.Placement = PlacementForwarder
+	}
+	if !slices.Contains(Placements, o.Placement) {
+		return nil, eris.Wrapf(ErrOptions, "unknown placement %q", o.Placement)
+	}
 	e := &emulation{
 		schedule: schedule{now: epoch},
 		load:     l,
@@ -102,7 +125,6 @@
 		dir:      directory.New(),
 		hosts:    make(map[string]*host),
 		flows:    make(map[netip.AddrPort]*conn),
-		rate:     1,
 		result:   newResult(l, o),
 	}
 	e.build()
@@ -140,7 +162,7 @@
 		e.buildHosts(zone)
 		e.buildBalancers(zone)
 		for range e.load.Users.Count {
-			newUser(e, zone)
+			newUser(e, zone, time.Time{})
 		}
 	}
 }
@@ -208,20 +230,23 @@
 func (e *emulation) route(zone int, client netip.AddrPort) *balancer {
 	for i := range e.routed {
 		if routed := e.routed[(zone+i)%len(e.routed)]; len(routed) > 0 {
-			a := client.Addr().As4()
-			key := uint64(a[1])<<40 | uint64(a[2])<<32 | uint64(a[3])<<24 | uint64(client.Port())
-			return routed[rendezvous.Mix(key)%uint64(len(routed))]
+			return routed[flowHash(client)%uint64(len(routed))]
 		}
 	}
 	return nil
 }
 
+// flowHash returns the hash of a flow by its client.
+func flowHash(client netip.AddrPort) uint64 {
+	a := client.Addr().As4()
+	return rendezvous.Mix(uint64(a[1])<<40 | uint64(a[2])<<32 | uint64(a[3])<<24 | uint64(client.Port()))
+}
+
 // plan makes a fault happen.
 func (e *emulation) plan(f *Fault) {
 	switch f.Kind {
 	case KindBurst:
-		e.after(f.At.Duration, func() { e.rate = f.Factor })
-		e.after(f.At.Duration+f.For.Duration, func() { e.rate = 1 })
+		e.after(f.At.Duration, func() { e.burst(f) })
 	case KindBalancers:
 		e.after(f.At.Duration, func() { e.cutPower(f) })
 	default:
@@ -229,6 +254,16 @@
 	}
 }
 
+// burst adds users to each zone for a while.
+func (e *emulation) burst(f *Fault) {
+	until := e.now.Add(f.For.Duration)
+	for zone := range e.load.Zones {
+		for range int((f.Factor - 1) * float64(e.load.Users.Count)) {
+			newUser(e, zone, until)
+		}
+	}
+}
+
 // failHosts makes a share of each zone's hosts fail for a while.
 func (e *emulation) failHosts(f *Fault) {
 	for _, hosts := range e.zones {
--- a/flowlab/internal/emulation/emulation_test.go
+++ b/flowlab/internal/emulation/emulation_test.go
@@ -107,7 +107,14 @@
 				Seed:      2,
 			})
 			require.Zero(t, r.Broken)
-			require.Greater(t, r.Total().Share(), 0.8)
+			bound := 0.8
+			if l.Name == "overload" {
+				// In a zone's burst 50 hosts with 2 slots and 60 ms of work bear
+				// 1,667 of 3,120 requests a second, over the whole time 0.60 of
+				// what is asked. 90% of that is to be answered in aim.
+				bound = 0.54
+			}
+			require.Greater(t, r.Total().Share(), bound)
 		})
 	}
 }
@@ -123,6 +130,11 @@
 			Balancers: 9,
 			Policy:    "best",
 		},
+		{
+			Balancers: 9,
+			Policy:    PolicyShared,
+			Placement: "best",
+		},
 	} {
 		_, err := Play(l, o)
 		require.ErrorIs(t, err, ErrOptions)
--- a/flowlab/internal/emulation/host.go
+++ b/flowlab/internal/emulation/host.go
@@ -21,7 +21,9 @@
 	upstream  *directory.Upstream
 	condition condition
 	// life counts the starts of the host: flows of earlier ones are lost.
-	life   int
+	life int
+	// flows is the number of flows that users have open to it.
+	flows  int
 	factor float64
 	busy   int
 	queue  []func()
@@ -35,6 +37,7 @@
 func (h *host) fail(c condition) {
 	h.condition = c
 	h.life++
+	h.flows = 0
 	h.busy = 0
 	h.queue = nil
 	h.failed, h.found = h.e.now, time.Time{}
--- a/flowlab/internal/emulation/load.go
+++ b/flowlab/internal/emulation/load.go
@@ -76,7 +76,7 @@
 	KindDark = "dark"
 	// KindSlow makes a host's work take Factor times as long.
 	KindSlow = "slow"
-	// KindBurst multiplies the rate of a zone's requests by Factor.
+	// KindBurst multiplies the number of a zone's users by Factor.
 	KindBurst = "burst"
 	// KindBalancers takes the power of balancers away.
 	KindBalancers = "balancers"
--- /dev/null
+++ b/flowlab/internal/emulation/placement.go
@@ -0,0 +1,37 @@
+package emulation
+
+import (
+	"cmp"
+	"slices"
+
+	"filbertworks.example/filbertworks/flow"
+	"filbertworks.example/filbertworks/rendezvous"
+)
+
+// place returns the host of a new flow by the placement of the options; chosen is
+// the balancer's choice.
+func (e *emulation) place(zone int, chosen *host, p *flow.Packet) *host {
+	hosts := e.zones[zone]
+	switch e.options.Placement {
+	case PlacementRendezvous:
+		key := flowHash(p.Client)
+		return slices.MaxFunc(hosts, func(a, b *host) int {
+			return cmp.Compare(rendezvous.Score(key, uint64(a.upstream.Ticket())), rendezvous.Score(key, uint64(b.upstream.Ticket())))
+		})
+	case PlacementTwoChoices:
+		a, b := hosts[e.rand.IntN(len(hosts))], hosts[e.rand.IntN(len(hosts))]
+		if b.load() < a.load() {
+			return b
+		}
+		return a
+	case PlacementLeastFlows:
+		return slices.MinFunc(hosts, func(a, b *host) int { return a.flows - b.flows })
+	default:
+		return chosen
+	}
+}
+
+// load returns the number of requests that the host works on or queues.
+func (h *host) load() int {
+	return h.busy + len(h.queue)
+}
--- a/flowlab/internal/emulation/user.go
+++ b/flowlab/internal/emulation/user.go
@@ -29,6 +29,8 @@
 	zone int
 	addr netip.Addr
 	conn *conn
+	// until is when the user leaves; zero for never.
+	until time.Time
 }
 
 // request is one request with its tries.
@@ -57,26 +59,32 @@
 	arrived bool
 }
 
-func newUser(e *emulation, zone int) *user {
+func newUser(e *emulation, zone int, until time.Time) {
 	e.serial++
 	u := &user{
-		e:    e,
-		zone: zone,
-		addr: netip.AddrFrom4([4]byte{100, byte(64 + e.serial>>16), byte(e.serial >> 8), byte(e.serial)}),
+		e:     e,
+		zone:  zone,
+		until: until,
+		addr:  netip.AddrFrom4([4]byte{100, byte(64 + e.serial>>16), byte(e.serial >> 8), byte(e.serial)}),
 	}
 	e.after(u.pause(), u.next)
-	return u
 }
 
 // pause returns the time to the next request.
 func (u *user) pause() time.Duration {
 	l := &u.e.load.Users
-	rate := l.Rate * u.e.rate / float64(l.Count)
+	rate := l.Rate / float64(l.Count)
 	return time.Duration(u.e.rand.ExpFloat64() / rate * float64(time.Second))
 }
 
-// next begins a request.
+// next begins a request, unless the user leaves.
 func (u *user) next() {
+	if !u.until.IsZero() && u.e.now.After(u.until) {
+		if u.conn != nil {
+			u.conn.finish()
+		}
+		return
+	}
 	r := &request{
 		user: u,
 		sent: u.e.now,
@@ -217,6 +225,7 @@
 	}
 	c.open = true
 	c.host, c.life = h, h.life
+	h.flows++
 	c.sequence++
 	c.acknowledged = c.user.e.rand.Uint32()
 	c.transmit(c.packet(flow.Acknowledge, 0))
@@ -259,6 +268,9 @@
 }
 
 func (c *conn) close() {
+	if c.open && !c.closed && c.life == c.host.life {
+		c.host.flows--
+	}
 	c.closed = true
 	if c.user.e.flows[c.client] == c {
 		delete(c.user.e.flows, c.client)
--- a/flowlab/internal/report/report.go
+++ b/flowlab/internal/report/report.go
@@ -16,8 +16,10 @@
 type Row struct {
 	Load      string
 	Balancers int
-	Policy    string
-	runs      []*emulation.Result
+	// Policy is the policy, with the placement where that is not the balancers'
+	// own.
+	Policy string
+	runs   []*emulation.Result
 }
 
 // Rows joins results that differ in their seeds only, in the order in which they
@@ -30,7 +32,7 @@
 			row = &Row{
 				Load:      r.Load,
 				Balancers: r.Options.Balancers,
-				Policy:    r.Options.Policy,
+				Policy:    policyOf(r),
 			}
 			rows = append(rows, row)
 		}
@@ -41,13 +43,21 @@
 
 func find(rows []*Row, r *emulation.Result) *Row {
 	for _, row := range rows {
-		if row.Load == r.Load && row.Balancers == r.Options.Balancers && row.Policy == r.Options.Policy {
+		if row.Load == r.Load && row.Balancers == r.Options.Balancers && row.Policy == policyOf(r) {
 			return row
 		}
 	}
 	return nil
 }
 
+func policyOf(r *emulation.Result) string {
+	o := r.Options
+	if o.Placement == emulation.PlacementForwarder {
+		return o.Policy
+	}
+	return o.Policy + ", " + o.Placement
+}
+
 // mean returns the mean of a figure over the runs.
 func (r *Row) mean(figure func(*emulation.Result) float64) float64 {
 	sum := 0.0
