fix: busy upstreams are spared only while few are

All hosts become busy, and the few that are not yet get all new flows of the zone and refuse them. Change: where more than a third of a zone's upstreams of a service are busy, none is spared. TestOverloadKeepsCapacity: the hosts do 90% of what they can in the two seconds of full burst.

--- a/flow/doubt_test.go
+++ b/flow/doubt_test.go
@@ -237,16 +237,27 @@
 		_, found := d.Hear(now, 1, late, 3)
 		require.Equal(t, test.found, found, test.name)
 	}
-	w := newWorld(t, 2)
-	c := w.client(boardAddress)
-	busy := c.open().Upstream
-	w.forwarder.MarkBusy(w.now, busy.Ticket())
-	for range 3 {
-		require.NotEqual(t, busy.ID, w.client(boardAddress).open().Upstream.ID)
+}
+
+// TestBusyUpstreamsAreSpared states that new flows avoid busy upstreams for a while,
+// but not where more than a third of the zone's are busy.
+func TestBusyUpstreamsAreSpared(t *testing.T) {
+	w := newWorld(t, 4)
+	first := w.client(boardAddress).open().Upstream
+	w.forwarder.MarkBusy(w.now, first.Ticket())
+	other := w.client(boardAddress).open().Upstream
+	require.NotEqual(t, first.ID, other.ID)
+	for range 6 {
+		u := w.client(boardAddress).open().Upstream
+		require.NotEqual(t, first.ID, u.ID)
+		require.Equal(t, "a", u.Zone)
 	}
+	w.forwarder.MarkBusy(w.now, other.Ticket())
+	require.Equal(t, first.ID, w.client(boardAddress).open().Upstream.ID, "it has the fewest flows")
+	w.forwarder.MarkBusy(w.now, first.Ticket())
 	w.pass(busyTime)
-	require.Equal(t, Answering, w.forwarder.healthOf(busy).state)
-	require.False(t, now.Before(w.forwarder.healthOf(busy).avoid))
+	require.Equal(t, Answering, w.forwarder.healthOf(first).state)
+	require.False(t, w.now.Before(w.forwarder.healthOf(first).busy))
 }
 
 // TestLateRequestsAreReported states that a request is reported once, although its
--- a/flow/health.go
+++ b/flow/health.go
@@ -183,7 +183,7 @@
 
 // avoided reports whether new flows avoid the upstream.
 func (h *health) avoided(now time.Time) bool {
-	if now.Before(h.avoid) || now.Before(h.busy) {
+	if now.Before(h.avoid) {
 		return true
 	}
 	age := now.Sub(h.opened)
--- a/flow/place.go
+++ b/flow/place.go
@@ -16,6 +16,9 @@
 	// twice that, where two balancers take themselves for the owner, stays
 	// within what cold upstreams are allowed.
 	warmupShare = 0.7
+	// maxBusyPart is the part of a zone's upstreams, one in so many, that are spared
+	// for being behind with their work.
+	maxBusyPart = 3
 	// warmupBurst is the greatest number of flows that a cold upstream gets at
 	// once.
 	warmupBurst = 2
@@ -38,7 +41,7 @@
 		Reason:  ReasonNoUpstream,
 		Service: service,
 	}
-	for _, accepts := range f.preferences(now, v, p, not) {
+	for _, accepts := range f.preferences(now, v, p, not, f.spared(now, hosts)) {
 		u, n := f.best(hosts, k, accepts)
 		if u == nil {
 			continue
@@ -66,12 +69,31 @@
 	}
 }
 
+// spared returns which upstreams are spared since they are behind with their work:
+// none where too many are, as the others would get all new flows.
+func (f *Forwarder) spared(now time.Time, hosts []*directory.Upstream) func(*directory.Upstream) bool {
+	own, busy := 0, 0
+	for _, u := range hosts {
+		if u.Zone != f.zone {
+			continue
+		}
+		own++
+		if now.Before(f.healthOf(u).busy) {
+			busy++
+		}
+	}
+	if busy > own/maxBusyPart {
+		return func(*directory.Upstream) bool { return false }
+	}
+	return func(u *directory.Upstream) bool { return now.Before(f.healthOf(u).busy) }
+}
+
 // preferences returns which upstreams may take a new flow, the most wanted
 // first: those of the own zone, then others, then those that seem silent.
-func (f *Forwarder) preferences(now time.Time, v *directory.View, p *Packet, not *directory.Upstream) []func(*directory.Upstream) bool {
+func (f *Forwarder) preferences(now time.Time, v *directory.View, p *Packet, not *directory.Upstream, spared func(*directory.Upstream) bool) []func(*directory.Upstream) bool {
 	tried := f.attempts.of(p)
 	able := func(u *directory.Upstream) bool {
-		return u != not && !slices.Contains(tried, u.Ticket()) && !f.healthOf(u).avoided(now) && f.bears(now, v, u)
+		return u != not && !slices.Contains(tried, u.Ticket()) && !f.healthOf(u).avoided(now) && !spared(u) && f.bears(now, v, u)
 	}
 	return []func(*directory.Upstream) bool{
 		func(u *directory.Upstream) bool { return u.Zone == f.zone && able(u) },
--- a/flowlab/internal/emulation/emulation_test.go
+++ b/flowlab/internal/emulation/emulation_test.go
@@ -90,6 +90,43 @@
 	}
 }
 
+// TestOverloadIsNotMadeWorse states that what balancers tell each other of busy
+// hosts costs nothing where all are: the few that are not busy yet got all new
+// flows, and refused them.
+func TestOverloadIsNotMadeWorse(t *testing.T) {
+	for _, balancers := range []int{9, 90} {
+		l := readLoad(t, "overload")
+		l.Length.Duration = 8 * time.Second
+		o := Options{
+			Balancers: balancers,
+			Policy:    PolicyAlone,
+			Seed:      1,
+		}
+		alone := play(t, l, o)
+		o.Policy = PolicyProbed
+		require.GreaterOrEqual(t, play(t, l, o).Total().Share(), alone.Total().Share()-0.01, balancers)
+	}
+}
+
+// TestOverloadKeepsCapacity states that in the seconds in which more is asked than
+// the hosts can do, they do 90% of that in aim at least.
+func TestOverloadKeepsCapacity(t *testing.T) {
+	l := readLoad(t, "overload")
+	l.Length.Duration = 8 * time.Second
+	capacity := float64(l.Zones*l.Hosts.Count*l.Hosts.Slots) / l.Hosts.Work.Seconds()
+	for _, balancers := range []int{9, 90} {
+		r := play(t, l, Options{
+			Balancers: balancers,
+			Policy:    PolicyProbed,
+			Seed:      1,
+		})
+		for _, w := range r.Windows[5:7] {
+			require.Greater(t, float64(w.Asked), capacity)
+			require.Greater(t, float64(w.InAim), 0.9*capacity, balancers)
+		}
+	}
+}
+
 // TestNoLivingFlowIsReset plays all loads of the project.
 func TestNoLivingFlowIsReset(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join(loads, "*.toml"))
@@ -107,14 +144,9 @@
 				Seed:      2,
 			})
 			require.Zero(t, r.Broken)
-			bound := 0.8
-			if l.Name == "overload" {
-				// In a zone's burst 50 hosts with 2 slots and 60 ms of work bear
-				// 1,667 of 3,120 requests a second, over the whole time 0.60 of
-				// what is asked. 90% of that is to be answered in aim.
-				bound = 0.54
+			if l.Name != "overload" {
+				require.Greater(t, r.Total().Share(), 0.8)
 			}
-			require.Greater(t, r.Total().Share(), bound)
 		})
 	}
 }
