--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -18,6 +18,7 @@
 	abandoned    atomic.Uint64
 	stateChanges [flow.NumStates]atomic.Uint64
 	busy         atomic.Uint64
+	inquiries    [inquiryEventCount]atomic.Uint64
 	probes       [probeResultCount]atomic.Uint64
 	peers        [peerStateCount]atomic.Int64
 	malformed    atomic.Uint64
@@ -38,6 +39,38 @@
 // peerStateCount is the number of states of a member.
 const peerStateCount = int(member.Dead) + 1
 
+// An inquiryEvent is something that happens to an inquiry on an upstream's death.
+type inquiryEvent uint8
+
+// Events of inquiries. Those but the last one are counted at the balancer that inquires.
+const (
+	inquiryStarted inquiryEvent = iota
+	inquiryConfirmed
+	inquiryRefuted
+	// inquiryUnanswered means that this balancer ran behind and did not answer.
+	inquiryUnanswered
+)
+
+// inquiryEventCount is the number of events of inquiries.
+const inquiryEventCount = int(inquiryUnanswered) + 1
+
+// String returns the name of e.
+func (e inquiryEvent) String() string {
+	return [...]string{"started", "confirmed", "refuted", "unanswered"}[e]
+}
+
+// byInquiryEvent returns the number of inquiries by event.
+func (c *counters) byInquiryEvent() []sample {
+	samples := make([]sample, 0, inquiryEventCount)
+	for i := range c.inquiries {
+		samples = append(samples, sample{
+			value: int64(c.inquiries[i].Load()),
+			label: inquiryEvent(i).String(),
+		})
+	}
+	return samples
+}
+
 // newCounters returns counters of a daemon that starts at now.
 func newCounters(now time.Time) *counters {
 	c := &counters{}
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -18,75 +18,85 @@
 // reports on one upstream: one of them may fail.
 const watchersPerUpstream = 2
 
-// maxPeerNotices is the number of notices that may wait for the packet handler;
-// further ones are discarded, as peers send them again.
+// maxPeerNotices is the number of notices, and of inquiries, that may wait for the packet
+// handler; further ones are discarded, as peers send them again.
 const maxPeerNotices = 256
 
-// peerNotices queues notices until the packet handler takes them. It is safe for
-// concurrent use.
+// peerNotices queues what peers say of upstreams until the packet handler takes it. It is
+// safe for concurrent use.
 type peerNotices struct {
-	mu      sync.Mutex
-	notices []notice
+	mu        sync.Mutex
+	notices   []func(*packetHandler)
+	inquiries []receivedInquiry
 }
 
-// A notice says that an upstream is dead or busy, or refutes that it is dead.
-type notice struct {
-	ticket directory.Ticket
-	// receivedAt is when the notice arrived, and from when on it counts.
-	receivedAt time.Time
-	silence    time.Duration
-	// refutation is set if the upstream is alive, and busy if its answers are
-	// late.
-	refutation *flow.Refutation
-	busy       bool
-	// from is the balancer that announced a death; not valid if it is this one.
+// receivedInquiry is an inquiry and the balancer that sent it; from is not valid if it is
+// this one.
+type receivedInquiry struct {
+	flow.Inquiry
 	from netip.AddrPort
 }
 
 // add queues a notice unless the queue is full.
-func (s *peerNotices) add(b notice) {
+func (s *peerNotices) add(apply func(*packetHandler)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.notices) < maxPeerNotices {
-		s.notices = append(s.notices, b)
+		s.notices = append(s.notices, apply)
 	}
 }
 
-// drain removes and returns the queued notices.
-func (s *peerNotices) drain() []notice {
+// addInquiry queues an inquiry unless the queue is full.
+func (s *peerNotices) addInquiry(q receivedInquiry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.notices
-	s.notices = nil
-	return b
+	if len(s.inquiries) < maxPeerNotices {
+		s.inquiries = append(s.inquiries, q)
+	}
 }
 
-// applyPeerNotices applies the queued notices to the forwarder.
-func (t *packetHandler) applyPeerNotices(now time.Time) {
-	for _, b := range t.daemon.peerNotices.drain() {
-		switch {
-		case b.busy:
-			t.forwarder.MarkBusy(b.receivedAt, b.ticket)
-			t.daemon.counters.busy.Add(1)
-			t.daemon.log.Info(now, "upstream: busy", logs.F("upstream", t.daemon.upstreamID(b.ticket)))
-		case b.refutation != nil:
-			t.forwarder.MarkAlive(b.receivedAt, *b.refutation)
-			t.daemon.log.Info(now, "upstream: death refuted by a peer", logs.F("upstream", t.daemon.upstreamID(b.ticket)),
-				logs.F("progress_age_ms", b.refutation.Age.Milliseconds()))
-		default:
-			t.applyDeath(&b)
+// drain removes and returns the queued notices and inquiries.
+func (s *peerNotices) drain() ([]func(*packetHandler), []receivedInquiry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	notices, inquiries := s.notices, s.inquiries
+	s.notices, s.inquiries = nil, nil
+	return notices, inquiries
+}
+
+// applyPeerNotices applies the queued notices to the forwarder and answers the queued
+// inquiries.
+func (t *packetHandler) applyPeerNotices() {
+	notices, inquiries := t.daemon.peerNotices.drain()
+	for _, apply := range notices {
+		apply(t)
+	}
+	if len(inquiries) == 0 {
+		return
+	}
+	drained := t.handleQueued()
+	now := time.Now()
+	for i := range inquiries {
+		q := &inquiries[i]
+		if !drained {
+			t.daemon.counters.inquiries[inquiryUnanswered].Add(1)
+			t.daemon.log.Warn(now, "upstream: inquiry not answered, as packets are waiting", logs.F("upstream", t.daemon.upstreamID(q.Ticket)))
+			continue
 		}
+		t.answer(now, q)
 	}
 }
 
-// applyDeath marks an upstream dead, or refutes that it is.
-func (t *packetHandler) applyDeath(b *notice) {
-	r, refuted := t.forwarder.MarkDead(b.receivedAt, b.ticket, b.silence)
-	if !refuted {
-		return
+// answer answers an inquiry.
+func (t *packetHandler) answer(now time.Time, q *receivedInquiry) {
+	d := t.daemon
+	a := t.forwarder.Ask(now, q.Inquiry)
+	if a.Alive {
+		d.log.Info(now, "upstream: death refuted", logs.F("upstream", d.upstreamID(q.Ticket)), logs.F("inquiry", q.ID),
+			logs.F("progress_age_ms", a.Age.Milliseconds()), logs.F("silence_ms", q.Silence.Milliseconds()))
 	}
-	from := b.from
-	t.daemon.post(func(now time.Time) { t.daemon.syncer.refute(now, from, r) })
+	from := q.from
+	d.post(func(now time.Time) { d.syncer.sendAnswer(now, from, &a) })
 }
 
 // sendReports sends the forwarder's reports on silent upstreams to the balancers
@@ -105,7 +115,7 @@
 
 // sendReport sends a report to the balancers that watch its upstream.
 func (s *syncer) sendReport(now time.Time, r *flow.Report) {
-	for _, m := range s.tracker.Table().Ranked(uint64(r.Ticket), s.daemon.options.Zone, watchersPerUpstream) {
+	for _, m := range s.watchers(r.Ticket) {
 		if m.Incarnation == s.daemon.incarnation {
 			s.handleReport(now, s.daemon.incarnation, *r)
 			continue
@@ -114,13 +124,22 @@
 	}
 }
 
-// handleReport adds a report to those on the same upstream and announces to the
-// zone what they show together.
+// watchers returns the balancers of the zone that watch an upstream.
+func (s *syncer) watchers(t directory.Ticket) []member.Member {
+	return s.tracker.Table().Ranked(uint64(t), s.daemon.options.Zone, watchersPerUpstream)
+}
+
+// handleReport adds a report to those on the same upstream and acts on what they show
+// together.
 func (s *syncer) handleReport(now time.Time, sender uint64, r flow.Report) {
 	merged, found := s.detector.AddReport(now, sender, r, len(s.zonePeers())+1)
 	switch found {
 	case flow.FoundDead:
-		s.announceDeath(now, &merged)
+		if w := s.watchers(r.Ticket); len(w) > 0 && w[0].Incarnation != s.daemon.incarnation {
+			s.detector.StandBy(now, &merged)
+			return
+		}
+		s.inquire(now, &merged)
 	case flow.FoundBusy:
 		s.announceBusy(now, &merged)
 	case flow.FoundNothing:
@@ -130,13 +149,77 @@
 	}
 }
 
-// announceDeath announces to the zone that an upstream is dead.
-func (s *syncer) announceDeath(now time.Time, merged *flow.Report) {
-	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("silent_flows", merged.SilentFlows),
-		logs.F("repeats", merged.Retransmissions), logs.F("silence_ms", merged.Silence.Milliseconds()),
-		logs.F("refusals", merged.Refusals))
-	s.daemon.queueDeath(now, netip.AddrPort{}, merged)
-	s.sendHealth(s.zonePeers(), &wire.Health{Deaths: []*wire.Silence{wire.NewSilence(merged)}})
+// inquire asks the zone whether an upstream is dead.
+func (s *syncer) inquire(now time.Time, merged *flow.Report) {
+	peers := s.zonePeers()
+	balancers := make([]uint64, 0, len(peers)+1)
+	balancers = append(balancers, s.daemon.incarnation)
+	for _, m := range peers {
+		balancers = append(balancers, m.Incarnation)
+	}
+	q, ok := s.detector.Inquire(now, merged, balancers)
+	if !ok {
+		return
+	}
+	s.daemon.counters.inquiries[inquiryStarted].Add(1)
+	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("inquiry", q.ID),
+		logs.F("silent_flows", merged.SilentFlows), logs.F("repeats", merged.Retransmissions),
+		logs.F("silence_ms", merged.Silence.Milliseconds()), logs.F("refusals", merged.Refusals))
+	s.daemon.queueInquiry(receivedInquiry{Inquiry: q})
+	s.sendHealth(relays(peers), &wire.Health{Inquiries: []*wire.Inquiry{wire.NewInquiry(&q)}})
+}
+
+// sendAnswer sends an answer to the balancer that inquired.
+func (s *syncer) sendAnswer(now time.Time, to netip.AddrPort, a *flow.Answer) {
+	if !to.IsValid() {
+		s.handleAnswer(now, s.daemon.incarnation, *a)
+		return
+	}
+	s.sendHealth([]netip.AddrPort{to}, &wire.Health{Answers: []*wire.Answer{wire.NewAnswer(a)}})
+}
+
+// handleAnswer adds an answer to this balancer's inquiry, and tells the zone the outcome.
+func (s *syncer) handleAnswer(now time.Time, sender uint64, a flow.Answer) {
+	switch s.detector.AddAnswer(now, sender, a) {
+	case flow.Confirmed:
+		s.confirm(now, a.Ticket, a.ID)
+	case flow.Refuted:
+		s.refute(now, flow.Refutation{
+			Ticket: a.Ticket,
+			Age:    a.Age,
+		})
+	case flow.Undecided:
+	}
+}
+
+// checkInquiries ends the inquiries whose answers are overdue, and makes those that the
+// other watcher has not made in time.
+func (s *syncer) checkInquiries(now time.Time) {
+	for _, q := range s.detector.Overdue(now) {
+		s.confirm(now, q.Ticket, q.ID)
+	}
+	due := s.detector.Due(now)
+	for i := range due {
+		s.inquire(now, &due[i])
+	}
+}
+
+// confirm tells the zone that an upstream is dead.
+func (s *syncer) confirm(now time.Time, t directory.Ticket, id uint32) {
+	s.daemon.counters.inquiries[inquiryConfirmed].Add(1)
+	s.daemon.log.Info(now, "upstream: death confirmed", logs.F("upstream", s.daemon.upstreamID(t)), logs.F("inquiry", id))
+	s.daemon.queueConfirmation(now, t, id)
+	s.sendHealth(relays(s.zonePeers()), &wire.Health{Confirmations: []*wire.Confirmation{{
+		Ticket: uint32(t),
+		Id:     id,
+	}}})
+}
+
+// refute tells the zone that an upstream answers.
+func (s *syncer) refute(now time.Time, r flow.Refutation) {
+	s.daemon.counters.inquiries[inquiryRefuted].Add(1)
+	s.handleRefutation(now, r)
+	s.sendHealth(relays(s.zonePeers()), &wire.Health{Refutations: []*wire.Refutation{wire.NewRefutation(&r)}})
 }
 
 // announceBusy announces to the zone that an upstream is busy: its answers are
@@ -144,31 +227,42 @@
 func (s *syncer) announceBusy(now time.Time, merged *flow.Report) {
 	s.daemon.log.Info(now, "upstream: reported busy", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("late", merged.LateRequests))
 	s.daemon.queueBusy(now, merged.Ticket)
-	s.sendHealth(s.zonePeers(), &wire.Health{Busy: []uint32{uint32(merged.Ticket)}})
+	s.sendHealth(relays(s.zonePeers()), &wire.Health{Busy: []uint32{uint32(merged.Ticket)}})
 }
 
-// queueBusy queues the notice that an upstream is busy. It is applied with the
-// next packet.
-func (d *Daemon) queueBusy(now time.Time, t directory.Ticket) {
-	d.peerNotices.add(notice{
-		ticket:     t,
-		receivedAt: now,
-		busy:       true,
+// queueBusy queues the notice that an upstream is busy.
+func (d *Daemon) queueBusy(now time.Time, ticket directory.Ticket) {
+	d.queueNotice(func(t *packetHandler) {
+		t.forwarder.MarkBusy(now, ticket)
+		d.counters.busy.Add(1)
+		d.log.Info(now, "upstream: busy", logs.F("upstream", d.upstreamID(ticket)))
 	})
 }
 
-// queueDeath queues a balancer's announcement that an upstream is dead. It wakes
-// the packet handler at once, to refute the announcement in time, and again when
-// it takes effect.
-func (d *Daemon) queueDeath(now time.Time, from netip.AddrPort, r *flow.Report) {
-	d.peerNotices.add(notice{
-		ticket:     r.Ticket,
-		receivedAt: now,
-		silence:    r.Silence,
-		from:       from,
+// queueConfirmation queues the notice that an upstream is dead.
+func (d *Daemon) queueConfirmation(now time.Time, ticket directory.Ticket, id uint32) {
+	d.queueNotice(func(t *packetHandler) { t.forwarder.Confirm(now, ticket, id) })
+}
+
+// queueRefutation queues the notice that an upstream answers.
+func (d *Daemon) queueRefutation(now time.Time, r flow.Refutation) {
+	d.queueNotice(func(t *packetHandler) {
+		t.forwarder.MarkAlive(now, r)
+		d.log.Info(now, "upstream: death refuted by a peer", logs.F("upstream", d.upstreamID(r.Ticket)),
+			logs.F("progress_age_ms", r.Age.Milliseconds()))
 	})
+}
+
+// queueNotice queues a notice and wakes the packet handler.
+func (d *Daemon) queueNotice(apply func(*packetHandler)) {
+	d.peerNotices.add(apply)
+	d.wakePacketHandler()
+}
+
+// queueInquiry queues an inquiry and wakes the packet handler.
+func (d *Daemon) queueInquiry(q receivedInquiry) {
+	d.peerNotices.addInquiry(q)
 	d.wakePacketHandler()
-	time.AfterFunc(flow.RefutationTimeout, d.wakePacketHandler)
 }
 
 // wakePacketHandler ends the packet handler's wait for the next packet.
@@ -178,28 +272,10 @@
 	}
 }
 
-// refute tells the balancer that announced a death that the upstream answers.
-func (s *syncer) refute(now time.Time, from netip.AddrPort, r flow.Refutation) {
-	s.daemon.log.Info(now, "upstream: death refuted", logs.F("upstream", s.daemon.upstreamID(r.Ticket)), logs.F("progress_age_ms", r.Age.Milliseconds()))
-	if !from.IsValid() {
-		s.handleRefutation(now, r)
-		return
-	}
-	s.sendHealth([]netip.AddrPort{from}, &wire.Health{Refutations: []*wire.Refutation{wire.NewRefutation(&r)}})
-}
-
-// handleRefutation queues a refutation. The balancer that announced the death
-// passes it on to the zone.
+// handleRefutation applies a refutation.
 func (s *syncer) handleRefutation(now time.Time, r flow.Refutation) {
-	s.daemon.peerNotices.add(notice{
-		ticket:     r.Ticket,
-		receivedAt: now,
-		refutation: &r,
-	})
-	s.daemon.wakePacketHandler()
-	if s.detector.Refute(now, r) {
-		s.sendHealth(s.zonePeers(), &wire.Health{Refutations: []*wire.Refutation{wire.NewRefutation(&r)}})
-	}
+	s.detector.Refute(now, r)
+	s.daemon.queueRefutation(now, r)
 }
 
 // handleHealth handles a datagram on the health of upstreams.
@@ -212,9 +288,20 @@
 	for _, r := range m.GetReports() {
 		s.handleReport(now, m.GetSender(), r.Decode())
 	}
-	for _, v := range m.GetDeaths() {
-		r := v.Decode()
-		s.daemon.queueDeath(now, from, &r)
+	for _, v := range m.GetInquiries() {
+		s.detector.ObserveInquiry(now, directory.Ticket(v.GetTicket()))
+		s.daemon.queueInquiry(receivedInquiry{
+			Inquiry: v.Decode(),
+			from:    from,
+		})
+	}
+	for _, v := range m.GetAnswers() {
+		s.handleAnswer(now, m.GetSender(), v.Decode())
+	}
+	for _, v := range m.GetConfirmations() {
+		t := directory.Ticket(v.GetTicket())
+		s.detector.ObserveConfirmation(now, t)
+		s.daemon.queueConfirmation(now, t, v.GetId())
 	}
 	for _, v := range m.GetRefutations() {
 		s.handleRefutation(now, v.Decode())
@@ -247,14 +334,22 @@
 	return ""
 }
 
-// zonePeers returns the addresses of the other balancers of the zone that are not
-// dead.
-func (s *syncer) zonePeers() []netip.AddrPort {
-	var peers []netip.AddrPort
+// zonePeers returns the other balancers of the zone that are not dead.
+func (s *syncer) zonePeers() []member.Member {
+	var peers []member.Member
 	for _, m := range s.tracker.Members() {
 		if m.State != member.Dead && m.Zone == s.daemon.options.Zone && m.Incarnation != s.daemon.incarnation {
-			peers = append(peers, m.Relay)
+			peers = append(peers, m)
 		}
 	}
 	return peers
 }
+
+// relays returns the addresses of balancers for datagrams.
+func relays(members []member.Member) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Relay)
+	}
+	return addresses
+}
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -170,6 +170,12 @@
 			description: "Times that an upstream was taken to be behind with its work.",
 			samples:     singleSample(func() int64 { return int64(c.busy.Load()) }),
 		},
+		{
+			name:        "filbertflow.inquiries",
+			description: "Inquiries whether an upstream is dead, by what happened to them.",
+			attribute:   "event",
+			samples:     c.byInquiryEvent,
+		},
 		{
 			name:        "filbertflow.probes",
 			description: "Connections to upstreams that should have answered.",
--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -126,8 +126,11 @@
 			}
 			continue
 		}
-		data := slices.Clone(buffer[:n])
-		d.post(func(now time.Time) { d.syncer.handleDatagram(ctx, now, from, data) })
+		data, arrived := slices.Clone(buffer[:n]), time.Now()
+		d.post(func(now time.Time) {
+			d.syncer.detector.HandleBacklog(now, now.Sub(arrived))
+			d.syncer.handleDatagram(ctx, now, from, data)
+		})
 	}
 }
 
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -236,7 +236,9 @@
 
 // tick does the periodic work.
 func (s *syncer) tick(ctx context.Context, now time.Time) {
-	s.daemon.checkStall(now, true)
+	if s.daemon.checkStall(now, true) {
+		s.detector.HandleResume(now)
+	}
 	if pause := s.clock.SuspendedFor(now); pause > 0 {
 		s.daemon.log.Warn(now, "daemon: VM was suspended", logs.F("for_ms", pause.Milliseconds()))
 		s.tracker.HandleResume(now, now.Add(-pause))
@@ -244,6 +246,7 @@
 	for _, m := range s.tracker.Tick(now) {
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
 	}
+	s.checkInquiries(now)
 	s.updateOutage(now)
 	s.updateRoles(now)
 	s.daemon.counters.setStoreAge(now, s.tracker.PlatformAge(now))
--- a/filbertflow/internal/daemon/syncer_test.go
+++ b/filbertflow/internal/daemon/syncer_test.go
@@ -67,8 +67,19 @@
 	}
 	health, err := wire.AppendHealth(nil, &wire.Health{
 		Reports:     []*wire.Silence{wire.NewSilence(&r)},
-		Deaths:      []*wire.Silence{wire.NewSilence(&r)},
 		Refutations: []*wire.Refutation{{Ticket: 7}},
+		Inquiries: []*wire.Inquiry{{
+			Ticket: 7,
+			Id:     1,
+		}},
+		Answers: []*wire.Answer{{
+			Ticket: 7,
+			Id:     1,
+		}},
+		Confirmations: []*wire.Confirmation{{
+			Ticket: 7,
+			Id:     1,
+		}},
 	})
 	require.NoError(t, err)
 	outOfRange, err := wire.AppendHealth(nil, &wire.Health{
@@ -93,7 +104,7 @@
 		data []byte
 	}{
 		{
-			name: "reports, deaths and refutations",
+			name: "reports, inquiries, answers and their outcomes",
 			data: health,
 		},
 		{
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -18,6 +18,9 @@
 	packetBufferSize = 1 << 20
 	// maxDatagramSize is the size of the largest datagram that is read, in bytes.
 	maxDatagramSize = 2048
+	// maxQueuedPackets is the number of packets that are handled before an inquiry is
+	// answered. A balancer that has more waiting runs behind and does not answer.
+	maxQueuedPackets = 128
 )
 
 // forwardPackets handles clients' packets until ctx ends. Only its goroutine uses
@@ -26,10 +29,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = d.packets.Close() })
 	defer stop()
 	d.awaitView(ctx)
-	t := &packetHandler{
-		daemon:    d,
-		forwarder: flow.New(time.Now(), d.options.Zone, d),
-		buffer:    make([]byte, maxDatagramSize),
+	t, err := newPacketHandler(d)
+	if err != nil {
+		d.log.Warn(time.Now(), "packets: can't read", logs.F("error", err.Error()))
+		return
 	}
 	for ctx.Err() == nil {
 		t.handleNext()
@@ -63,6 +66,7 @@
 type packetHandler struct {
 	daemon    *Daemon
 	forwarder *flow.Forwarder
+	reader    *packetReader
 	buffer    []byte
 	reset     []byte
 	packet    flow.Packet
@@ -73,22 +77,58 @@
 	wakeScheduled bool
 }
 
-// handleNext reads and handles one packet.
+func newPacketHandler(d *Daemon) (*packetHandler, error) {
+	reader, err := newPacketReader(d.packets)
+	return &packetHandler{
+		daemon:    d,
+		forwarder: flow.New(time.Now(), d.options.Zone, d),
+		reader:    reader,
+		buffer:    make([]byte, maxDatagramSize),
+	}, err
+}
+
+// handleNext waits for a packet and handles it.
 func (t *packetHandler) handleNext() {
-	d := t.daemon
-	headroom := d.options.Headroom
-	n, err := d.packets.Read(t.buffer[headroom:])
+	n, err := t.reader.Read(t.buffer[t.daemon.options.Headroom:])
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		t.handleWake()
 		return
 	}
 	if err != nil {
-		if !errors.Is(err, net.ErrClosed) {
-			d.counters.socketErrors.Add(1)
-			d.log.Warn(time.Now(), "packets: can't read", logs.F("error", err.Error()))
+		t.recordReadError(err)
+		return
+	}
+	t.handlePacket(n)
+}
+
+// handleQueued handles the packets that have arrived, maxQueuedPackets at most. It
+// reports whether these were all.
+func (t *packetHandler) handleQueued() (drained bool) {
+	for range maxQueuedPackets {
+		n, ok, err := t.reader.TryRead(t.buffer[t.daemon.options.Headroom:])
+		switch {
+		case err != nil:
+			t.recordReadError(err)
+			return false
+		case !ok:
+			return true
 		}
+		t.handlePacket(n)
+	}
+	return false
+}
+
+func (t *packetHandler) recordReadError(err error) {
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
+	t.daemon.counters.socketErrors.Add(1)
+	t.daemon.log.Warn(time.Now(), "packets: can't read", logs.F("error", err.Error()))
+}
+
+// handlePacket handles a packet of n bytes that was read into the buffer.
+func (t *packetHandler) handlePacket(n int) {
+	d, headroom := t.daemon, t.daemon.options.Headroom
 	now := time.Now()
 	if err := d.options.Codec.Parse(t.buffer[headroom:headroom+n], &t.packet); err != nil {
 		d.counters.malformed.Add(1)
@@ -97,7 +137,7 @@
 	}
 	view := t.view()
 	t.checkResumed(now)
-	t.applyPeerNotices(now)
+	t.forwarder.HandleBacklog(now, t.reader.Waited(now))
 	decision := t.forwarder.Forward(now, view, &t.packet)
 	t.execute(n, &decision)
 	t.applyOutcomes(now, view)
@@ -120,10 +160,10 @@
 	if err := t.daemon.packets.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	now, view := time.Now(), t.view()
 	t.wakeScheduled = false
-	t.checkResumed(now)
-	t.applyPeerNotices(now)
+	t.checkResumed(time.Now())
+	t.applyPeerNotices()
+	now, view := time.Now(), t.view()
 	t.forwarder.Advance(now, view)
 	t.applyOutcomes(now, view)
 }
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -174,28 +174,39 @@
 }
 
 // TestPeerNoticesApplyWithoutPackets checks that a balancer that receives no
-// packets refutes a death in time, and resets its idle flows if nobody refutes
-// it. Both used to wait for the next packet, which was too late for the balancers
-// that had announced the death if there were many balancers.
+// packets answers an inquiry in time, and resets its idle flows if the death is
+// confirmed. Both used to wait for the next packet, which was too late for the
+// balancers that had inquired if there were many balancers.
 func TestPeerNoticesApplyWithoutPackets(t *testing.T) {
-	t.Run("refutes a death if there was progress since", func(t *testing.T) {
-		q := newIdleFlow(t)
-		q.daemon.queueDeath(time.Now(), netip.AddrPort{}, &flow.Report{
+	inquire := func(t *testing.T, q *idleFlow, silence time.Duration) {
+		t.Helper()
+		q.daemon.queueInquiry(receivedInquiry{Inquiry: flow.Inquiry{
 			Ticket:  q.upstream.Ticket(),
-			Silence: time.Minute,
-		})
+			ID:      1,
+			Silence: silence,
+		}})
 		select {
 		case <-q.daemon.events.C():
 		case <-time.After(time.Second):
-			t.Fatal("no refutation")
+			t.Fatal("no answer")
 		}
-		require.Zero(t, q.client.receive(2*flow.RefutationTimeout))
+		q.daemon.queueConfirmation(time.Now(), q.upstream.Ticket(), 1)
+	}
+	t.Run("refutes a death if there was progress since", func(t *testing.T) {
+		q := newIdleFlow(t)
+		inquire(t, q, time.Minute)
+		require.Zero(t, q.client.receive(200*time.Millisecond))
 	})
 	t.Run("resets idle flows of a dead upstream", func(t *testing.T) {
 		q := newIdleFlow(t)
-		q.daemon.queueDeath(time.Now(), netip.AddrPort{}, &flow.Report{Ticket: q.upstream.Ticket()})
+		inquire(t, q, 0)
 		require.Equal(t, platform.HeaderSize, q.client.receive(time.Second))
 	})
+	t.Run("resets nothing without an inquiry", func(t *testing.T) {
+		q := newIdleFlow(t)
+		q.daemon.queueConfirmation(time.Now(), q.upstream.Ticket(), 1)
+		require.Zero(t, q.client.receive(200*time.Millisecond))
+	})
 }
 
 // TestCrashedUpstreamIsProbed checks that an upstream's idle flows are reset soon
--- a/flow/death.go
+++ b/flow/death.go
@@ -1,24 +1,57 @@
 package flow
 
 import (
-	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
 )
 
-// pendingDeath is an announced death of an upstream. It takes effect at its deadline
-// unless a balancer refutes it first.
-type pendingDeath struct {
-	ticket   directory.Ticket
-	deadline time.Time
+// askedDeath is an inquiry that this balancer has answered without progress.
+type askedDeath struct {
+	id      uint32
+	askedAt time.Time
+}
+
+// Ask answers an inquiry. Unless this balancer has seen progress, new flows avoid the
+// upstream. Its packets that arrived before the inquiry must have been handled: one of
+// them may show progress.
+func (f *Forwarder) Ask(now time.Time, q Inquiry) Answer {
+	h := f.healthOfTicket(q.Ticket)
+	a := Answer{
+		Ticket: q.Ticket,
+		ID:     q.ID,
+	}
+	if age := now.Sub(h.lastProgress); !h.lastProgress.IsZero() && age < q.Silence {
+		a.Alive, a.Age = true, age
+		return a
+	}
+	h.backOff(now)
+	f.asked[q.Ticket] = askedDeath{
+		id:      q.ID,
+		askedAt: now,
+	}
+	return a
+}
+
+// Confirm applies the confirmation of an inquiry: the upstream's open flows are reset at
+// the next call of Advance. It is ignored if it comes late, since the upstream may have
+// recovered, or if the upstream has shown progress here since the inquiry.
+func (f *Forwarder) Confirm(now time.Time, t directory.Ticket, id uint32) {
+	a, ok := f.asked[t]
+	if !ok || a.id != id {
+		return
+	}
+	delete(f.asked, t)
+	if now.Sub(a.askedAt) < maxInquiryAge && !f.healthOfTicket(t).lastProgress.After(a.askedAt) {
+		f.confirmedDeaths = append(f.confirmedDeaths, t)
+	}
 }
 
 // MarkAlive applies a refutation: another balancer has seen progress of the upstream
-// since its death was announced. Retransmissions that came after that progress remain
+// since the inquiry on it. Retransmissions that came after that progress remain
 // evidence of silence.
 func (f *Forwarder) MarkAlive(now time.Time, r Refutation) {
-	f.pendingDeaths = slices.DeleteFunc(f.pendingDeaths, func(d pendingDeath) bool { return d.ticket == r.Ticket })
+	delete(f.asked, r.Ticket)
 	h := f.health[r.Ticket]
 	if h == nil {
 		return
@@ -40,38 +73,10 @@
 // MarkBusy records that other balancers found an upstream overloaded. New flows avoid
 // it for busyDuration.
 func (f *Forwarder) MarkBusy(now time.Time, t directory.Ticket) {
-	h := f.health[t]
-	if h == nil {
-		h = &health{}
-		f.health[t] = h
-	}
+	h := f.healthOfTicket(t)
 	h.busyUntil = now.Add(busyDuration)
 }
 
-// MarkDead applies an announcement that an upstream is dead, as it has been silent for
-// the given time. If this balancer has seen progress within that time, it returns a
-// refutation. Otherwise new flows avoid the upstream, and its open flows are reset
-// unless another balancer refutes the death within RefutationTimeout.
-func (f *Forwarder) MarkDead(now time.Time, t directory.Ticket, silence time.Duration) (r Refutation, refuted bool) {
-	h := f.health[t]
-	if h == nil {
-		h = &health{}
-		f.health[t] = h
-	}
-	if age := now.Sub(h.lastProgress); !h.lastProgress.IsZero() && age < silence {
-		return Refutation{
-			Ticket: t,
-			Age:    age,
-		}, true
-	}
-	h.backOff(now)
-	f.pendingDeaths = append(f.pendingDeaths, pendingDeath{
-		ticket:   t,
-		deadline: now.Add(RefutationTimeout),
-	})
-	return Refutation{}, false
-}
-
 // Reports returns the reports on silent upstreams and late requests since the last
 // call.
 func (f *Forwarder) Reports() []Report {
@@ -85,25 +90,42 @@
 // neither are the packets that queued up: their clients may have left.
 func (f *Forwarder) HandleResume(now time.Time) {
 	f.ignoreUntil = now.Add(resumeGracePeriod)
-	f.pendingDeaths = nil
+	clear(f.asked)
+	f.confirmedDeaths = nil
 	f.pendingOpenings, f.pendingRequests = nil, nil
 	for _, h := range f.health {
 		h.clearEvidence()
 	}
 }
 
+// HandleBacklog tells the forwarder that a packet which is handled now may have waited
+// for the given time. A balancer that runs behind takes its own backlog for the silence of
+// upstreams: clients have sent the retransmissions that it reads before it forwarded their
+// first packets.
+func (f *Forwarder) HandleBacklog(now time.Time, waited time.Duration) {
+	switch {
+	case waited < maxBacklog:
+	case now.Before(f.ignoreUntil):
+		f.ignoreUntil = now.Add(resumeGracePeriod)
+	default:
+		f.HandleResume(now)
+	}
+}
+
+// maxBacklog is how long a packet may wait before the balancer counts as running behind:
+// half of the time until a client retransmits.
+const maxBacklog = 100 * time.Millisecond
+
 // resumeGracePeriod is how long after a pause packets are ignored as evidence of
 // silence. A client gives up a first packet after 1.4 s, and the packets that queued
 // up are read within that time.
 const resumeGracePeriod = 1500 * time.Millisecond
 
-// applyDeaths resets the flows of upstreams whose death was not refuted in time.
-func (f *Forwarder) applyDeaths(now time.Time, v *directory.View) {
-	for len(f.pendingDeaths) > 0 && !now.Before(f.pendingDeaths[0].deadline) {
-		t, due := f.pendingDeaths[0].ticket, f.pendingDeaths[0].deadline
-		f.pendingDeaths = f.pendingDeaths[1:]
-		h := f.health[t]
-		if h == nil || h.state == Dead || h.lastProgress.After(due.Add(-RefutationTimeout)) {
+// applyDeaths resets the flows of upstreams whose death was confirmed.
+func (f *Forwarder) applyDeaths(v *directory.View) {
+	for _, t := range f.confirmedDeaths {
+		h := f.healthOfTicket(t)
+		if h.state == Dead {
 			continue
 		}
 		h.state = Dead
@@ -113,6 +135,7 @@
 		}
 		f.abandon(t)
 	}
+	f.confirmedDeaths = nil
 }
 
 // report adds a report for other balancers on an upstream's silence.
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -11,8 +11,7 @@
 	// reportLifetime is how long a balancer's report counts: longer than the time
 	// until a packet's second retransmission.
 	reportLifetime = time.Second
-	// deathInterval is the minimum time between two announcements of an upstream's
-	// death.
+	// deathInterval is the minimum time between two inquiries on an upstream.
 	deathInterval = 2 * time.Second
 	// minRefusals is the number of balancers that must find connections refused before
 	// the upstream is dead. In a zone with fewer balancers, all of them must.
@@ -22,9 +21,6 @@
 	minLateRequests = 2
 	// busyDuration is how long new flows avoid an overloaded upstream.
 	busyDuration = time.Second
-	// RefutationTimeout is how long an announced death waits for refutations by balancers
-	// that have seen progress since: a few round trips within a zone.
-	RefutationTimeout = 60 * time.Millisecond
 )
 
 // A Report is what one balancer has seen of an upstream's silence, or a sum of such
@@ -55,13 +51,12 @@
 	FoundNothing Finding = iota
 	// FoundBusy means that the upstream is overloaded.
 	FoundBusy
-	// FoundDead means that the upstream is dead, unless another balancer has seen
-	// progress in the meantime.
+	// FoundDead means that the upstream is dead, unless a balancer of the zone has seen
+	// progress in the meantime: an inquiry must confirm it.
 	FoundDead
 )
 
-// A Refutation contradicts an announced death: a balancer has seen progress of the
-// upstream.
+// A Refutation contradicts the death of an upstream: a balancer has seen progress.
 type Refutation struct {
 	Ticket directory.Ticket
 	// Age is the time since the last progress.
@@ -73,6 +68,14 @@
 // an upstream to detect its failure quickly. It is not safe for concurrent use.
 type Detector struct {
 	upstreams map[directory.Ticket]*evidence
+	// inquiries holds this balancer's inquiries that wait for answers, and lastID is
+	// the ID of the last one.
+	inquiries map[directory.Ticket]*openInquiry
+	lastID    uint32
+	// candidates holds the upstreams whose inquiry is left to the other watcher.
+	candidates map[directory.Ticket]candidate
+	// ignoreUntil is until when reports are ignored.
+	ignoreUntil time.Time
 }
 
 // evidence holds the reports on one upstream, by the sending balancer's incarnation.
@@ -87,9 +90,9 @@
 	// was last found busy.
 	lateAt []time.Time
 	busyAt time.Time
-	// announcedAt is when the upstream's death was announced; zero if it was not, or
-	// was refuted.
-	announcedAt time.Time
+	// inquiredAt is when the last inquiry was made here, or confirmed elsewhere; zero
+	// if none was, or if it was refuted.
+	inquiredAt time.Time
 	// lastProgress is the latest progress that a refutation reported.
 	lastProgress time.Time
 }
@@ -102,14 +105,20 @@
 
 // NewDetector returns a detector that has no reports.
 func NewDetector() *Detector {
-	return &Detector{upstreams: make(map[directory.Ticket]*evidence)}
+	return &Detector{
+		upstreams:  make(map[directory.Ticket]*evidence),
+		inquiries:  make(map[directory.Ticket]*openInquiry),
+		candidates: make(map[directory.Ticket]candidate),
+	}
 }
 
 // AddReport adds a report from the balancer with the given incarnation; balancers is the
 // number of live balancers in the zone. It returns the merged reports on the upstream
-// and what they show. A death is refuted by progress that another balancer has seen
-// within the merged report's Silence.
+// and what they show.
 func (d *Detector) AddReport(now time.Time, incarnation uint64, r Report, balancers int) (merged Report, found Finding) {
+	if now.Before(d.ignoreUntil) {
+		return r, FoundNothing
+	}
 	e := d.upstreams[r.Ticket]
 	if e == nil {
 		e = &evidence{
@@ -123,10 +132,9 @@
 	}
 	e.add(now, incarnation, r)
 	merged = e.merge(now, r.Ticket)
-	if !merged.conclusive(balancers) || !e.announcedAt.IsZero() && now.Sub(e.announcedAt) < deathInterval {
+	if !merged.conclusive(balancers) || now.Sub(e.inquiredAt) < deathInterval {
 		return merged, FoundNothing
 	}
-	e.announcedAt = now
 	if merged.refused(balancers) {
 		// Progress from before the refusal does not refute the death.
 		merged.Silence = 0
@@ -150,24 +158,23 @@
 }
 
 // Refute records that an upstream has shown progress, so that its silence counts from
-// then. It reports whether this is the first refutation of a death announced here.
-func (d *Detector) Refute(now time.Time, r Refutation) bool {
+// then.
+func (d *Detector) Refute(now time.Time, r Refutation) {
+	delete(d.candidates, r.Ticket)
 	e := d.upstreams[r.Ticket]
 	if e == nil {
-		return false
+		return
 	}
 	if at := now.Add(-r.Age); at.After(e.lastProgress) {
 		e.lastProgress = at
 	}
-	first := !e.announcedAt.IsZero()
-	e.announcedAt = time.Time{}
-	return first
+	e.inquiredAt = time.Time{}
 }
 
 // Prune forgets upstreams without recent reports.
 func (d *Detector) Prune(now time.Time) {
 	for t, e := range d.upstreams {
-		if e.merge(now, t); len(e.reports)+len(e.refusedAt) == 0 && now.Sub(e.busyAt) >= busyDuration && now.Sub(e.announcedAt) >= deathInterval {
+		if e.merge(now, t); len(e.reports)+len(e.refusedAt) == 0 && now.Sub(e.busyAt) >= busyDuration && now.Sub(e.inquiredAt) >= deathInterval {
 			delete(d.upstreams, t)
 		}
 	}
--- a/flow/detector_test.go
+++ b/flow/detector_test.go
@@ -79,9 +79,13 @@
 			d := NewDetector()
 			for i, h := range test.reports {
 				h.report.Ticket = 7
-				_, found := d.AddReport(start.Add(h.at), h.from, h.report, 3)
+				merged, found := d.AddReport(start.Add(h.at), h.from, h.report, 3)
 				dead := found == FoundDead
 				require.Equal(t, test.dead[i], dead, i)
+				if dead {
+					_, ok := d.Inquire(start.Add(h.at), &merged, []uint64{1, 2, 3})
+					require.True(t, ok)
+				}
 			}
 			d.Prune(start.Add(time.Minute))
 			require.Empty(t, d.upstreams)
@@ -97,10 +101,12 @@
 		// progress is whether the upstream has answered here in the meantime.
 		progress bool
 		refuted  bool
-		// answersLater is whether the upstream answers here after the announcement.
+		// answersLater is whether the upstream answers here after the inquiry.
 		answersLater bool
-		resets       int
-		zone         string
+		// confirmedAfter is the time from the inquiry to its confirmation.
+		confirmedAfter time.Duration
+		resets         int
+		zone           string
 	}{
 		{
 			name:   "open flows are reset if nobody refutes it",
@@ -113,7 +119,7 @@
 			zone:     "a",
 		},
 		{
-			name:         "the upstream answers after the announcement",
+			name:         "the upstream answers after the inquiry",
 			answersLater: true,
 			zone:         "a",
 		},
@@ -122,6 +128,11 @@
 			refuted: true,
 			zone:    "a",
 		},
+		{
+			name:           "the confirmation comes late",
+			confirmedAfter: maxInquiryAge,
+			zone:           "b",
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(t, 1)
@@ -133,8 +144,15 @@
 				f.advance(100 * time.Millisecond)
 			}
 			ticket := c.host.Ticket()
-			_, refuted := f.forwarder.MarkDead(f.now, ticket, 500*time.Millisecond)
-			require.Equal(t, test.progress, refuted)
+			a := f.forwarder.Ask(f.now, Inquiry{
+				Ticket:  ticket,
+				ID:      3,
+				Silence: 500 * time.Millisecond,
+			})
+			require.Equal(t, test.progress, a.Alive)
+			if test.progress {
+				require.Equal(t, 100*time.Millisecond, a.Age)
+			}
 			if test.refuted {
 				f.forwarder.MarkAlive(f.now, Refutation{Ticket: ticket})
 			}
@@ -143,7 +161,9 @@
 				f.advance(roundTrip)
 				c.acknowledgeAnswer()
 			}
-			f.advance(RefutationTimeout)
+			f.advance(test.confirmedAfter)
+			f.forwarder.Confirm(f.now, ticket, 2)
+			f.forwarder.Confirm(f.now, ticket, 3)
 			require.Equal(t, test.zone, f.client(boardAddress).open().Upstream.Zone)
 			require.Len(t, f.forwarder.Resets(), test.resets)
 		})
@@ -157,6 +177,8 @@
 	require.Empty(t, f.forwarder.Reports())
 	f.advance(200 * time.Millisecond)
 	c.retransmit()
+	require.Empty(t, f.forwarder.Reports(), "the balancer's own path may not work")
+	f.answerElsewhere()
 	require.Equal(t, []Report{{
 		Ticket:          c.host.Ticket(),
 		SilentFlows:     1,
@@ -194,6 +216,7 @@
 	f.advance(deadOpeningAge)
 	first.retransmit()
 	second.retransmit()
+	f.answerElsewhere()
 	f.client(boardAddress).open()
 	require.Empty(t, f.forwarder.Resets())
 	require.Empty(t, f.forwarder.Reports())
@@ -244,11 +267,18 @@
 		t.Run(test.name, func(t *testing.T) {
 			d := NewDetector()
 			now := time.Now()
-			_, found := d.AddReport(now, 1, silent(420*time.Millisecond), 3)
+			merged, found := d.AddReport(now, 1, silent(420*time.Millisecond), 3)
 			require.Equal(t, FoundDead, found)
-			r := Refutation{Age: test.age}
-			require.True(t, d.Refute(now, r))
-			require.False(t, d.Refute(now, r), "only the first refutation is announced")
+			q, ok := d.Inquire(now, &merged, []uint64{1, 2, 3})
+			require.True(t, ok)
+			alive := Answer{
+				ID:    q.ID,
+				Alive: true,
+				Age:   test.age,
+			}
+			require.Equal(t, Refuted, d.AddAnswer(now, 2, alive))
+			require.Equal(t, Undecided, d.AddAnswer(now, 3, alive), "only the first refutation is announced")
+			d.Refute(now, Refutation{Age: test.age})
 			joined, found := d.AddReport(now.Add(test.next), 1, silent(420*time.Millisecond+test.next), 3)
 			require.Equal(t, test.dead, found == FoundDead)
 			require.Equal(t, test.silence, joined.Silence)
@@ -263,7 +293,9 @@
 	first, second := f.client(boardAddress).establish(), f.client(boardAddress).establish()
 	first.request()
 	second.request()
-	f.advance(200 * time.Millisecond)
+	f.advance(100 * time.Millisecond)
+	f.answerElsewhere()
+	f.advance(100 * time.Millisecond)
 	first.retransmit()
 	ticket := first.host.Ticket()
 	f.forwarder.MarkAlive(f.now, Refutation{
--- a/flow/fixture_test.go
+++ b/flow/fixture_test.go
@@ -227,3 +227,26 @@
 	c.ack += 500
 	c.acknowledge()
 }
+
+// answerElsewhere lets host b0 answer a request that is sent now, which shows that the
+// balancer's own path works.
+func (f *fixture) answerElsewhere() {
+	f.t.Helper()
+	c := f.client(boardAddress)
+	c.host = f.upstream("b0")
+	c.ack = 5000
+	c.request()
+	c.acknowledgeAnswer()
+}
+
+// upstream returns the host with an ID.
+func (f *fixture) upstream(id string) *directory.Upstream {
+	f.t.Helper()
+	for _, u := range f.view().Eligible("board") {
+		if u.ID == id {
+			return u
+		}
+	}
+	require.Fail(f.t, "no host", id)
+	return nil
+}
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -22,16 +22,22 @@
 // A Forwarder makes the decisions of one balancer on packets, and tracks the flows and
 // the health of upstreams for that. It is not safe for concurrent use.
 type Forwarder struct {
-	zone          string
-	owners        Owners
-	idleTimeout   time.Duration
-	flows         *flowTable
-	health        map[directory.Ticket]*health
-	attempts      *attempts
-	stateChanges  []StateChange
-	resets        []Packet
-	reports       []Report
-	pendingDeaths []pendingDeath
+	zone         string
+	owners       Owners
+	idleTimeout  time.Duration
+	flows        *flowTable
+	health       map[directory.Ticket]*health
+	attempts     *attempts
+	stateChanges []StateChange
+	resets       []Packet
+	reports      []Report
+	// asked holds the inquiries that may still be confirmed, and confirmedDeaths the
+	// upstreams whose flows are to be reset.
+	asked           map[directory.Ticket]askedDeath
+	confirmedDeaths []directory.Ticket
+	// unproven holds the silent upstreams that are judged once this balancer's own
+	// path has proved to work.
+	unproven []*directory.Upstream
 	// pendingOpenings and pendingRequests are the packets whose answers are not due
 	// yet, ordered by deadline. toProbe holds the upstreams to probe, and
 	// requestProbedAt is when a late request last led to a probe.
@@ -64,6 +70,7 @@
 		idleTimeout: defaultIdleTimeout,
 		flows:       newFlowTable(now),
 		health:      make(map[directory.Ticket]*health),
+		asked:       make(map[directory.Ticket]askedDeath),
 		attempts:    newAttempts(),
 	}
 	for _, o := range options {
@@ -73,10 +80,9 @@
 }
 
 // Advance moves the forwarder's time to now without a packet. It resets the open flows
-// of upstreams whose death was not refuted in time, and checks the packets whose
-// answers were due.
+// of upstreams whose death was confirmed, and checks the packets whose answers were due.
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
-	f.applyDeaths(now, v)
+	f.applyDeaths(v)
 	f.checkPending(now)
 }
 
@@ -225,7 +231,7 @@
 		d.Action, d.Reason = Reject, ReasonReplaced
 	case f.healthOf(u).state == Dead:
 		d.Action, d.Reason = Reject, ReasonDead
-	case s.retransmissions >= flowRetransmissions && f.healthOf(u).lastProgress.Before(s.unansweredSince) && f.lastAnswered.After(s.unansweredSince):
+	case s.retransmissions >= flowRetransmissions && f.healthOf(u).lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince):
 		d.Action, d.Reason = Reject, ReasonSilent
 	}
 	return d
@@ -288,6 +294,7 @@
 	if h.recordProgress(now) {
 		f.recordStateChange(s.upstream, h, 0)
 	}
+	f.judgeUnproven(now)
 }
 
 // recordRetransmission records a packet that may retransmit an unanswered one of its
@@ -301,15 +308,12 @@
 	if now.Before(f.ignoreUntil) {
 		return
 	}
-	changed := h.recordRetransmission(now, s)
-	f.report(now, s.upstream.Ticket(), h)
-	if !changed {
-		return
-	}
-	f.recordStateChange(s.upstream, h, now.Sub(h.silentSince))
-	if h.state == Dead {
-		f.abandon(s.upstream.Ticket())
+	before := h.state
+	h.recordRetransmission(now, s)
+	if h.state != before {
+		f.recordStateChange(s.upstream, h, now.Sub(h.silentSince))
 	}
+	f.judgeSilence(now, s.upstream, h)
 }
 
 // abandon resets the open flows of a dead upstream, ordered by key.
@@ -439,7 +443,10 @@
 
 // healthOf returns the health of u, which is created if it is unknown.
 func (f *Forwarder) healthOf(u *directory.Upstream) *health {
-	t := u.Ticket()
+	return f.healthOfTicket(u.Ticket())
+}
+
+func (f *Forwarder) healthOfTicket(t directory.Ticket) *health {
 	h := f.health[t]
 	if h == nil {
 		h = &health{}
--- a/flow/health.go
+++ b/flow/health.go
@@ -110,9 +110,10 @@
 	// retransmissions is the number of their retransmissions.
 	silentFlows     int
 	retransmissions int
-	// silentSince is when the first unanswered packet was sent; zero unless
-	// silentFlows is positive.
-	silentSince time.Time
+	// silentSince is when the first unanswered packet was sent, and retransmittedSince
+	// when the first retransmission came; zero unless silentFlows is positive.
+	silentSince        time.Time
+	retransmittedSince time.Time
 	// lastRetransmission is when the last retransmission came.
 	lastRetransmission time.Time
 	// lastProgress is when the upstream last showed progress here, and
@@ -174,9 +175,10 @@
 }
 
 // checkOpenings marks the upstream dead if deadOpenings first packets are overdue, and
-// reports whether this changed its state.
-func (h *health) checkOpenings(now time.Time) bool {
-	if h.state == Dead || h.overdueOpenings(now) < deadOpenings {
+// reports whether this changed its state. The argument answered is when the latest packet
+// that any upstream has answered was sent.
+func (h *health) checkOpenings(now, answered time.Time) bool {
+	if h.state == Dead || h.overdueOpenings(now) < deadOpenings || !answered.After(h.openingTimes[deadOpenings-1]) {
 		return false
 	}
 	h.state = Dead
@@ -195,9 +197,9 @@
 	return h.openings > 0 && age >= lateOpeningAfter && age < openingRetryAfter
 }
 
-// recordRetransmission records a retransmission on a flow, and reports whether this
-// changed the upstream's state.
-func (h *health) recordRetransmission(now time.Time, s *flowState) bool {
+// recordRetransmission records a retransmission on a flow. The upstream is suspected if
+// several flows retransmit.
+func (h *health) recordRetransmission(now time.Time, s *flowState) {
 	returned := h.state != Answering && !now.Before(h.avoidUntil)
 	if stale := h.silentFlows > 0 && now.Sub(h.lastRetransmission) >= maxRetransmitInterval; returned || stale {
 		// The upstream may have recovered: only new evidence counts.
@@ -208,6 +210,9 @@
 	if s.epoch != h.epoch+1 {
 		s.epoch = h.epoch + 1
 		h.silentFlows++
+		if h.retransmittedSince.IsZero() {
+			h.retransmittedSince = now
+		}
 		if h.silentSince.IsZero() || s.unansweredSince.Before(h.silentSince) {
 			h.silentSince = s.unansweredSince
 		}
@@ -215,18 +220,17 @@
 			h.silentSince = h.lastProgressElsewhere
 		}
 	}
-	before := h.state
-	switch {
-	case h.silentFlows < suspectFlows:
-	case h.retransmissions >= deadRetransmissions && now.Sub(h.silentSince) >= deadAfter:
-		h.state = Dead
-	default:
+	if h.silentFlows >= suspectFlows {
 		h.state = max(h.state, Suspected)
 	}
 	if h.state != Answering {
 		h.backOff(now)
 	}
-	return h.state != before
+}
+
+// silentToDeath reports whether the evidence of silence shows that the upstream is dead.
+func (h *health) silentToDeath(now time.Time) bool {
+	return h.silentFlows >= suspectFlows && h.retransmissions >= deadRetransmissions && now.Sub(h.silentSince) >= deadAfter
 }
 
 // clearEvidence clears the evidence of silence and resets the state to Answering.
@@ -235,7 +239,7 @@
 		h.epoch++
 	}
 	h.silentFlows, h.retransmissions = 0, 0
-	h.silentSince = time.Time{}
+	h.silentSince, h.retransmittedSince = time.Time{}, time.Time{}
 	h.openings = 0
 	h.openedAt = time.Time{}
 	h.state = Answering
--- a/flow/place.go
+++ b/flow/place.go
@@ -63,7 +63,7 @@
 func (f *Forwarder) checkOpenings(now time.Time, hosts []*directory.Upstream) {
 	for _, u := range hosts {
 		h := f.healthOf(u)
-		if h.checkOpenings(now) {
+		if h.checkOpenings(now, f.lastAnswered) {
 			f.recordStateChange(u, h, now.Sub(h.silentSince))
 			f.abandon(u.Ticket())
 		}
--- a/flow/silent_test.go
+++ b/flow/silent_test.go
@@ -27,6 +27,8 @@
 	require.Equal(t, "b", f.client(boardAddress).open().Upstream.Zone, "two silent flows lead to a suspicion")
 	require.Empty(t, f.forwarder.Resets())
 	f.advance(300 * time.Millisecond)
+	require.Equal(t, Forward, first.retransmit().Action, "the balancer's own path may not work")
+	f.answerElsewhere()
 	require.Equal(t, Reject, first.retransmit().Action)
 	resets := f.forwarder.Resets()
 	require.Len(t, resets, 3)
@@ -139,6 +141,8 @@
 				flows = append(flows, f.client(boardAddress).establish())
 			}
 			test.run(f, flows)
+			f.answerElsewhere()
+			f.client(boardAddress).open()
 			require.Empty(t, f.forwarder.Resets())
 			require.Equal(t, Forward, flows[3].request().Action)
 		})
@@ -159,11 +163,13 @@
 	require.Equal(t, "b", retry.open().Upstream.Zone, "the client's next attempt goes elsewhere")
 	f.advance(lateOpeningAfter)
 	require.Equal(t, "b", f.client(boardAddress).open().Upstream.Zone, "so do other clients' flows")
-	for range deadOpenings {
+	for range deadOpenings - 1 {
 		f.advance(openingRetryAfter)
 		f.client(boardAddress).open()
 	}
-	f.advance(openingRetryAfter)
+	f.advance(deadOpeningAge)
+	require.False(t, f.forwarder.healthOf(c.host).checkOpenings(f.now, f.forwarder.lastAnswered), "the balancer's own path may not work")
+	f.answerElsewhere()
 	f.client(boardAddress).open()
 	resets := f.forwarder.Resets()
 	require.Len(t, resets, 1)
--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -14,6 +14,9 @@
 // the reports on a host.
 const reportReceivers = 2
 
+// inquiryInterval is the interval at which a balancer checks its inquiries.
+const inquiryInterval = 100 * time.Millisecond
+
 // balancer is an emulated balancer, which makes its decisions by filbertflow's
 // own code.
 type balancer struct {
@@ -23,6 +26,10 @@
 	down      bool
 	forwarder *flow.Forwarder
 	detector  *flow.Detector
+	// packets and messages are the clients' packets and the other balancers'
+	// messages that wait.
+	packets  backlog
+	messages backlog
 	// timerPending reports whether a call of handleTimer is scheduled.
 	timerPending bool
 }
@@ -48,13 +55,23 @@
 	b.id = b.emulation.rand.Uint64()
 	b.forwarder = flow.New(b.emulation.now, zoneName(b.zone), ownsAll{})
 	b.detector = flow.NewDetector()
+	b.packets = backlog{schedule: &b.emulation.schedule}
+	b.messages = backlog{schedule: &b.emulation.schedule}
+}
+
+// receive queues a packet from a client.
+func (b *balancer) receive(p flow.Packet, c *conn) {
+	arrived := b.emulation.now
+	b.packets.add(func() {
+		if !b.down {
+			b.forwarder.HandleBacklog(b.emulation.now, b.emulation.now.Sub(arrived))
+			b.handlePacket(p, c)
+		}
+	})
 }
 
 // handlePacket handles a packet from a client.
 func (b *balancer) handlePacket(p flow.Packet, c *conn) {
-	if b.down {
-		return
-	}
 	d := b.forwarder.Forward(b.emulation.now, b.emulation.view, &p)
 	switch d.Action {
 	case flow.Forward:
@@ -130,35 +147,55 @@
 	return peers
 }
 
+// send delivers a message to a balancer of the zone, unless that is down by then.
+func (b *balancer) send(to *balancer, handle func()) {
+	b.emulation.after(sameZoneDelay, func() {
+		arrived := b.emulation.now
+		to.messages.add(func() {
+			if to.down {
+				return
+			}
+			to.detector.HandleBacklog(b.emulation.now, b.emulation.now.Sub(arrived))
+			handle()
+		})
+	})
+}
+
 // sendReport sends a report on a host to the balancers that merge reports on
 // it.
 func (b *balancer) sendReport(r flow.Report) {
+	for rank, w := range b.watchers(r.Ticket) {
+		b.send(w, func() { w.handleReport(b.id, rank, r) })
+	}
+}
+
+// watchers returns the balancers that merge the reports on a host.
+func (b *balancer) watchers(t directory.Ticket) []*balancer {
 	peers := b.peers()
 	slices.SortFunc(peers, func(x, y *balancer) int {
-		return cmp.Compare(rendezvous.Score(uint64(r.Ticket), x.id), rendezvous.Score(uint64(r.Ticket), y.id))
+		return cmp.Compare(rendezvous.Score(uint64(t), x.id), rendezvous.Score(uint64(t), y.id))
 	})
-	for _, w := range peers[:min(reportReceivers, len(peers))] {
-		b.emulation.after(sameZoneDelay, func() { w.handleReport(b.id, r) })
-	}
+	return peers[:min(reportReceivers, len(peers))]
 }
 
-// handleReport merges a report with those of other balancers. It announces a
-// host found dead or busy to the zone. Otherwise it probes the host if the
-// detector asks for it.
-func (b *balancer) handleReport(sender uint64, r flow.Report) {
-	if b.down {
-		return
-	}
+// handleReport merges a report with those of other balancers. It starts an inquiry
+// on a host found dead, and tells the zone of a busy one. Otherwise it probes the
+// host if the detector asks for it. The watcher of the second rank leaves the inquiry
+// to the first one if that makes it in time.
+func (b *balancer) handleReport(sender uint64, rank int, r flow.Report) {
 	peers := b.peers()
 	merged, finding := b.detector.AddReport(b.emulation.now, sender, r, len(peers))
 	switch finding {
 	case flow.FoundDead:
-		for _, p := range peers {
-			b.emulation.after(sameZoneDelay, func() { p.handleDeath(b, merged) })
+		if rank == 0 {
+			b.inquire(&merged)
+			return
 		}
+		b.detector.StandBy(b.emulation.now, &merged)
+		b.emulation.after(inquiryInterval, b.checkInquiries)
 	case flow.FoundBusy:
 		for _, p := range peers {
-			b.emulation.after(sameZoneDelay, func() { p.forwarder.MarkBusy(b.emulation.now, r.Ticket) })
+			b.send(p, func() { p.forwarder.MarkBusy(b.emulation.now, r.Ticket) })
 		}
 	case flow.FoundNothing:
 		if !b.detector.ShouldProbe(b.emulation.now, b.id, r.Ticket) {
@@ -170,35 +207,85 @@
 	}
 }
 
-// handleDeath handles the announcement of a dead host by another balancer,
-// which it may refute.
-func (b *balancer) handleDeath(from *balancer, r flow.Report) {
-	if b.down {
+// inquire asks the zone whether a host is dead.
+func (b *balancer) inquire(merged *flow.Report) {
+	peers := b.peers()
+	ids := make([]uint64, 0, len(peers))
+	for _, p := range peers {
+		ids = append(ids, p.id)
+	}
+	q, ok := b.detector.Inquire(b.emulation.now, merged, ids)
+	if !ok {
 		return
 	}
-	if refutation, refuted := b.forwarder.MarkDead(b.emulation.now, r.Ticket, r.Silence); refuted {
-		b.emulation.after(sameZoneDelay, func() { from.handleRefutation(refutation) })
+	for _, p := range peers {
+		b.send(p, func() { p.answer(b, q) })
 	}
-	b.emulation.after(flow.RefutationTimeout, b.handleTimer)
+	b.emulation.after(inquiryInterval, b.checkInquiries)
 }
 
-// handleRefutation handles a refutation and forwards it to the zone the first
-// time.
-func (b *balancer) handleRefutation(r flow.Refutation) {
+// answer answers an inquiry after the packets that are queued.
+func (b *balancer) answer(from *balancer, q flow.Inquiry) {
+	if from != b {
+		b.detector.ObserveInquiry(b.emulation.now, q.Ticket)
+	}
+	b.packets.add(func() {
+		a := b.forwarder.Ask(b.emulation.now, q)
+		b.send(from, func() { from.handleAnswer(b.id, a) })
+	})
+}
+
+// handleAnswer handles an answer to an inquiry.
+func (b *balancer) handleAnswer(sender uint64, a flow.Answer) {
+	switch b.detector.AddAnswer(b.emulation.now, sender, a) {
+	case flow.Confirmed:
+		b.confirm(a.Ticket, a.ID)
+	case flow.Refuted:
+		r := flow.Refutation{
+			Ticket: a.Ticket,
+			Age:    a.Age,
+		}
+		for _, p := range b.peers() {
+			b.send(p, func() { p.handleRefutation(r) })
+		}
+	case flow.Undecided:
+	}
+}
+
+// checkInquiries ends the inquiries whose answers are overdue, and starts those that
+// the other watcher did not make in time.
+func (b *balancer) checkInquiries() {
 	if b.down {
 		return
 	}
-	b.forwarder.MarkAlive(b.emulation.now, r)
-	if !b.detector.Refute(b.emulation.now, r) {
-		return
+	for _, q := range b.detector.Overdue(b.emulation.now) {
+		b.confirm(q.Ticket, q.ID)
+	}
+	for _, r := range b.detector.Due(b.emulation.now) {
+		b.inquire(&r)
 	}
+	if b.detector.Waiting() {
+		b.emulation.after(inquiryInterval, b.checkInquiries)
+	}
+}
+
+// confirm tells the zone that a host is dead.
+func (b *balancer) confirm(t directory.Ticket, id uint32) {
 	for _, p := range b.peers() {
-		if p != b {
-			b.emulation.after(sameZoneDelay, func() { p.handleRefutation(r) })
-		}
+		b.send(p, func() {
+			p.detector.ObserveConfirmation(b.emulation.now, t)
+			p.forwarder.Confirm(b.emulation.now, t, id)
+			p.handleTimer()
+		})
 	}
 }
 
+// handleRefutation handles a refutation by any balancer of the zone.
+func (b *balancer) handleRefutation(r flow.Refutation) {
+	b.forwarder.MarkAlive(b.emulation.now, r)
+	b.detector.Refute(b.emulation.now, r)
+}
+
 // probe connects to a host and reports a refused connection.
 func (b *balancer) probe(id string) {
 	h := b.emulation.hosts[id]
--- a/flowlab/internal/emulation/emulation.go
+++ b/flowlab/internal/emulation/emulation.go
@@ -258,6 +258,8 @@
 		e.after(f.At.Duration, func() { e.addBurstUsers(f) })
 	case KindBalancers:
 		e.after(f.At.Duration, func() { e.failBalancers(f) })
+	case KindLag:
+		e.after(f.At.Duration, func() { e.slowBalancers(f) })
 	default:
 		e.after(f.At.Duration, func() { e.failHosts(f) })
 	}
@@ -333,6 +335,17 @@
 	}
 }
 
+// slowBalancers makes a share of each zone's balancers slow for the duration of a fault.
+func (e *emulation) slowBalancers(f *Fault) {
+	for _, balancers := range e.balancersByZone {
+		for _, i := range e.rand.Perm(len(balancers))[:countOf(f.Share, len(balancers))] {
+			b := balancers[i]
+			b.packets.delay, b.messages.delay = f.Delay.Duration, f.Delay.Duration
+			e.after(f.For.Duration, func() { b.packets.delay, b.messages.delay = 0, 0 })
+		}
+	}
+}
+
 // updateRotation makes a zone's routers use exactly its running balancers.
 func (e *emulation) updateRotation(zone int) {
 	e.inRotation[zone] = nil
--- a/flowlab/internal/emulation/emulation_test.go
+++ b/flowlab/internal/emulation/emulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -156,6 +157,26 @@
 	}
 }
 
+// TestSlowBalancersResetNoLiveFlow checks that balancers which run behind get no flows of
+// live hosts reset, and that dead hosts are still detected. The failure: a slow balancer
+// took its own backlog for the silence of a host, announced its death, and got to the
+// other balancers' objections after they had reset the host's flows.
+func TestSlowBalancersResetNoLiveFlow(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			l := readLoad(t, "lag")
+			r := play(t, l, Options{
+				Balancers: 90,
+				Policy:    PolicyProbed,
+				Seed:      seed,
+			})
+			require.Zero(t, r.LiveFlowResets)
+			require.Len(t, r.DetectionTimes, r.FailedHosts)
+		})
+	}
+}
+
 func TestPlayRefuses(t *testing.T) {
 	l := readLoad(t, "dark")
 	for _, o := range []Options{
@@ -211,6 +232,11 @@
 			text: good + users + `faults = [{ kind = "crash" }]`,
 			says: "share of crash",
 		},
+		{
+			name: "no delay",
+			text: good + users + `faults = [{ kind = "lag", share = 0.5 }]`,
+			says: "delay of lag",
+		},
 		{
 			name: "no factor",
 			text: good + users + `faults = [{ kind = "slow", share = 0.5 }]`,
--- a/flowlab/internal/emulation/load.go
+++ b/flowlab/internal/emulation/load.go
@@ -81,6 +81,9 @@
 	KindBurst = "burst"
 	// KindBalancers takes the power of balancers away.
 	KindBalancers = "balancers"
+	// KindLag makes balancers need Delay for each packet and each message, so that
+	// they fall behind and work through a backlog.
+	KindLag = "lag"
 )
 
 // A Fault describes a fault of a run. It begins At after the start and lasts For.
@@ -90,8 +93,9 @@
 	For  Duration `toml:"for"`
 	// Share is the share of each zone's hosts or balancers that the fault
 	// affects, above 0 and at most 1. KindBurst ignores it.
-	Share  float64 `toml:"share"`
-	Factor float64 `toml:"factor"`
+	Share  float64  `toml:"share"`
+	Factor float64  `toml:"factor"`
+	Delay  Duration `toml:"delay"`
 }
 
 // ReadLoad reads a load from a TOML file. The error is ErrLoad if the load is
@@ -139,6 +143,10 @@
 		if err := f.checkFactor(); err != nil {
 			return err
 		}
+	case KindLag:
+		if f.Delay.Duration <= 0 {
+			return eris.Wrapf(ErrLoad, "delay of %s must be positive", f.Kind)
+		}
 	case KindCrash, KindDark, KindBalancers:
 	default:
 		return eris.Wrapf(ErrLoad, "unknown kind of fault %q", f.Kind)
--- a/flowlab/internal/emulation/user.go
+++ b/flowlab/internal/emulation/user.go
@@ -187,7 +187,7 @@
 func (c *conn) transmit(p flow.Packet) {
 	e := c.user.emulation
 	if b := e.route(c.user.zone, c.client); b != nil {
-		e.after(clientDelay, func() { b.handlePacket(p, c) })
+		e.after(clientDelay, func() { b.receive(p, c) })
 	}
 }
 
--- a/wire/health.go
+++ b/wire/health.go
@@ -75,3 +75,41 @@
 		LateRequests:    int(x.GetLate()),
 	}
 }
+
+// NewInquiry returns the message for an inquiry.
+func NewInquiry(q *flow.Inquiry) *Inquiry {
+	return &Inquiry{
+		Ticket:  uint32(q.Ticket),
+		Id:      q.ID,
+		Silence: milliseconds(q.Silence),
+	}
+}
+
+// Decode returns the inquiry of the message.
+func (x *Inquiry) Decode() flow.Inquiry {
+	return flow.Inquiry{
+		Ticket:  directory.Ticket(x.GetTicket()),
+		ID:      x.GetId(),
+		Silence: duration(x.GetSilence()),
+	}
+}
+
+// NewAnswer returns the message for an answer to an inquiry.
+func NewAnswer(a *flow.Answer) *Answer {
+	return &Answer{
+		Ticket: uint32(a.Ticket),
+		Id:     a.ID,
+		Alive:  a.Alive,
+		Age:    milliseconds(a.Age),
+	}
+}
+
+// Decode returns the answer of the message.
+func (x *Answer) Decode() flow.Answer {
+	return flow.Answer{
+		Ticket: directory.Ticket(x.GetTicket()),
+		ID:     x.GetId(),
+		Alive:  x.GetAlive(),
+		Age:    duration(x.GetAge()),
+	}
+}
