--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -125,6 +125,8 @@
 	ranAt     atomic.Int64
 	resumedAt atomic.Int64
 	leaving   atomic.Bool
+	// leads tells that this balancer is the reader that the other zones rely on.
+	leads atomic.Bool
 	// leaveDone is closed when a leaving daemon may stop.
 	leaveDone chan struct{}
 	// events holds the functions that the syncer's goroutine is to run.
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -270,6 +270,10 @@
 		s.daemon.owners.Store(member.NewTable(t.Members()))
 	}
 	o := &s.daemon.options
+	if leads := rollout.Leads(s.table, o.Name); leads != s.daemon.leads.Load() {
+		s.daemon.leads.Store(leads)
+		s.daemon.log.Info(now, "store: leading reader changed", logs.F("leads", leads))
+	}
 	reads := readerPolicy.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Revision() > 0)
 	if reads == s.isReader {
 		return
--- a/member/table.go
+++ b/member/table.go
@@ -103,6 +103,19 @@
 	return t.members[i], true
 }
 
+// First reports whether no other alive member of any zone precedes a member in the
+// rendezvous order of a key.
+func (t *Table) First(key uint64, name string) bool {
+	own := rendezvous.Score(key, nameHash(name))
+	for i := range t.members {
+		m := &t.members[i]
+		if m.State == Alive && m.Name != name && rendezvous.Score(key, nameHash(m.Name)) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // Keeper returns the member that keeps an upstream: the one with the highest
 // rendezvous score among the alive members of the upstream's zone, or among all
 // alive members if the zone has none. Leaving members are not chosen, and
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -45,6 +45,13 @@
 	return rank < p.MaxReaders && age >= p.StandbyAfter*time.Duration(rank-p.Readers+1)
 }
 
+// Leads reports whether a member is the reader of the platform whose answers the other
+// zones rely on: the first of all zones' alive members in the rendezvous order. While views differ there may be several
+// leaders, or one that has failed: the readers of the other zones read, too, if less often.
+func Leads(t *member.Table, name string) bool {
+	return t.First(readerKey, name)
+}
+
 // Reads reports whether a member reads the platform under the default policy.
 func Reads(t *member.Table, name, zone string, age time.Duration, configured bool) bool {
 	return ReaderPolicy{
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -153,3 +153,53 @@
 	require.True(t, Reads(table, "lb-new", "zone-0", 0, true), "not part of the view")
 	require.True(t, Reads(table, "lb-0", "zone-0", 0, false), "no configuration")
 }
+
+// TestLeads checks that one reader of all zones leads, that another one replaces it when it
+// has failed, and that a zone which sees no other one has a leader.
+func TestLeads(t *testing.T) {
+	const zones = 5
+	var members []member.Member
+	for i := range 40 {
+		members = append(members, member.Member{
+			Name:  fmt.Sprintf("lb-%d", i),
+			Zone:  fmt.Sprintf("zone-%d", i%zones),
+			Relay: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400),
+		})
+	}
+	policy := ReaderPolicy{
+		Readers:    1,
+		MaxReaders: 1,
+	}
+	leader := func(members []member.Member) int {
+		table, found := member.NewTable(members), -1
+		for i, m := range members {
+			if m.State == member.Alive && Leads(table, m.Name) {
+				require.Negative(t, found, "one leader")
+				require.True(t, policy.Reads(table, m.Name, m.Zone, 0, true), "the leader reads")
+				found = i
+			}
+		}
+		require.GreaterOrEqual(t, found, 0)
+		return found
+	}
+	first := leader(members)
+	members[first].State = member.Dead
+	second := leader(members)
+	require.NotEqual(t, first, second)
+	members[first].State = member.Alive
+	for i := range members {
+		if members[i].Zone == members[first].Zone {
+			continue
+		}
+		members[i].State = member.Dead
+	}
+	require.Equal(t, first, leader(members))
+	for i := range members {
+		members[i].State = member.Dead
+		if members[i].Zone == members[second].Zone {
+			members[i].State = member.Alive
+		}
+	}
+	require.Equal(t, members[second].Zone, members[leader(members)].Zone, "a zone that is cut off")
+	require.True(t, Leads(member.NewTable(nil), "lb-new"), "a view without members")
+}
