fix: give inquiries of two watchers different IDs

Cause: both watchers of an upstream counted their inquiries from 1, so that a late confirmation of one could have matched an inquiry of the other; found in reading the change.

Change: IDs start at the incarnation. Inquiries that were never confirmed are forgotten with the idle flows.

Conclusion: a confirmation now belongs to one inquiry.

--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -86,7 +86,7 @@
 	s := &syncer{
 		daemon:   d,
 		dir:      directory.New(),
-		detector: flow.NewDetector(),
+		detector: flow.NewDetector(d.incarnation),
 		tracker: member.NewTracker(now, member.Member{
 			Name:        o.Name,
 			Zone:        o.Zone,
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -69,7 +69,8 @@
 type Detector struct {
 	upstreams map[directory.Ticket]*evidence
 	// inquiries holds this balancer's inquiries that wait for answers, and lastID is
-	// the ID of the last one.
+	// the ID of the last one. IDs start at the incarnation, so that those of two
+	// watchers differ.
 	inquiries map[directory.Ticket]*openInquiry
 	lastID    uint32
 	// candidates holds the upstreams whose inquiry is left to the other watcher.
@@ -103,9 +104,11 @@
 	at     time.Time
 }
 
-// NewDetector returns a detector that has no reports.
-func NewDetector() *Detector {
+// NewDetector returns the detector of the balancer with the given incarnation. It has no
+// reports.
+func NewDetector(incarnation uint64) *Detector {
 	return &Detector{
+		lastID:     uint32(incarnation),
 		upstreams:  make(map[directory.Ticket]*evidence),
 		inquiries:  make(map[directory.Ticket]*openInquiry),
 		candidates: make(map[directory.Ticket]candidate),
--- a/flow/detector_test.go
+++ b/flow/detector_test.go
@@ -76,7 +76,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Now()
-			d := NewDetector()
+			d := NewDetector(1)
 			for i, h := range test.reports {
 				h.report.Ticket = 7
 				merged, found := d.AddReport(start.Add(h.at), h.from, h.report, 3)
@@ -265,7 +265,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := NewDetector()
+			d := NewDetector(1)
 			now := time.Now()
 			merged, found := d.AddReport(now, 1, silent(420*time.Millisecond), 3)
 			require.Equal(t, FoundDead, found)
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -423,8 +423,8 @@
 	s.closed = true
 }
 
-// expireFlows forgets flows that have been idle for idleTimeout, and the health of
-// hosts that are gone.
+// expireFlows forgets flows that have been idle for idleTimeout, inquiries that were not
+// confirmed, and the health of hosts that are gone.
 func (f *Forwarder) expireFlows(now time.Time, v *directory.View) {
 	f.attempts.rotate(now)
 	forgotten := f.flows.rotate(now, f.idleTimeout)
@@ -434,6 +434,11 @@
 	for _, s := range forgotten {
 		f.closeFlow(s)
 	}
+	for t, a := range f.asked {
+		if now.Sub(a.askedAt) >= maxInquiryAge {
+			delete(f.asked, t)
+		}
+	}
 	for t, h := range f.health {
 		if h.load.Flows == 0 && v.ByTicket(t) == nil {
 			delete(f.health, t)
--- a/flow/inquiry_test.go
+++ b/flow/inquiry_test.go
@@ -11,7 +11,7 @@
 // inquiry.
 func inquiryOf(t *testing.T, now time.Time, silence time.Duration, balancers ...uint64) (*Detector, Inquiry) {
 	t.Helper()
-	d := NewDetector()
+	d := NewDetector(1)
 	merged, found := d.AddReport(now, 1, Report{
 		Ticket:          7,
 		SilentFlows:     3,
@@ -146,7 +146,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
-			d := NewDetector()
+			d := NewDetector(1)
 			r := Report{
 				Ticket:          7,
 				SilentFlows:     3,
--- a/flow/probe_test.go
+++ b/flow/probe_test.go
@@ -165,7 +165,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := NewDetector()
+			d := NewDetector(1)
 			now := time.Now()
 			d.AddReport(now, 9, Report{
 				SilentFlows:     1,
@@ -190,7 +190,7 @@
 // balancer's report.
 func TestShouldProbe(t *testing.T) {
 	const own, other = 1, 2
-	d := NewDetector()
+	d := NewDetector(1)
 	now := time.Now()
 	require.False(t, d.ShouldProbe(now, own, 0))
 	d.AddReport(now, other, Report{Refusals: 1}, 3)
@@ -204,7 +204,7 @@
 // TestBusy checks when late requests show that an upstream is overloaded.
 func TestBusy(t *testing.T) {
 	late := Report{LateRequests: 1}
-	d := NewDetector()
+	d := NewDetector(1)
 	now := time.Now()
 	for _, test := range []struct {
 		name  string
--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -54,7 +54,7 @@
 	b.down = false
 	b.id = b.emulation.rand.Uint64()
 	b.forwarder = flow.New(b.emulation.now, zoneName(b.zone), ownsAll{})
-	b.detector = flow.NewDetector()
+	b.detector = flow.NewDetector(b.id)
 	b.packets = backlog{schedule: &b.emulation.schedule}
 	b.messages = backlog{schedule: &b.emulation.schedule}
 }
