--- a/filbertctl/internal/cmd/showstatus.go
+++ b/filbertctl/internal/cmd/showstatus.go
@@ -19,6 +19,9 @@
 type showStatus struct {
 	Admin    []addressFlag `long:"admin" value-name:"IP:PORT" description:"A balancer's admin endpoint; may be repeated"`
 	Platform urlFlag       `long:"platform" value-name:"URL" description:"URL of the platform; shows the balancers in its list of VMs"`
+	Zone     string        `long:"zone" value-name:"ZONE" description:"Show the balancers of this zone only"`
+	ByZone   bool          `long:"by-zone" description:"Show a line for each zone and the balancers that differ; the default above 30 balancers"`
+	All      bool          `long:"all" description:"Show a line for each balancer and upstream, however many there are"`
 
 	config *Config
 }
@@ -36,7 +39,17 @@
 		return err
 	}
 	reports := fleet.Gather(o.config.Context, o.config.HTTP, targets)
+	if o.Zone != "" {
+		reports = slices.DeleteFunc(reports, func(r fleet.Report) bool { return zoneOf(&r) != o.Zone })
+		if len(reports) == 0 {
+			return eris.Errorf("no balancer of zone %q", o.Zone)
+		}
+	}
 	err = o.config.write(StatusResult{Balancers: reports}, func(w io.Writer) {
+		if o.ByZone || !o.All && len(reports) > maxListedBalancers {
+			printZones(w, reports)
+			return
+		}
 		printBalancers(w, reports)
 		printUpstreams(w, reports)
 	})
@@ -51,6 +64,9 @@
 	if (len(o.Admin) == 0) == (o.Platform.Host == "") {
 		return nil, usageErrorf("either --admin or --platform is needed")
 	}
+	if o.ByZone && o.All {
+		return nil, usageErrorf("--by-zone and --all exclude each other")
+	}
 	if len(o.Admin) == 0 {
 		vms, err := o.config.platform(o.Platform).VMs(o.config.Context)
 		return fleet.Targets(vms), err
--- a/filbertctl/internal/cmd/trace.go
+++ b/filbertctl/internal/cmd/trace.go
@@ -21,6 +21,7 @@
 // A trace shows the lines of balancers' logs that concern a request or a flow.
 type trace struct {
 	Logs []string `long:"log" value-name:"FILE" required:"true" description:"A balancer's log; may be repeated"`
+	All  bool     `long:"all" description:"Show each balancer's line on an event that more than five balancers tell of"`
 
 	Arguments struct {
 		ID string `positional-arg-name:"ID" description:"A request's id, or a flow as IP:PORT of its client"`
@@ -64,6 +65,9 @@
 		}
 		return eris.Errorf("no log line mentions %q", o.Arguments.ID)
 	}
+	if !o.All {
+		result.Lines = summarizeEvents(result.Lines)
+	}
 	return o.config.write(result, func(w io.Writer) {
 		for i := range result.Lines {
 			printf(w, "%s\n", result.Lines[i].String())
