test: measure placements against one that knows all queues, speeds and failures

Cause: nothing said how far the placement of new flows is from the best possible one in the shapes of the deployments.

Change: flowlab's placement `known`; loads few-* and many-*; a refused request is retried on a new flow, as the users' clients do (the emulator used the same flow).

--- a/flowlab/internal/emulation/emulation.go
+++ b/flowlab/internal/emulation/emulation.go
@@ -58,7 +58,7 @@
 var Policies = []string{PolicyAlone, PolicyShared, PolicyProbed}
 
 // Placements are ways to choose the host of a new flow: that of the balancer,
-// and others to compare it with. The last two use knowledge that no balancer
+// and others to compare it with. The last three use knowledge that no balancer
 // has.
 const (
 	// PlacementForwarder is the choice of the balancer itself.
@@ -71,10 +71,14 @@
 	// PlacementLeastFlows chooses the host with the fewest open flows. It uses
 	// the flows of all balancers, which no balancer knows.
 	PlacementLeastFlows = "least flows"
+	// PlacementKnown chooses the host, of any zone, that would answer a request
+	// first. It knows all queues, speeds and failures, and is the bound that
+	// other placements are compared with.
+	PlacementKnown = "known"
 )
 
 // Placements are all placements.
-var Placements = []string{PlacementForwarder, PlacementRendezvous, PlacementTwoChoices, PlacementLeastFlows}
+var Placements = []string{PlacementForwarder, PlacementRendezvous, PlacementTwoChoices, PlacementLeastFlows, PlacementKnown}
 
 // ErrOptions reports invalid options.
 var ErrOptions = eris.New("invalid options")
--- a/flowlab/internal/emulation/placement_test.go
+++ b/flowlab/internal/emulation/placement_test.go
@@ -104,3 +104,59 @@
 		})
 	}
 }
+
+// TestPlacementNearBound checks that balancers with the shapes of real deployments answer at
+// most 0.03 less of the requests on time than a placement that knows all queues, speeds and
+// failures, while load is at its worst.
+func TestPlacementNearBound(t *testing.T) {
+	const tolerance = 0.03
+	for _, test := range []struct {
+		load      string
+		balancers int
+		seeds     uint64
+	}{
+		{
+			load:      "few-burst",
+			balancers: 6,
+			seeds:     3,
+		},
+		{
+			load:      "few-slow",
+			balancers: 6,
+			seeds:     10,
+		},
+		{
+			load:      "many-burst",
+			balancers: 295,
+			seeds:     1,
+		},
+		{
+			load:      "many-slow",
+			balancers: 295,
+			seeds:     1,
+		},
+		{
+			load:      "many-loss",
+			balancers: 295,
+			seeds:     1,
+		},
+	} {
+		t.Run(test.load, func(t *testing.T) {
+			t.Parallel()
+			l := readLoad(t, test.load)
+			share := make(map[string]float64)
+			for _, placement := range []string{PlacementForwarder, PlacementKnown} {
+				for seed := range test.seeds {
+					r := play(t, l, Options{
+						Balancers: test.balancers,
+						Policy:    PolicyProbed,
+						Placement: placement,
+						Seed:      seed + 1,
+					})
+					share[placement] += r.Total().OnTimeShare() / float64(test.seeds)
+				}
+			}
+			require.GreaterOrEqual(t, share[PlacementForwarder], share[PlacementKnown]-tolerance)
+		})
+	}
+}
--- a/flowlab/internal/emulation/user.go
+++ b/flowlab/internal/emulation/user.go
@@ -252,6 +252,8 @@
 		r.finish(true)
 		return
 	}
+	// Each further attempt uses a new flow.
+	c.finish()
 	r.retry(false)
 }
 
