fix: let all readers' watches wait one second again

Cause: since one reader leads, the others let a watch wait 1.5 s.

Change: only the delay after changes differs between the leader and the others.

--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -17,10 +17,10 @@
 	// batchDelay is the time from an answer with changes until the next watch, so
 	// that changes that come together cost one call.
 	batchDelay = 300 * time.Millisecond
-	// followerWait and followerDelay are these times at readers that don't lead.
-	// Peers tell them of changes sooner; without these they are followerDelay
-	// late, a third of the shortest time allowed for a change.
-	followerWait  = 1500 * time.Millisecond
+	// followerDelay is batchDelay at readers that don't lead. Peers tell them of
+	// changes sooner; without these they are followerDelay late, a third of the
+	// shortest time allowed for a change. Their watches wait no longer than the
+	// leader's: a zone takes the store for silent after outageThreshold.
 	followerDelay = time.Second
 	// minRetryDelay and maxRetryDelay bound the exponential backoff after failed
 	// calls.
@@ -87,24 +87,21 @@
 	r.after = max(r.after, delta.Revision)
 	d.post(func(now time.Time) { d.syncer.applyStoreDelta(now, delta) })
 	if len(delta.Items) > 0 && !listed {
-		_, delay := d.readerTimes()
-		sleep(ctx, delay)
+		sleep(ctx, d.watchDelay())
 	}
 }
 
-// readerTimes returns how long a watch waits, and the time from an answer with changes
-// until the next watch.
-func (d *Daemon) readerTimes() (wait, delay time.Duration) {
+// watchDelay returns the time from an answer with changes until the next watch.
+func (d *Daemon) watchDelay() time.Duration {
 	if d.leads.Load() {
-		return watchWait, batchDelay
+		return batchDelay
 	}
-	return followerWait, followerDelay
+	return followerDelay
 }
 
 func (r *reader) fetch(ctx context.Context) (*directory.Delta, error) {
 	if r.after > 0 {
-		wait, _ := r.daemon.readerTimes()
-		return r.daemon.source.Watch(ctx, r.after, wait)
+		return r.daemon.source.Watch(ctx, r.after, watchWait)
 	}
 	return r.daemon.source.List(ctx, r.stale)
 }
