feat: let the leading reader send changes to all zones

Change: the leader sends its changes to two entry points of each other zone, which act as the roots of their zone's relay tree. The tree is a decision of package rollout now, without sockets, and tested there.

--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -18,13 +17,11 @@
 	"filbertworks.example/filbertworks/directory"
 	"filbertworks.example/filbertworks/filbertflow/internal/logs"
 	"filbertworks.example/filbertworks/member"
-	"filbertworks.example/filbertworks/rendezvous"
+	"filbertworks.example/filbertworks/rollout"
 	"filbertworks.example/filbertworks/wire"
 )
 
 const (
-	// fanOut is the number of peers that a balancer relays changes to.
-	fanOut = 6
 	// maxDeltaSize is the greatest size of a datagram with changes, in bytes: it
 	// fits an unfragmented packet of an Ethernet link.
 	maxDeltaSize = 1200
@@ -226,10 +223,14 @@
 	return records, eris.Wrap(err, "parse peer's records")
 }
 
-// relayChanges sends the changes since a revision to this balancer's children in
-// the relay tree whose root is origin.
+// relayChanges sends the changes since a revision, which the balancer origin has read
+// from the store, to this balancer's children in the relay tree.
 func (s *syncer) relayChanges(now time.Time, since, origin uint64) {
-	peers := s.children(origin)
+	self := &member.Member{
+		Zone:        s.daemon.options.Zone,
+		Incarnation: s.daemon.incarnation,
+	}
+	peers := rollout.RelayTargets(s.tracker.Members(), self, origin, s.daemon.leads.Load())
 	if len(peers) == 0 {
 		return
 	}
@@ -275,34 +276,3 @@
 	}
 	return all
 }
-
-// children returns the peers of the zone to which this balancer relays the
-// changes that origin has read from the store. All balancers with the same view
-// of the membership compute the same tree.
-func (s *syncer) children(origin uint64) []netip.AddrPort {
-	type node struct {
-		score uint64
-		relay netip.AddrPort
-		own   bool
-	}
-	var nodes []node
-	for _, m := range s.tracker.Members() {
-		if m.State == member.Dead || m.Zone != s.daemon.options.Zone || m.Incarnation == origin {
-			continue
-		}
-		nodes = append(nodes, node{
-			score: rendezvous.Score(origin, m.Incarnation),
-			relay: m.Relay,
-			own:   m.Incarnation == s.daemon.incarnation,
-		})
-	}
-	slices.SortFunc(nodes, func(a, b node) int { return cmp.Compare(a.score, b.score) })
-	index := slices.IndexFunc(nodes, func(p node) bool { return p.own })
-	// The origin is the root; the other nodes follow it from index 0.
-	first := (index + 1) * fanOut
-	var peers []netip.AddrPort
-	for i := first; i < min(first+fanOut, len(nodes)); i++ {
-		peers = append(peers, nodes[i].relay)
-	}
-	return peers
-}
