fix: report silent upstreams without a proof of the own path

Cause: since inquiries, a balancer reported an upstream's silence only after another one had answered it. Where all hosts of a zone go dark at once its balancers get no answers at all, so nobody reported, the hosts kept getting new flows, and flows waited for seconds. Ruled out: the vote; it took 4 ms.

Change: reports go out at each retransmission, as before inquiries; the proof is asked for only where a balancer resets flows by its own evidence, without the zone.

Tests: TestSilenceReports is as it was before inquiries, without an answer from elsewhere.

--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -313,6 +313,7 @@
 	if h.state != before {
 		f.recordStateChange(s.upstream, h, now.Sub(h.silentSince))
 	}
+	f.report(now, s.upstream.Ticket(), h)
 	f.judgeSilence(now, s.upstream, h)
 }
 
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -15,22 +15,22 @@
 	return f.lastAnswered.After(t)
 }
 
-// judgeSilence judges an upstream by its silence: it reports the silence to other
-// balancers and resets the flows of an upstream that is dead. If this balancer's own
-// path has not proved to work since the silence began, it does so later.
+// judgeSilence resets the flows of an upstream that is dead by this balancer's evidence
+// alone. That takes a proof that the balancer's own path works; without one the upstream is
+// judged again when the proof comes. Reports need none, since the zone is asked first.
 func (f *Forwarder) judgeSilence(now time.Time, u *directory.Upstream, h *health) {
-	if !f.pathWorkedAfter(h.silentSince) {
+	if h.state == Dead || !h.silentToDeath(now) {
+		return
+	}
+	if !f.pathWorkedAfter(h.retransmittedSince) {
 		if !slices.Contains(f.unproven, u) {
 			f.unproven = append(f.unproven, u)
 		}
 		return
 	}
-	f.report(now, u.Ticket(), h)
-	if h.state != Dead && h.silentToDeath(now) && f.pathWorkedAfter(h.retransmittedSince) {
-		h.state = Dead
-		f.recordStateChange(u, h, now.Sub(h.silentSince))
-		f.abandon(u.Ticket())
-	}
+	h.state = Dead
+	f.recordStateChange(u, h, now.Sub(h.silentSince))
+	f.abandon(u.Ticket())
 }
 
 // judgeUnproven judges the upstreams that have waited for a proof of this balancer's own
@@ -39,8 +39,6 @@
 	waiting := f.unproven
 	f.unproven = nil
 	for _, u := range waiting {
-		if h := f.healthOf(u); h.silentFlows > 0 {
-			f.judgeSilence(now, u, h)
-		}
+		f.judgeSilence(now, u, f.healthOf(u))
 	}
 }
