--- a/flowlab/internal/emulation/placement_test.go
+++ b/flowlab/internal/emulation/placement_test.go
@@ -114,36 +114,43 @@
 		load      string
 		balancers int
 		seeds     uint64
+		length    time.Duration
 	}{
 		{
 			load:      "few-burst",
 			balancers: 6,
 			seeds:     3,
+			length:    12 * time.Second,
 		},
 		{
 			load:      "few-slow",
 			balancers: 6,
 			seeds:     10,
+			length:    12 * time.Second,
 		},
 		{
 			load:      "many-burst",
 			balancers: 295,
 			seeds:     1,
+			length:    8 * time.Second,
 		},
 		{
 			load:      "many-slow",
 			balancers: 295,
 			seeds:     1,
+			length:    8 * time.Second,
 		},
 		{
 			load:      "many-loss",
 			balancers: 295,
 			seeds:     1,
+			length:    8 * time.Second,
 		},
 	} {
 		t.Run(test.load, func(t *testing.T) {
 			t.Parallel()
 			l := readLoad(t, test.load)
+			l.Length.Duration = test.length
 			share := make(map[string]float64)
 			for _, placement := range []string{PlacementForwarder, PlacementKnown} {
 				for seed := range test.seeds {
