test: run the emulator's overload tests beside the others

Cause: two of them took 196 of 298 s of the race run, one after the other.

Change: they run in parallel with the other tests of the package.

--- a/flowlab/internal/emulation/emulation_test.go
+++ b/flowlab/internal/emulation/emulation_test.go
@@ -35,6 +35,7 @@
 
 // TestSameSeedSameResult checks that a run is reproducible from its seed.
 func TestSameSeedSameResult(t *testing.T) {
+	t.Parallel()
 	l := readLoad(t, "dark")
 	l.Length.Duration = 6 * time.Second
 	o := Options{
@@ -113,6 +114,7 @@
 // the few hosts that are not reported busy yet get all new flows, and refuse
 // them.
 func TestOverloadIsNotMadeWorse(t *testing.T) {
+	t.Parallel()
 	for _, balancers := range []int{9, 90} {
 		l := readLoad(t, "overload")
 		l.Length.Duration = 8 * time.Second
@@ -131,6 +133,7 @@
 // sent than the hosts have capacity for, they answer at least 90% of their
 // capacity on time.
 func TestOverloadKeepsCapacity(t *testing.T) {
+	t.Parallel()
 	l := readLoad(t, "overload")
 	l.Length.Duration = 8 * time.Second
 	capacity := float64(l.Zones*l.Hosts.Count*l.Hosts.Slots) / l.Hosts.Work.Seconds()
