fix: let the death of an upstream expire

Seen: in the users' report, flows of serving hosts were reset by a balancer of a zone that had been cut off. Not shown to be this fault.

Cause: a balancer that has found a host dead kept that state until the host answered one of its own packets, or a packet was repeated here two seconds after the last repeat. Two kinds of flows of a host that had long been back were reset by it: a flow that came here from another balancer and repeated one packet, if other clients had repeated packets meanwhile; and a flow that this balancer had reset before without reaching its client (it had moved to another balancer, which knows later sequence numbers), at its next packet and without any time limit.

Change: a death counts for two seconds from the time when it was found (deathLifetime). After that the upstream is suspected: new flows avoid it as long as before, and open flows are reset by new evidence only.

Conclusion: a balancer's verdict can't reset a flow more than two seconds after its evidence.

--- a/flow/death.go
+++ b/flow/death.go
@@ -122,13 +122,14 @@
 const resumeGracePeriod = 1500 * time.Millisecond
 
 // applyDeaths resets the flows of upstreams whose death was confirmed.
-func (f *Forwarder) applyDeaths(v *directory.View) {
+func (f *Forwarder) applyDeaths(now time.Time, v *directory.View) {
 	for _, t := range f.confirmedDeaths {
 		h := f.healthOfTicket(t)
+		h.expireDeath(now)
 		if h.state == Dead {
 			continue
 		}
-		h.state = Dead
+		h.markDead(now)
 		if u := v.ByTicket(t); u != nil {
 			f.recordStateChange(u, h, 0)
 			f.stateChanges[len(f.stateChanges)-1].Shared = true
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -82,7 +82,7 @@
 // Advance moves the forwarder's time to now without a packet. It resets the open flows
 // of upstreams whose death was confirmed, and checks the packets whose answers were due.
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
-	f.applyDeaths(v)
+	f.applyDeaths(now, v)
 	f.checkPending(now)
 }
 
@@ -204,7 +204,7 @@
 	} else {
 		f.observe(now, s, p)
 	}
-	d := f.checkUpstream(v, p, u, s, reason)
+	d := f.checkUpstream(now, v, p, u, s, reason)
 	d.StartsRequest, s.startsRequest = s.startsRequest, false
 	d.Retransmissions = s.retransmissions
 	d.Load = f.healthOf(u).load
@@ -213,7 +213,7 @@
 
 // checkUpstream decides whether a packet of an open flow still goes to its upstream, or
 // the flow is rejected because its upstream was replaced, is dead or is silent.
-func (f *Forwarder) checkUpstream(v *directory.View, p *Packet, u *directory.Upstream, s *flowState, reason Reason) Decision {
+func (f *Forwarder) checkUpstream(now time.Time, v *directory.View, p *Packet, u *directory.Upstream, s *flowState, reason Reason) Decision {
 	d := Decision{
 		Action:   Forward,
 		Reason:   reason,
@@ -229,7 +229,7 @@
 	case !waiting:
 	case !u.DepartedAt.IsZero() && other != nil && other.ID != u.ID:
 		d.Action, d.Reason = Reject, ReasonReplaced
-	case f.healthOf(u).state == Dead:
+	case f.healthOf(u).dead(now):
 		d.Action, d.Reason = Reject, ReasonDead
 	case s.retransmissions >= flowRetransmissions && f.healthOf(u).lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince):
 		d.Action, d.Reason = Reject, ReasonSilent
--- a/flow/health.go
+++ b/flow/health.go
@@ -56,6 +56,9 @@
 	// maxBackoff while the upstream stays silent.
 	initialBackoff = 4 * time.Second
 	maxBackoff     = 16 * time.Second
+	// deathLifetime is how long an upstream that was found dead counts as dead. After
+	// that its network path may have healed, and flows are reset by new evidence only.
+	deathLifetime = 2 * time.Second
 )
 
 // A State is the state of an upstream as seen by one balancer.
@@ -103,6 +106,8 @@
 type health struct {
 	load  Load
 	state State
+	// diedAt is when the upstream was last found dead.
+	diedAt time.Time
 	// epoch is incremented when evidence of silence is cleared; a flow counts as silent
 	// once per epoch.
 	epoch uint32
@@ -150,6 +155,29 @@
 	return changed
 }
 
+// markDead records that the upstream was found dead.
+func (h *health) markDead(now time.Time) {
+	h.state = Dead
+	h.diedAt = now
+}
+
+// dead reports whether the upstream was found dead recently enough to reset its flows.
+func (h *health) dead(now time.Time) bool {
+	return h.state == Dead && now.Sub(h.diedAt) < deathLifetime
+}
+
+// expireDeath clears the evidence for a death that is older than deathLifetime. New flows
+// still avoid the upstream.
+func (h *health) expireDeath(now time.Time) {
+	if h.state != Dead || h.dead(now) {
+		return
+	}
+	avoidUntil := h.avoidUntil
+	h.clearEvidence()
+	h.state = Suspected
+	h.avoidUntil = avoidUntil
+}
+
 // recordOpening records that the first packet of a flow goes to the upstream.
 func (h *health) recordOpening(now time.Time) {
 	if h.openings > 0 && now.Sub(h.openingTimes[0]) >= openingsWindow {
@@ -178,10 +206,11 @@
 // reports whether this changed its state. The argument answered is when the latest packet
 // that any upstream has answered was sent.
 func (h *health) checkOpenings(now, answered time.Time) bool {
+	h.expireDeath(now)
 	if h.state == Dead || h.overdueOpenings(now) < deadOpenings || !answered.After(h.openingTimes[deadOpenings-1]) {
 		return false
 	}
-	h.state = Dead
+	h.markDead(now)
 	h.silentFlows = max(h.silentFlows, h.openings)
 	h.silentSince = h.openedAt
 	h.backOff(now)
@@ -200,6 +229,7 @@
 // recordRetransmission records a retransmission on a flow. The upstream is suspected if
 // several flows retransmit.
 func (h *health) recordRetransmission(now time.Time, s *flowState) {
+	h.expireDeath(now)
 	returned := h.state != Answering && !now.Before(h.avoidUntil)
 	if stale := h.silentFlows > 0 && now.Sub(h.lastRetransmission) >= maxRetransmitInterval; returned || stale {
 		// The upstream may have recovered: only new evidence counts.
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -28,7 +28,7 @@
 		}
 		return
 	}
-	h.state = Dead
+	h.markDead(now)
 	f.recordStateChange(u, h, now.Sub(h.silentSince))
 	f.abandon(u.Ticket())
 }
