fix: keep an open flow at the host that has answered it

Seen: in the users' report, packets of open flows went to other back ends. Not shown to be this fault.

Cause: a client sends the ticket of the last packet that it received. If a second host gets a copy of a flow's first packet (from a balancer that was frozen, or one that was overtaken on its way), its answer makes the client send that host's ticket. A balancer followed it even when it knew by the client's acknowledgments which host had answered the flow; the other host does not hold the flow and resets it. Also, a copy of a first packet was placed anew at a balancer that had taken over the flow and had not seen its first packet.

Change: once the client has acknowledged content of the flow's host here, a packet whose acknowledgment number is within 76,800 of the last one stays at that host and gets its ticket again. That ends when the client's packets stay unanswered twice. A copy is known by its sequence number also on flows that another balancer opened.

Tests: TestLateAnswerMovesNoOpenFlow, TestLateCopyMovesNoAdoptedFlow. Before: TestLateAnswerMovesNoOpenFlow/a_flow_whose_host_has_answered: expected: &directory.Upstream{ID:"a0" ... actual: &directory.Upstream{ID:"b1" ... TestLateCopyMovesNoAdoptedFlow: expected: 0x1 (copy) actual: 0x0 (placed)

Conclusion: a balancer that has seen the flow's host answer can't be led away from it. One that sees the flow for the first time still has only the ticket.

--- a/flow/decision.go
+++ b/flow/decision.go
@@ -43,7 +43,7 @@
 	// ReasonTicket forwards the packet to the upstream named by its ticket.
 	ReasonTicket
 	// ReasonRemembered forwards the packet to the upstream in the flow table, since
-	// its ticket names no known upstream.
+	// its ticket names no known upstream, or another one than has answered the flow.
 	ReasonRemembered
 	// ReasonUnknown drops a packet whose upstream is unknown to this balancer.
 	ReasonUnknown
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -121,7 +121,7 @@
 // open decides on the first packet of a flow, or on a retransmission of it.
 func (f *Forwarder) open(now time.Time, v *directory.View, p *Packet, k key, s *flowState) Decision {
 	switch {
-	case s == nil || s.firstSequence != p.Sequence:
+	case s == nil || !s.openedBy(p):
 	case s.opening:
 		return f.openCopy(now, v, p, k, s)
 	case !s.closed:
@@ -239,8 +239,12 @@
 
 // upstreamOf returns the upstream of an open flow, or nil, and how it was found.
 func (f *Forwarder) upstreamOf(v *directory.View, p *Packet, s *flowState) (*directory.Upstream, Reason) {
-	if u := v.ByTicket(p.Ticket); u != nil && p.Ticket != 0 {
-		return u, ReasonTicket
+	t, reason := p.Ticket, ReasonTicket
+	if s != nil && s.upstream.Ticket() != t && s.establishedAt(p) {
+		t, reason = s.upstream.Ticket(), ReasonRemembered
+	}
+	if u := v.ByTicket(t); u != nil && t != 0 {
+		return u, reason
 	}
 	if s != nil {
 		return s.upstream, ReasonRemembered
@@ -283,6 +287,7 @@
 
 // recordProgress records that a packet shows an answer of the upstream.
 func (f *Forwarder) recordProgress(now time.Time, h *health, s *flowState, p *Packet) {
+	s.answered = !s.opening
 	s.opening = false
 	s.acknowledged = p.Acknowledged
 	if s.unansweredSince.After(f.lastAnswered) {
--- a/flow/table.go
+++ b/flow/table.go
@@ -18,6 +18,8 @@
 	requestActive bool
 	// startsRequest is set while a packet that starts a request is decided on.
 	startsRequest bool
+	// answered is set once the client has acknowledged content of the upstream.
+	answered bool
 	// firstSequence is the sequence number of the flow's first packet, if this
 	// balancer saw it.
 	firstSequence uint32
@@ -39,6 +41,29 @@
 	epoch uint32
 }
 
+// maxSequenceGap is the maximum difference, in bytes, between a sequence number of a flow at
+// this balancer and one in a packet of the same flow.
+const maxSequenceGap = 76_800
+
+// establishedAt reports whether p belongs to the flow, and the flow's upstream is known by an
+// answer of it. Then p's ticket is ignored: the client sends the ticket of the last packet
+// that it received, and any host that got a copy of its first packet may have sent that.
+//
+// The knowledge may be wrong, so it counts only while the flow's packets are answered.
+func (s *flowState) establishedAt(p *Packet) bool {
+	if !s.answered || s.closed || s.retransmissions >= moveAfterCopies || !p.Flags.Has(FlagAcknowledge) {
+		return false
+	}
+	gap := int32(p.Acknowledged - s.acknowledged)
+	return -maxSequenceGap <= gap && gap <= maxSequenceGap
+}
+
+// openedBy reports whether p is a copy of the flow's first packet. This balancer may not
+// have seen the first packet itself.
+func (s *flowState) openedBy(p *Packet) bool {
+	return s.firstSequence == p.Sequence || !s.opening && s.nextSequence-p.Sequence <= maxSequenceGap
+}
+
 // flowTable holds the flows in two generations, so that flows that were idle for a
 // whole generation expire without a look at each.
 type flowTable struct {
