fix: place no first packet that waited through a stall

Seen: in the users' report, packets of open flows went to other back ends. Not shown to be this fault.

Cause: a process that has been frozen finds in its socket the first packets that came meanwhile, and sent them to hosts of its own choice. The clients may have opened these flows by other balancers, as they send copies after 200 and 600 ms and the platform routes around a balancer that does not respond. The second host's answer makes the client send that host's ticket, and a balancer that has not seen the flow's own host answer follows it; the second host does not hold the flow and resets it. The same holds for one packet that the process had read before it was frozen.

Change: after a stall (300 ms) the datagrams that are read until the socket is empty, 4,096 at most, count as delayed. A delayed first packet is not placed; its copy may be forwarded to the host that has it already. A packet whose handling was stalled is dropped.

Tests: TestDelayedFirstPacketsAreNotPlaced, TestFirstPacketsWaitForNoStall, TestNoPacketIsForwardedAfterStall, TestPacketReaderMarksDelayed. Before: TestDelayedFirstPacketsAreNotPlaced: expected: 0x0 (drop) actual: 0x1 (forward) TestFirstPacketsWaitForNoStall: Should be zero, but was 39 TestNoPacketIsForwardedAfterStall: expected: 0x1 actual: 0x0

Conclusion: a frozen balancer opens no second host for a flow. A client whose three first packets all wait in one frozen process now opens a new flow. Not covered: a process that is slow without a stall, since the time that each packet waited is not known.

--- a/filbertflow/internal/daemon/packetreader.go
+++ b/filbertflow/internal/daemon/packetreader.go
@@ -17,9 +17,12 @@
 	// busySince is when the first datagram was read since the socket was last empty;
 	// zero while it is empty.
 	busySince time.Time
-	buffer    []byte
-	n         int
-	err       error
+	// delayed is the number of datagrams that may have waited while the process did not
+	// run, including the last one that was read.
+	delayed int
+	buffer  []byte
+	n       int
+	err     error
 	// read and tryRead are the functions that Read and TryRead pass to conn.
 	read    func(fd uintptr) bool
 	tryRead func(fd uintptr) bool
@@ -69,6 +72,21 @@
 	return now.Sub(r.busySince)
 }
 
+// maxWaitingDatagrams is the maximum number of datagrams in the socket. The kernel doubles
+// the size of the buffer, and counts 512 bytes or more for each datagram.
+const maxWaitingDatagrams = 2 * packetBufferSize / 512
+
+// MarkDelayed records that the process did not run for a while before the last datagram was
+// read: that one, and all until the socket is empty, may have waited.
+func (r *packetReader) MarkDelayed() {
+	r.delayed = maxWaitingDatagrams
+}
+
+// Delayed reports whether the last datagram may have waited while the process did not run.
+func (r *packetReader) Delayed() bool {
+	return r.delayed > 0
+}
+
 // readOnce reads a datagram, and reports whether there was one or an error.
 func (r *packetReader) readOnce(fd uintptr) bool {
 	for {
@@ -79,8 +97,10 @@
 	}
 	if errors.Is(r.err, unix.EAGAIN) {
 		r.busySince = time.Time{}
+		r.delayed = 0
 		return false
 	}
+	r.delayed = max(r.delayed-1, 0)
 	if r.busySince.IsZero() {
 		r.busySince = time.Now()
 	}
--- a/filbertflow/internal/daemon/packetreader_test.go
+++ b/filbertflow/internal/daemon/packetreader_test.go
@@ -88,3 +88,33 @@
 		})
 	}
 }
+
+// TestPacketReaderMarksDelayed checks that datagrams count as delayed after a stall until the
+// socket is empty.
+func TestPacketReaderMarksDelayed(t *testing.T) {
+	from, to := newEndpoint(t), newEndpoint(t)
+	r, err := newPacketReader(to.conn)
+	require.NoError(t, err)
+	buffer := make([]byte, 10)
+	for range 2 {
+		_, err := from.conn.WriteToUDPAddrPort(buffer, to.address())
+		require.NoError(t, err)
+	}
+	_, err = r.Read(buffer)
+	require.NoError(t, err)
+	require.False(t, r.Delayed())
+	r.MarkDelayed()
+	require.True(t, r.Delayed())
+	_, ok, err := r.TryRead(buffer)
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.True(t, r.Delayed())
+	_, _, err = r.TryRead(buffer)
+	require.NoError(t, err)
+	require.False(t, r.Delayed())
+	_, err = from.conn.WriteToUDPAddrPort(buffer, to.address())
+	require.NoError(t, err)
+	_, err = r.Read(buffer)
+	require.NoError(t, err)
+	require.False(t, r.Delayed())
+}
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -137,8 +137,12 @@
 	}
 	view := t.view()
 	t.checkResumed(now)
+	t.packet.Delayed = t.reader.Delayed()
 	t.forwarder.HandleBacklog(now, t.reader.Waited(now))
 	decision := t.forwarder.Forward(now, view, &t.packet)
+	if time.Since(now) >= minStall {
+		decision = flow.Decision{Reason: flow.ReasonDelayed}
+	}
 	t.execute(n, &decision)
 	t.applyOutcomes(now, view)
 	d.counters.recordDecision(&decision, time.Since(now), t.forwarder.Flows())
@@ -196,6 +200,7 @@
 	if resumedAt := d.resumedAt.Load(); resumedAt != t.resumedAt {
 		t.resumedAt = resumedAt
 		t.forwarder.HandleResume(now)
+		t.reader.MarkDelayed()
 		d.log.Warn(now, "daemon: process was stalled")
 	}
 }
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -254,3 +254,40 @@
 		t.Fatal("no report")
 	}
 }
+
+// TestFirstPacketsWaitForNoStall guards against a second host for a flow: a process that had
+// been frozen forwarded the first packets that it found in its socket.
+func TestFirstPacketsWaitForNoStall(t *testing.T) {
+	q := newIdleFlow(t)
+	q.daemon.ranAt.Store(q.daemon.sinceStart(time.Now().Add(-minStall)))
+	first := clientPacket(flowPort+1, q.upstream.Ticket(), 0)
+	to := q.daemon.packets.LocalAddr().(*net.UDPAddr).AddrPort()
+	_, err := q.client.conn.WriteToUDPAddrPort(first, to)
+	require.NoError(t, err)
+	require.Zero(t, q.host.receive(200*time.Millisecond))
+	require.Equal(t, uint64(1), q.daemon.counters.decisions[flow.ReasonDelayed].Load())
+	q.deliver(t, first)
+}
+
+// stallingCodec lets the process seem frozen while it handles a packet.
+type stallingCodec struct {
+	platform.Codec
+}
+
+func (c stallingCodec) Parse(data []byte, p *flow.Packet) error {
+	<-time.After(minStall)
+	return c.Codec.Parse(data, p)
+}
+
+// TestNoPacketIsForwardedAfterStall guards against a late first packet from a process that is
+// frozen between reading and forwarding it.
+func TestNoPacketIsForwardedAfterStall(t *testing.T) {
+	d, host := newDaemon(t), newEndpoint(t)
+	d.options.Codec = stallingCodec{}
+	h, err := newPacketHandler(d)
+	require.NoError(t, err)
+	_, err = host.conn.WriteToUDPAddrPort(clientPacket(flowPort, 0, 0), d.packets.LocalAddr().(*net.UDPAddr).AddrPort())
+	require.NoError(t, err)
+	h.handleNext()
+	require.Equal(t, uint64(1), d.counters.decisions[flow.ReasonDelayed].Load())
+}
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -61,17 +61,20 @@
 	// ReasonReplaced rejects a flow whose upstream has left and whose address now
 	// belongs to another host.
 	ReasonReplaced
+	// ReasonDelayed drops a packet that waited while the balancer's process did not run:
+	// the client may have opened the flow by another balancer since.
+	ReasonDelayed
 )
 
 // reasonNames holds the names of the reasons, indexed by Reason.
 var reasonNames = [...]string{
 	"placed", "copy", "moved", "ticket", "remembered", "unknown upstream",
 	"not ready", "no route", "no upstream", "dead upstream", "silent upstream",
-	"replaced upstream",
+	"replaced upstream", "delayed",
 }
 
 // NumReasons is the number of reasons.
-const NumReasons = int(ReasonReplaced) + 1
+const NumReasons = int(ReasonDelayed) + 1
 
 // String returns r's name.
 func (r Reason) String() string {
--- a/flow/packet.go
+++ b/flow/packet.go
@@ -47,6 +47,9 @@
 	Acknowledged uint32
 	// Length is the length of the content in bytes.
 	Length int
+	// Delayed reports whether the packet may have waited while the balancer's process did
+	// not run.
+	Delayed bool
 }
 
 // key returns the key of the packet's flow.
--- a/flow/place.go
+++ b/flow/place.go
@@ -26,6 +26,11 @@
 // place chooses the upstream of a new flow. It avoids excluded, which may be nil, if
 // another upstream can take the flow.
 func (f *Forwarder) place(now time.Time, v *directory.View, p *Packet, k key, excluded *directory.Upstream) Decision {
+	if p.Delayed {
+		// A second host that answers would end the flow that the client may have opened
+		// by another balancer meanwhile.
+		return Decision{Reason: ReasonDelayed}
+	}
 	r := v.Route(p.Service)
 	if r == nil {
 		return Decision{
--- a/flow/ticket_test.go
+++ b/flow/ticket_test.go
@@ -127,3 +127,32 @@
 	require.Equal(t, ReasonPlaced, f.send(first).Reason, "another flow from the same port")
 	f.requireLoads(t)
 }
+
+// TestDelayedFirstPacketsAreNotPlaced guards against a second host for a flow: a balancer that
+// had been frozen forwarded the first packets that it found in its queue to hosts of its own
+// choice, although their clients had opened the flows by other balancers.
+func TestDelayedFirstPacketsAreNotPlaced(t *testing.T) {
+	f := newFixture(t, 2)
+	c := f.client(boardAddress)
+	first := Packet{
+		Client:   c.addr,
+		Service:  c.service,
+		Flags:    FlagOpen,
+		Sequence: c.seq,
+		Delayed:  true,
+	}
+	for range 2 {
+		d := f.send(first)
+		require.Equal(t, Drop, d.Action)
+		require.Equal(t, ReasonDelayed, d.Reason)
+		f.advance(200 * time.Millisecond)
+	}
+	first.Delayed = false
+	u := f.send(first).Upstream
+	require.NotNil(t, u)
+	f.advance(200 * time.Millisecond)
+	first.Delayed = true
+	require.Equal(t, u, f.send(first).Upstream, "the first host may answer again")
+	f.advance(400 * time.Millisecond)
+	require.Equal(t, ReasonDelayed, f.send(first).Reason, "no other host may answer")
+}
