fix: count the unanswered first packets of one second as one

Seen: in the users' report, open flows were reset by a balancer while their hosts serve. Not shown to be this fault.

Cause: three first packets of a host that stay unanswered for 250 ms reset all flows of the host that the balancer remembers. With hash mod nearly all flows move when a balancer joins or leaves the rotation. The first packets that were on their way then came here and what followed went to other balancers, so the host seemed to answer none of them; the remembered flows go on elsewhere, too, and were reset there.

Change: of the first packets within a second one counts. After an unanswered one a host gets one new flow a second to try it, so that a death takes three tries.

Conclusion: one rehash looks like one unanswered packet. Crashed hosts of the own zone are found by probes, as before.

--- a/flow/health.go
+++ b/flow/health.go
@@ -35,7 +35,8 @@
 	// try the upstream again.
 	openingRetryAfter = time.Second
 	// deadOpenings is the number of unanswered first packets, without progress on any
-	// flow since, before open flows are reset.
+	// flow since, before open flows are reset. Those that come within openingRetryAfter
+	// count as one: their flows may all go on by other balancers after a rehash.
 	deadOpenings = 3
 	// openingsWindow is the time within which these first packets must have come. An
 	// avoided upstream gets one new flow a second to try it. Single first packets stay
@@ -125,8 +126,8 @@
 	// lastProgressElsewhere when it last did according to another balancer's refutation.
 	lastProgress          time.Time
 	lastProgressElsewhere time.Time
-	// openings is the number of first packets since the last progress. openedAt is when
-	// the first of them was sent, or the first after each openingRetryAfter, and
+	// openings is the number of first packets since the last progress, where those within
+	// openingRetryAfter count as one. openedAt is when the last counted one was sent, and
 	// openingTimes are when the first deadOpenings of them were.
 	openings     int
 	openedAt     time.Time
@@ -183,9 +184,10 @@
 	if h.openings > 0 && now.Sub(h.openingTimes[0]) >= openingsWindow {
 		h.openings = 0
 	}
-	if h.openings == 0 || now.Sub(h.openedAt) >= openingRetryAfter {
-		h.openedAt = now
+	if h.openings > 0 && now.Sub(h.openedAt) < openingRetryAfter {
+		return
 	}
+	h.openedAt = now
 	if h.openings < deadOpenings {
 		h.openingTimes[h.openings] = now
 	}
@@ -212,7 +214,7 @@
 	}
 	h.markDead(now)
 	h.silentFlows = max(h.silentFlows, h.openings)
-	h.silentSince = h.openedAt
+	h.silentSince = h.openingTimes[0]
 	h.backOff(now)
 	return true
 }
