fix: reset no host's flows by one balancer's evidence

Seen: in the users' report, open flows were reset by a balancer while their hosts serve. Not shown to be this fault.

Cause: a balancer reset all flows of a host by its own evidence if any other host had answered a later packet. That proves its path to that other host only. Living hosts' flows were reset where the path to one host or zone was cut for this balancer; where all its paths had been cut, as soon as the first host answered after the cut, however old the evidence on the others was; and where three clients had left after their first packets.

Change: filbertflow's forwarder leaves such verdicts to the zone's inquiries (WithInquiries). They start from the same evidence, which is reported at each retransmission. Unanswered first packets only make new flows avoid the host. A single flow that repeats three times is still reset by its balancer.

Tests: TestOwnEvidenceResetsNoLiveFlow (flow), TestOneBalancerResetsNoFlowsAlone (daemon). Before: TestOwnEvidenceResetsNoLiveFlow, all three cases: Should be empty, but was [{100.64.4.1:1025 198.18.0.1:443 160 0 0 5000 0 false} ... TestOneBalancerResetsNoFlowsAlone: expected: 0x1 (forward) actual: 0x2 (reject)

--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -81,7 +81,7 @@
 	reader, err := newPacketReader(d.packets)
 	return &packetHandler{
 		daemon:    d,
-		forwarder: flow.New(time.Now(), d.options.Zone, d),
+		forwarder: flow.New(time.Now(), d.options.Zone, d, flow.WithInquiries()),
 		reader:    reader,
 		buffer:    make([]byte, maxDatagramSize),
 	}, err
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -269,6 +269,52 @@
 	q.deliver(t, first)
 }
 
+// TestOneBalancerResetsNoFlowsAlone guards against resets of a living host's flows by a
+// balancer that alone can't reach the host: it judged the host by its own evidence.
+func TestOneBalancerResetsNoFlowsAlone(t *testing.T) {
+	q := newIdleFlow(t)
+	other := *q.upstream
+	other.ID = "i-0b"
+	now := time.Now()
+	_, err := q.daemon.syncer.dir.Apply(now, &directory.Delta{
+		Base:     2,
+		Revision: 3,
+		Items: []directory.Item{{
+			Key: directory.Key{
+				Kind: directory.KindUpstream,
+				Name: other.ID,
+			},
+			Revision: 3,
+			Upstream: &other,
+		}},
+	})
+	require.NoError(t, err)
+	q.daemon.syncer.publish(now)
+	h, err := newPacketHandler(q.daemon)
+	require.NoError(t, err)
+	request := func(port uint16, ticket directory.Ticket, sequence uint32) flow.Decision {
+		return h.forwarder.Forward(now, h.view(), &flow.Packet{
+			Client:       netip.AddrPortFrom(serviceAddress.Addr(), port),
+			Service:      serviceAddress,
+			Ticket:       ticket,
+			Flags:        flow.FlagAcknowledge,
+			Sequence:     sequence,
+			Acknowledged: sequence,
+			Length:       100,
+		})
+	}
+	for i := range uint32(3) {
+		request(flowPort+1, other.Ticket(), 200*i)
+		request(flowPort+1, other.Ticket(), 200*i+100)
+		for port := range uint16(2) {
+			require.Equal(t, flow.Forward, request(flowPort+2+port, q.upstream.Ticket(), 0).Action)
+		}
+		now = now.Add(300 * time.Millisecond)
+	}
+	require.NotEmpty(t, h.forwarder.Reports())
+	require.Empty(t, h.forwarder.Resets())
+}
+
 // stallingCodec lets the process seem frozen while it handles a packet.
 type stallingCodec struct {
 	platform.Codec
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -25,6 +25,7 @@
 	zone         string
 	owners       Owners
 	idleTimeout  time.Duration
+	asksZone     bool
 	flows        *flowTable
 	health       map[directory.Ticket]*health
 	attempts     *attempts
@@ -62,6 +63,14 @@
 	}
 }
 
+// WithInquiries leaves it to the inquiries of the zone to find an upstream dead: other
+// balancers may see answers of an upstream that this one alone can't reach.
+func WithInquiries() Option {
+	return func(f *Forwarder) {
+		f.asksZone = true
+	}
+}
+
 // New returns a forwarder for a balancer in a zone.
 func New(now time.Time, zone string, owners Owners, options ...Option) *Forwarder {
 	f := &Forwarder{
--- a/flow/place.go
+++ b/flow/place.go
@@ -64,8 +64,12 @@
 }
 
 // checkOpenings detects dead hosts by their unanswered first packets, and resets the
-// open flows of those.
+// open flows of those unless that is left to the zone. It can't be asked about first
+// packets: the clients may have left.
 func (f *Forwarder) checkOpenings(now time.Time, hosts []*directory.Upstream) {
+	if f.asksZone {
+		return
+	}
 	for _, u := range hosts {
 		h := f.healthOf(u)
 		if h.checkOpenings(now, f.lastAnswered) {
--- a/flow/rehash_test.go
+++ b/flow/rehash_test.go
@@ -43,3 +43,65 @@
 		})
 	}
 }
+
+// TestOwnEvidenceResetsNoLiveFlow guards against resets of a living host's flows by one
+// balancer that can't reach the host, or whose own path has just healed. It must leave the
+// verdict to the zone.
+func TestOwnEvidenceResetsNoLiveFlow(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		run  func(f *fixture, first, second *client)
+	}{
+		{
+			name: "the path to one host is cut",
+			run: func(f *fixture, first, second *client) {
+				for range 2 {
+					f.advance(250 * time.Millisecond)
+					first.retransmit()
+					second.retransmit()
+					f.answerElsewhere()
+				}
+			},
+		},
+		{
+			name: "all paths were cut, and another host answers first",
+			run: func(f *fixture, first, second *client) {
+				for range 2 {
+					f.advance(250 * time.Millisecond)
+					first.retransmit()
+					second.retransmit()
+				}
+				f.advance(5 * time.Second)
+				f.answerElsewhere()
+			},
+		},
+		{
+			name: "clients that opened flows have left",
+			run: func(f *fixture, _, _ *client) {
+				for range deadOpenings {
+					f.client(boardAddress).open()
+					f.advance(openingRetryAfter)
+				}
+				f.answerElsewhere()
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.forwarder = New(f.now, "a", owner(true), WithInquiries())
+			idle := f.client(boardAddress).establish()
+			first, second := f.client(boardAddress).establish(), f.client(boardAddress).establish()
+			first.request()
+			second.request()
+			test.run(f, first, second)
+			f.client(boardAddress).open()
+			require.Empty(t, f.forwarder.Resets())
+			require.Equal(t, Forward, idle.request().Action)
+
+			f.forwarder.Ask(f.now, Inquiry{Ticket: idle.host.Ticket()})
+			f.forwarder.Confirm(f.now, idle.host.Ticket(), 0)
+			f.forwarder.Advance(f.now, f.view())
+			require.GreaterOrEqual(t, len(f.forwarder.Resets()), 3, "the zone has found the host dead")
+		})
+	}
+}
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -16,10 +16,10 @@
 }
 
 // judgeSilence resets the flows of an upstream that is dead by this balancer's evidence
-// alone. That takes a proof that the balancer's own path works; without one the upstream is
+// alone, unless that is left to the zone. It takes a proof that the balancer's own path works; without one the upstream is
 // judged again when the proof comes. Reports need none, since the zone is asked first.
 func (f *Forwarder) judgeSilence(now time.Time, u *directory.Upstream, h *health) {
-	if h.state == Dead || !h.silentToDeath(now) {
+	if f.asksZone || h.state == Dead || !h.silentToDeath(now) {
 		return
 	}
 	if !f.pathWorkedAfter(h.retransmittedSince) {
