fix: let progress since a refusal refute a death

Seen: in the users' report, open flows were reset by a balancer while their hosts serve. Not shown to be this fault.

Cause: refusals count for a second, and an inquiry on them carried a silence of zero, which no balancer can refute; half of the balancers confirmed it at once. A host that starts again under its ID within that second (the second refusal may be reported late) lost the flows that it had accepted since.

Change: the inquiry carries the time since the first of the refusals that suffice.

Tests: TestRefusalsOfRestartedHostAreRefuted. Before: expected: true actual: false (Alive); in the second case the first answer of three confirmed the death.

Conclusion: a verdict on refused connections ends with the refusal, too.

--- a/flow/detector.go
+++ b/flow/detector.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
@@ -139,8 +141,7 @@
 		return merged, FoundNothing
 	}
 	if merged.refused(balancers) {
-		// Progress from before the refusal does not refute the death.
-		merged.Silence = 0
+		merged.Silence = e.refusedFor(now, balancers)
 	}
 	return merged, FoundDead
 }
@@ -251,5 +252,19 @@
 
 // refused reports whether enough balancers of the zone found connections refused.
 func (r *Report) refused(balancers int) bool {
-	return r.Refusals > 0 && r.Refusals >= min(minRefusals, balancers)
+	return r.Refusals > 0 && r.Refusals >= refusalsNeeded(balancers)
+}
+
+// refusalsNeeded returns the number of balancers that must find connections refused, in a zone
+// with the given number of balancers.
+func refusalsNeeded(balancers int) int {
+	return min(minRefusals, balancers)
+}
+
+// refusedFor returns the time since the first of the last refusals that suffice for a death.
+// Progress from before that does not refute the death; an upstream that shows progress since
+// has started again.
+func (e *evidence) refusedFor(now time.Time, balancers int) time.Duration {
+	times := slices.SortedFunc(maps.Values(e.refusedAt), func(a, b time.Time) int { return b.Compare(a) })
+	return now.Sub(times[refusalsNeeded(balancers)-1])
 }
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -27,8 +27,9 @@
 	Ticket directory.Ticket
 	// ID identifies the inquiry among those of its watcher.
 	ID uint32
-	// Silence is how long the upstream has been silent. It is zero if the upstream's
-	// address refuses connections: progress from before the refusal does not count.
+	// Silence is how long the upstream has been silent. If the upstream's address
+	// refuses connections it is the time since it was refused: progress from before that
+	// does not count.
 	Silence time.Duration
 }
 
@@ -68,7 +69,7 @@
 // confirmed reports whether the answers received by now suffice. All balancers must
 // answer within answerTimeout, since any of them may be the only one that has seen
 // progress; one that does not answer in time must not protect a dead upstream for
-// longer. Refused connections are no matter of what the others have seen.
+// longer. Nobody can have seen progress within a silence of zero.
 func (q *openInquiry) confirmed(now time.Time) bool {
 	if len(q.missing) == 0 {
 		return true
