fix: take no older host for the successor at an address

Cause: a flow that repeats one packet was reset as "replaced upstream" if its host's entry was gone and any listed host had the same address. The entry of a living host lapses while it can't reach the store, and is missing in a store that came back from a copy; the entry of a former host at that address may be listed then. One lost packet reset a living flow.

Change: the other host must not have started before the flow's host, and the flow's host must not have answered here since its entry was deleted.

Tests: TestOldEntryReplacesNoLiveHost. Before, "the other host is older" and "the host answers after its entry is gone": expected: 0x3 (ticket) actual: 0xb (replaced upstream).

Conclusion: a missing entry alone can't end a flow.

--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -233,10 +233,9 @@
 		return d
 	}
 	waiting := s.abandoned || s.retransmissions > 0 && !s.closed
-	other := v.ByAddress(u.Address)
 	switch {
 	case !waiting:
-	case !u.DepartedAt.IsZero() && other != nil && other.ID != u.ID:
+	case f.replaced(v, u):
 		d.Action, d.Reason = Reject, ReasonReplaced
 	case f.healthOf(u).dead(now):
 		d.Action, d.Reason = Reject, ReasonDead
@@ -246,6 +245,20 @@
 	return d
 }
 
+// replaced reports whether u has left and its address belongs to another host. An older host
+// at the address is one whose entry was not deleted, and u has not left if it has answered
+// since its entry was deleted.
+func (f *Forwarder) replaced(v *directory.View, u *directory.Upstream) bool {
+	if u.DepartedAt.IsZero() || f.healthOf(u).lastProgress.After(u.DepartedAt) {
+		return false
+	}
+	other := v.ByAddress(u.Address)
+	if other == nil || other.ID == u.ID {
+		return false
+	}
+	return other.StartedAt.IsZero() || !other.StartedAt.Before(u.StartedAt)
+}
+
 // upstreamOf returns the upstream of an open flow, or nil, and how it was found.
 func (f *Forwarder) upstreamOf(v *directory.View, p *Packet, s *flowState) (*directory.Upstream, Reason) {
 	t, reason := p.Ticket, ReasonTicket
