fix: take the progress of a long request for an answer

Cause (found by reading): a balancer learned of a host's answers only by the client's acknowledgment numbers. They stand still while a client sends a long request, so that the repeats of packets lost here and there counted together: after the third the flow was reset as silent, and two such flows were evidence of the host's death.

Change: at most 16 packets are in flight, so a client that sends more than 19,200 bytes past the oldest unanswered packet has got an acknowledgment for that one. This counts as progress.

Conclusion: repeats count together only as long as none of them can have been answered.

--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -292,13 +292,7 @@
 	switch content := p.Length > 0 || p.Flags.Has(FlagFinish); {
 	case content && int32(end-s.nextSequence) > 0:
 		s.nextSequence = end
-		if p.Length > 0 {
-			f.setRequestActive(h, s, true)
-		}
-		if s.unansweredSince.IsZero() {
-			s.unansweredSince, s.lastSent = now, now
-			f.awaitAnswer(now, s)
-		}
+		f.recordContent(now, h, s, p)
 	case content && !progress:
 		f.recordRetransmission(now, h, s)
 	}
@@ -307,17 +301,39 @@
 	}
 }
 
-// recordProgress records that a packet shows an answer of the upstream.
+// recordContent records a packet with new content.
+func (f *Forwarder) recordContent(now time.Time, h *health, s *flowState, p *Packet) {
+	if p.Length > 0 {
+		f.setRequestActive(h, s, true)
+	}
+	if !s.unansweredSince.IsZero() && s.nextSequence-s.unansweredSequence > maxInFlight {
+		// The client would not send this before the upstream has acknowledged the oldest
+		// unanswered packet.
+		f.recordAnswer(now, h, s)
+	}
+	if s.unansweredSince.IsZero() {
+		s.expectAnswer(now, p)
+		f.awaitAnswer(now, s)
+	}
+}
+
+// recordProgress records that a packet acknowledges an answer of the upstream.
 func (f *Forwarder) recordProgress(now time.Time, h *health, s *flowState, p *Packet) {
 	s.answered = !s.opening
 	s.opening = false
 	s.acknowledged = p.Acknowledged
+	f.setRequestActive(h, s, false)
+	f.recordAnswer(now, h, s)
+}
+
+// recordAnswer records that the upstream has received the flow's unanswered packets, or the
+// oldest of them.
+func (f *Forwarder) recordAnswer(now time.Time, h *health, s *flowState) {
 	if s.unansweredSince.After(f.lastAnswered) {
 		f.lastAnswered = s.unansweredSince
 	}
 	s.unansweredSince, s.lastSent = time.Time{}, time.Time{}
 	s.retransmissions = 0
-	f.setRequestActive(h, s, false)
 	if h.recordProgress(now) {
 		f.recordStateChange(s.upstream, h, 0)
 	}
@@ -399,14 +415,13 @@
 	}
 	f.attempts.add(now, p, u.Ticket())
 	s := &flowState{
-		upstream:        u,
-		opening:         true,
-		firstSequence:   p.Sequence,
-		nextSequence:    p.Sequence,
-		acknowledged:    p.Acknowledged,
-		unansweredSince: now,
-		lastSent:        now,
+		upstream:      u,
+		opening:       true,
+		firstSequence: p.Sequence,
+		nextSequence:  p.Sequence,
+		acknowledged:  p.Acknowledged,
 	}
+	s.expectAnswer(now, p)
 	f.putFlow(k, s)
 	f.awaitAnswer(now, s)
 }
@@ -421,7 +436,7 @@
 	}
 	f.putFlow(k, s)
 	if p.Length > 0 {
-		s.unansweredSince, s.lastSent = now, now
+		s.expectAnswer(now, p)
 		f.setRequestActive(f.healthOf(u), s, true)
 		f.awaitAnswer(now, s)
 	}
--- a/flow/table.go
+++ b/flow/table.go
@@ -27,6 +27,8 @@
 	nextSequence uint32
 	// acknowledged is the highest sequence number that the client expects next.
 	acknowledged uint32
+	// unansweredSequence is the sequence number of the oldest unanswered packet.
+	unansweredSequence uint32
 	// unansweredSince is when the oldest unanswered packet came, and lastSent is when
 	// it or its last retransmission did; zero if no packet is unanswered.
 	unansweredSince time.Time
@@ -41,10 +43,20 @@
 	epoch uint32
 }
 
+// maxInFlight is the maximum content, in bytes, that a client sends without an
+// acknowledgment: 16 packets.
+const maxInFlight = 16 * 1200
+
 // maxSequenceGap is the maximum difference, in bytes, between a sequence number of a flow at
 // this balancer and one in a packet of the same flow.
 const maxSequenceGap = 76_800
 
+// expectAnswer records that p is the oldest unanswered packet.
+func (s *flowState) expectAnswer(now time.Time, p *Packet) {
+	s.unansweredSequence = p.Sequence
+	s.unansweredSince, s.lastSent = now, now
+}
+
 // establishedAt reports whether p belongs to the flow, and the flow's upstream is known by an
 // answer of it. Then p's ticket is ignored: the client sends the ticket of the last packet
 // that it received, and any host that got a copy of its first packet may have sent that.
