fix: let a host that refuses connections answer its last requests

Cause: a host that shuts down stops listening before it has answered its last requests. A balancer that does not know that the host drains sends it a new flow, gets no answer and probes it; two refusals were taken for a crash within 4 ms, and all flows of the host were reset.

Change: after refusals the zone avoids the host at once, and is asked whether it has died 200 ms later (refusalDelay); progress since the refusals refutes it. Hosts that are known to drain are not probed, and their refusals don't count.

Tests: TestRefusalsAreDeferred, TestRefusalsStandBy (flow), TestHostThatShutsDownKeepsItsFlows, TestDrainingHostsAreNotProbed (daemon). Before: TestHostThatShutsDownKeepsItsFlows: Should be zero, but was 31 (a reset) TestDrainingHostsAreNotProbed: Should be zero, but was 1 (probes)

Conclusion: a refusal shows that a host takes no new flows, and not that it has lost its open ones. A host that works on one request for longer than that and answers nothing else in the zone meanwhile can't be told from a crashed one yet.

--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -132,6 +132,9 @@
 // handleReport adds a report to those on the same upstream and acts on what they show
 // together.
 func (s *syncer) handleReport(now time.Time, sender uint64, r flow.Report) {
+	if r.Refusals > 0 && s.daemon.isDraining(r.Ticket) {
+		return
+	}
 	merged, found := s.detector.AddReport(now, sender, r, len(s.zonePeers())+1)
 	switch found {
 	case flow.FoundDead:
@@ -139,7 +142,13 @@
 			s.detector.StandBy(now, &merged)
 			return
 		}
-		s.inquire(now, &merged)
+		deferred, first := s.detector.Defer(now, &merged)
+		if first {
+			s.announceBusy(now, &merged)
+		}
+		if !deferred {
+			s.inquire(now, &merged)
+		}
 	case flow.FoundBusy:
 		s.announceBusy(now, &merged)
 	case flow.FoundNothing:
@@ -223,9 +232,9 @@
 }
 
 // announceBusy announces to the zone that an upstream is busy: its answers are
-// late.
+// late, or it refuses connections.
 func (s *syncer) announceBusy(now time.Time, merged *flow.Report) {
-	s.daemon.log.Info(now, "upstream: reported busy", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("late", merged.LateRequests))
+	s.daemon.log.Info(now, "upstream: reported busy", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("late", merged.LateRequests), logs.F("refusals", merged.Refusals))
 	s.daemon.queueBusy(now, merged.Ticket)
 	s.sendHealth(relays(s.zonePeers()), &wire.Health{Busy: []uint32{uint32(merged.Ticket)}})
 }
@@ -334,6 +343,17 @@
 	return ""
 }
 
+// isDraining reports whether the upstream that a ticket identifies drains or has drained.
+// Such a host stops listening before its last flows end.
+func (d *Daemon) isDraining(t directory.Ticket) bool {
+	v := d.view.Load()
+	if v == nil {
+		return false
+	}
+	u := v.ByTicket(t)
+	return u != nil && u.Draining
+}
+
 // zonePeers returns the other balancers of the zone that are not dead.
 func (s *syncer) zonePeers() []member.Member {
 	var peers []member.Member
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -185,7 +185,9 @@
 // schedules a wake-up for when the next answers are due.
 func (t *packetHandler) queueProbes(now time.Time) {
 	for _, u := range t.forwarder.UpstreamsToProbe() {
-		t.daemon.probeQueue.Offer(u)
+		if !t.daemon.isDraining(u.Ticket()) {
+			t.daemon.probeQueue.Offer(u)
+		}
 	}
 	if next := t.forwarder.NextTimer(); !next.IsZero() && !t.wakeScheduled {
 		t.wakeScheduled = true
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -269,6 +269,52 @@
 	q.deliver(t, first)
 }
 
+// TestHostThatShutsDownKeepsItsFlows guards against resets of the last flows of a host that
+// shuts down: it refuses connections while it still answers requests. A balancer that did not
+// know yet that the host drains took it for crashed.
+func TestHostThatShutsDownKeepsItsFlows(t *testing.T) {
+	q := newIdleFlow(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	q.daemon.tasks.Go(func() { q.daemon.syncer.run(ctx) })
+	t.Cleanup(cancel)
+	q.request(t)
+	q.send(t, flowPort+1, 0)
+	require.Eventually(t, func() bool { return q.daemon.counters.probes[probeRefused].Load() > 0 }, time.Second, time.Millisecond)
+	require.Zero(t, q.client.receive(50*time.Millisecond))
+	q.send(t, flowPort, 6000)
+	require.Zero(t, q.client.receive(500*time.Millisecond))
+}
+
+// TestDrainingHostsAreNotProbed checks that a host that drains is not taken for crashed when
+// it has stopped listening.
+func TestDrainingHostsAreNotProbed(t *testing.T) {
+	q := newIdleFlow(t)
+	draining := *q.upstream
+	draining.Draining = true
+	_, err := q.daemon.syncer.dir.Apply(time.Now(), &directory.Delta{
+		Base:     2,
+		Revision: 3,
+		Items: []directory.Item{{
+			Key: directory.Key{
+				Kind: directory.KindUpstream,
+				Name: draining.ID,
+			},
+			Revision: 3,
+			Upstream: &draining,
+		}},
+	})
+	require.NoError(t, err)
+	q.daemon.syncer.publish(time.Now())
+	q.request(t)
+	require.Zero(t, q.client.receive(500*time.Millisecond))
+	require.Zero(t, q.daemon.counters.probes[probeRefused].Load())
+	q.daemon.syncer.handleReport(time.Now(), 1, flow.Report{
+		Ticket:   draining.Ticket(),
+		Refusals: 1,
+	})
+	require.False(t, q.daemon.syncer.detector.Waiting())
+}
+
 // TestOneBalancerResetsNoFlowsAlone guards against resets of a living host's flows by a
 // balancer that alone can't reach the host: it judged the host by its own evidence.
 func TestOneBalancerResetsNoFlowsAlone(t *testing.T) {
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -19,6 +19,10 @@
 	// one's inquiry.
 	standbyDelay  = 100 * time.Millisecond
 	takeoverDelay = 400 * time.Millisecond
+	// refusalDelay is how long after refused connections the zone is asked. A host that
+	// shuts down stops listening before it has answered its last requests: what it
+	// answers meanwhile refutes its death.
+	refusalDelay = 200 * time.Millisecond
 )
 
 // An Inquiry asks the balancers of a zone whether they have seen progress of an
@@ -78,10 +82,12 @@
 	return overdue && 2*len(q.missing) < q.balancers
 }
 
-// candidate is an upstream on which this balancer inquires unless the other watcher does.
+// candidate is an upstream on which this balancer inquires when that is due, unless the
+// other watcher does.
 type candidate struct {
-	merged Report
-	due    time.Time
+	merged  Report
+	foundAt time.Time
+	due     time.Time
 }
 
 // Inquire starts an inquiry on an upstream that the merged reports show to be dead.
@@ -146,16 +152,39 @@
 	return confirmed
 }
 
+// Defer puts off the inquiry on an upstream that the merged reports show to be dead by refused
+// connections; Due returns the reports when the inquiry is due. It reports whether it does so,
+// and whether this is the first such call on the upstream.
+func (d *Detector) Defer(now time.Time, merged *Report) (deferred, first bool) {
+	if merged.Refusals == 0 {
+		return false, false
+	}
+	return true, d.addCandidate(now, merged, refusalDelay)
+}
+
 // StandBy leaves the inquiry on an upstream that the merged reports show to be dead to
 // the other watcher. If that makes none in time, or does not finish it, Due returns the
 // reports.
 func (d *Detector) StandBy(now time.Time, merged *Report) {
-	if _, ok := d.candidates[merged.Ticket]; !ok {
-		d.candidates[merged.Ticket] = candidate{
-			merged: *merged,
-			due:    now.Add(standbyDelay),
-		}
+	delay := standbyDelay
+	if merged.Refusals > 0 {
+		delay += refusalDelay
+	}
+	d.addCandidate(now, merged, delay)
+}
+
+// addCandidate adds a candidate that is due after a delay, unless there is one already. It
+// reports whether it did.
+func (d *Detector) addCandidate(now time.Time, merged *Report, delay time.Duration) bool {
+	if _, ok := d.candidates[merged.Ticket]; ok {
+		return false
+	}
+	d.candidates[merged.Ticket] = candidate{
+		merged:  *merged,
+		foundAt: now,
+		due:     now.Add(delay),
 	}
+	return true
 }
 
 // Due returns the merged reports of StandBy on which this balancer is to inquire now.
@@ -164,6 +193,7 @@
 	for t, c := range d.candidates {
 		if !now.Before(c.due) {
 			delete(d.candidates, t)
+			c.merged.Silence += now.Sub(c.foundAt)
 			due = append(due, c.merged)
 		}
 	}
--- a/flow/restart_test.go
+++ b/flow/restart_test.go
@@ -65,3 +65,70 @@
 		})
 	}
 }
+
+// TestRefusalsAreDeferred guards against resets of the last flows of a host that shuts down: it
+// refuses connections while it still answers requests.
+func TestRefusalsAreDeferred(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// answers is whether the host answers a request after it has refused connections.
+		answers bool
+	}{
+		{
+			name:    "a host that shuts down",
+			answers: true,
+		},
+		{
+			name: "a host that has crashed",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			c := f.client(boardAddress).establish()
+			c.request()
+			f.advance(time.Second)
+			d := NewDetector(1)
+			merged, found := d.AddReport(f.now, 1, Report{
+				Ticket:   c.host.Ticket(),
+				Refusals: 1,
+			}, 1)
+			require.Equal(t, FoundDead, found)
+			for _, first := range []bool{true, false} {
+				deferred, f := d.Defer(f.now, &merged)
+				require.True(t, deferred)
+				require.Equal(t, first, f)
+			}
+			if test.answers {
+				f.advance(refusalDelay / 2)
+				c.acknowledgeAnswer()
+				f.advance(-refusalDelay / 2)
+			}
+			require.Empty(t, d.Due(f.now.Add(refusalDelay-1)))
+			f.advance(refusalDelay)
+			due := d.Due(f.now)
+			require.Len(t, due, 1)
+			q, ok := d.Inquire(f.now, &due[0], []uint64{1})
+			require.True(t, ok)
+			require.Equal(t, refusalDelay, q.Silence)
+			require.Equal(t, test.answers, f.forwarder.Ask(f.now, q).Alive)
+		})
+	}
+}
+
+// TestRefusalsStandBy checks that the second watcher of an upstream also waits for the last
+// answers of a host that refuses connections, and that reports of silence are not put off.
+func TestRefusalsStandBy(t *testing.T) {
+	now := time.Now()
+	d := NewDetector(1)
+	d.StandBy(now, &Report{
+		Ticket:   7,
+		Refusals: 2,
+	})
+	require.Empty(t, d.Due(now.Add(refusalDelay+standbyDelay-1)))
+	require.Len(t, d.Due(now.Add(refusalDelay+standbyDelay)), 1)
+	deferred, _ := d.Defer(now, &Report{
+		Ticket:      7,
+		SilentFlows: 3,
+	})
+	require.False(t, deferred)
+}
