fix: reset no single flow without the zone's word

Cause: `flow: reject reason="silent upstream"`. brunico-12 forwarded a request at 26.782, 26.981 and 27.381 s; none reached the host, which has the flow's last packet at 23.231 s. One answered packet of another flow counted as the proof of the balancer's own path, so three lost packets in a row counted as the host's silence.

Change: with inquiries, a balancer reports the retransmissions of its longest waiting flow under the condition on which it used to reset it, and the zone is asked. An answer of any balancer that has seen the host answer since then refutes it. A confirmation of such an inquiry resets only flows that have been repeated as often, not the host's idle flows.

Evidence: TestLossyLinkResetsNoLiveFlow (before: the third repeat was rejected, expected forward). Conclusion: no balancer ends a flow of a host that others hear of. A flow of a host that nobody else uses at that time can still be reset by three lost packets.

--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -173,7 +173,8 @@
 	s.daemon.counters.inquiries[inquiryStarted].Add(1)
 	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("inquiry", q.ID),
 		logs.F("silent_flows", merged.SilentFlows), logs.F("repeats", merged.Retransmissions),
-		logs.F("silence_ms", merged.Silence.Milliseconds()), logs.F("refusals", merged.Refusals))
+		logs.F("silence_ms", merged.Silence.Milliseconds()), logs.F("refusals", merged.Refusals),
+		logs.F("flow_repeats", merged.FlowRetransmissions), logs.F("single", q.Single))
 	s.daemon.queueInquiry(receivedInquiry{Inquiry: q})
 	s.sendHealth(relays(peers), &wire.Health{Inquiries: []*wire.Inquiry{wire.NewInquiry(&q)}})
 }
--- a/flow/death.go
+++ b/flow/death.go
@@ -10,6 +10,15 @@
 type askedDeath struct {
 	id      uint32
 	askedAt time.Time
+	// single is as in Inquiry.
+	single bool
+}
+
+// confirmedDeath is an upstream whose flows are to be reset.
+type confirmedDeath struct {
+	ticket directory.Ticket
+	// single is as in Inquiry.
+	single bool
 }
 
 // Ask answers an inquiry. Unless this balancer has seen progress, new flows avoid the
@@ -29,12 +38,13 @@
 	f.asked[q.Ticket] = askedDeath{
 		id:      q.ID,
 		askedAt: now,
+		single:  q.Single,
 	}
 	return a
 }
 
-// Confirm applies the confirmation of an inquiry: the upstream's open flows are reset at
-// the next call of Advance. It is ignored if it comes late, since the upstream may have
+// Confirm applies the confirmation of an inquiry: the upstream's open flows, or those that
+// an inquiry on a single flow was about, are reset at the next call of Advance. It is ignored if it comes late, since the upstream may have
 // recovered, or if the upstream has shown progress here since the inquiry.
 func (f *Forwarder) Confirm(now time.Time, t directory.Ticket, id uint32) {
 	a, ok := f.asked[t]
@@ -43,7 +53,10 @@
 	}
 	delete(f.asked, t)
 	if now.Sub(a.askedAt) < maxInquiryAge && !f.healthOfTicket(t).lastProgress.After(a.askedAt) {
-		f.confirmedDeaths = append(f.confirmedDeaths, t)
+		f.confirmedDeaths = append(f.confirmedDeaths, confirmedDeath{
+			ticket: t,
+			single: a.single,
+		})
 	}
 }
 
@@ -123,7 +136,12 @@
 
 // applyDeaths resets the flows of upstreams whose death was confirmed.
 func (f *Forwarder) applyDeaths(now time.Time, v *directory.View) {
-	for _, t := range f.confirmedDeaths {
+	for _, d := range f.confirmedDeaths {
+		t := d.ticket
+		if d.single {
+			f.abandon(t, flowRetransmissions)
+			continue
+		}
 		h := f.healthOfTicket(t)
 		h.expireDeath(now)
 		if h.state == Dead {
@@ -134,18 +152,22 @@
 			f.recordStateChange(u, h, 0)
 			f.stateChanges[len(f.stateChanges)-1].Shared = true
 		}
-		f.abandon(t)
+		f.abandon(t, 0)
 	}
 	f.confirmedDeaths = nil
 }
 
-// report adds a report for other balancers on an upstream's silence.
-func (f *Forwarder) report(now time.Time, t directory.Ticket, h *health) {
+// report adds a report for other balancers on an upstream's silence, as a flow of it has
+// been retransmitted.
+func (f *Forwarder) report(now time.Time, s *flowState, h *health) {
 	r := Report{
-		Ticket:          t,
+		Ticket:          s.upstream.Ticket(),
 		SilentFlows:     h.silentFlows,
 		Retransmissions: h.retransmissions,
 	}
+	if h.lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince) {
+		r.FlowRetransmissions = s.retransmissions
+	}
 	if !h.silentSince.IsZero() {
 		r.Silence = now.Sub(h.silentSince)
 	}
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -36,6 +36,10 @@
 	Retransmissions int
 	// Silence is the time since the first unanswered packet was sent.
 	Silence time.Duration
+	// FlowRetransmissions is the number of retransmissions on the flow with the most. Since
+	// that flow's oldest unanswered packet was first sent, the upstream has shown no
+	// progress at the balancer, but another one has.
+	FlowRetransmissions int
 	// Refusals is the number of balancers whose connections to the upstream's
 	// address are refused.
 	Refusals int
@@ -224,6 +228,7 @@
 		}
 		merged.SilentFlows += r.report.SilentFlows
 		merged.Retransmissions += r.report.Retransmissions
+		merged.FlowRetransmissions = max(merged.FlowRetransmissions, r.report.FlowRetransmissions)
 		merged.Silence = max(merged.Silence, r.report.Silence+age)
 	}
 	for incarnation, at := range e.refusedAt {
@@ -239,14 +244,16 @@
 	return merged
 }
 
-// conclusive reports whether r shows that an upstream is dead. Silence is judged by
-// retransmissions, which only waiting clients send; a first packet may be unanswered
-// because its client has left. One balancer's refusals don't suffice: the cause may be
-// on a network path that only this balancer uses.
+// conclusive reports whether r shows that an upstream is dead, or that it has lost a single
+// flow. Silence is judged by retransmissions, which only waiting clients send; a first packet
+// may be unanswered because its client has left. One balancer's refusals don't suffice: the
+// cause may be on a network path that only this balancer uses.
 func (r *Report) conclusive(balancers int) bool {
-	if r.refused(balancers) {
-		return true
-	}
+	return r.refused(balancers) || r.silent() || r.FlowRetransmissions >= flowRetransmissions
+}
+
+// silent reports whether several flows show that an upstream is dead.
+func (r *Report) silent() bool {
 	return r.SilentFlows >= suspectFlows && r.Retransmissions >= deadRetransmissions && r.Silence >= deadAfter
 }
 
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -35,7 +35,7 @@
 	// asked holds the inquiries that may still be confirmed, and confirmedDeaths the
 	// upstreams whose flows are to be reset.
 	asked           map[directory.Ticket]askedDeath
-	confirmedDeaths []directory.Ticket
+	confirmedDeaths []confirmedDeath
 	// unproven holds the silent upstreams that are judged once this balancer's own
 	// path has proved to work.
 	unproven []*directory.Upstream
@@ -239,7 +239,7 @@
 		d.Action, d.Reason = Reject, ReasonReplaced
 	case f.healthOf(u).dead(now):
 		d.Action, d.Reason = Reject, ReasonDead
-	case s.retransmissions >= flowRetransmissions && f.healthOf(u).lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince):
+	case !f.asksZone && s.retransmissions >= flowRetransmissions && f.healthOf(u).lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince):
 		d.Action, d.Reason = Reject, ReasonSilent
 	}
 	return d
@@ -356,15 +356,16 @@
 	if h.state != before {
 		f.recordStateChange(s.upstream, h, now.Sub(h.silentSince))
 	}
-	f.report(now, s.upstream.Ticket(), h)
+	f.report(now, s, h)
 	f.judgeSilence(now, s.upstream, h)
 }
 
-// abandon resets the open flows of a dead upstream, ordered by key.
-func (f *Forwarder) abandon(t directory.Ticket) {
+// abandon resets the open flows of a dead upstream that have at least a number of
+// retransmissions, ordered by key.
+func (f *Forwarder) abandon(t directory.Ticket, retransmissions int) {
 	var lost []key
 	f.flows.forEach(func(k key, s *flowState) {
-		if !s.closed && !s.opening && s.upstream.Ticket() == t {
+		if !s.closed && !s.opening && s.upstream.Ticket() == t && s.retransmissions >= retransmissions {
 			lost = append(lost, k)
 		}
 	})
--- a/flow/health.go
+++ b/flow/health.go
@@ -47,8 +47,8 @@
 	// unanswered: longer than a balancer may go unscheduled on its share of a core.
 	deadOpeningAge = 250 * time.Millisecond
 	// flowRetransmissions is the number of retransmissions after which a single flow is
-	// reset, if its upstream has shown no progress since the first transmission: four
-	// transmissions were lost and 1.4 s have passed. Another upstream must have
+	// reset, or the zone asked about its upstream, if that has shown no progress since the
+	// first transmission: four transmissions were lost and 1.4 s have passed. Another upstream must have
 	// answered a later packet, since a balancer whose own link is congested gets no
 	// answers at all.
 	flowRetransmissions = 3
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -35,6 +35,9 @@
 	// refuses connections it is the time since it was refused: progress from before that
 	// does not count.
 	Silence time.Duration
+	// Single reports whether the evidence is of a single flow: the confirmation resets
+	// only flows with as many retransmissions.
+	Single bool
 }
 
 // An Answer is a balancer's answer to an Inquiry.
@@ -105,6 +108,7 @@
 			Ticket:  merged.Ticket,
 			ID:      d.lastID,
 			Silence: merged.Silence,
+			Single:  merged.Silence > 0 && !merged.silent(),
 		},
 		sentAt:    now,
 		balancers: len(balancers),
--- a/flow/place.go
+++ b/flow/place.go
@@ -74,7 +74,7 @@
 		h := f.healthOf(u)
 		if h.checkOpenings(now, f.lastAnswered) {
 			f.recordStateChange(u, h, now.Sub(h.silentSince))
-			f.abandon(u.Ticket())
+			f.abandon(u.Ticket(), 0)
 		}
 	}
 }
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -30,7 +30,7 @@
 	}
 	h.markDead(now)
 	f.recordStateChange(u, h, now.Sub(h.silentSince))
-	f.abandon(u.Ticket())
+	f.abandon(u.Ticket(), 0)
 }
 
 // judgeUnproven judges the upstreams that have waited for a proof of this balancer's own
--- /dev/null
+++ b/flow/single_test.go
@@ -0,0 +1,75 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLossyLinkResetsNoLiveFlow guards against resets of a living host's flow by a balancer
+// whose link drops some packets: three packets of one flow were lost in a row while others came
+// through, which counted as the proof of the balancer's own path.
+func TestLossyLinkResetsNoLiveFlow(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// progress is the time since another balancer of the zone has seen an answer of the
+		// host; zero if none has.
+		progress time.Duration
+		outcome  Outcome
+		resets   int
+	}{
+		{
+			name:     "another balancer has seen an answer since",
+			progress: time.Second,
+			outcome:  Refuted,
+		},
+		{
+			name:     "another balancer has seen an answer before",
+			progress: 3 * time.Second,
+			outcome:  Confirmed,
+			resets:   1,
+		},
+		{
+			name:    "the host is silent",
+			outcome: Confirmed,
+			resets:  1,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.forwarder = New(f.now, "a", owner(true), WithInquiries())
+			c := f.client(boardAddress).establish()
+			idle := f.flowOf(c.host)
+			idle.acknowledge()
+			f.advance(time.Second)
+			c.request()
+			for _, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+				f.advance(wait)
+				f.answerElsewhere()
+				require.Equal(t, Forward, c.retransmit().Action)
+			}
+			reports := f.forwarder.Reports()
+			d, peer := NewDetector(1), New(f.now, "a", owner(true))
+			merged, found := d.AddReport(f.now, 1, reports[len(reports)-1], 2)
+			require.Equal(t, FoundDead, found)
+			q, ok := d.Inquire(f.now, &merged, []uint64{1, 2})
+			require.True(t, ok)
+			if test.progress > 0 {
+				peer.healthOf(c.host).recordProgress(f.now.Add(-test.progress))
+			}
+			require.Equal(t, Undecided, d.AddAnswer(f.now, 1, f.forwarder.Ask(f.now, q)))
+			require.Equal(t, test.outcome, d.AddAnswer(f.now, 2, peer.Ask(f.now, q)))
+			if test.outcome == Confirmed {
+				f.forwarder.Confirm(f.now, q.Ticket, q.ID)
+			}
+			f.forwarder.Advance(f.now, f.view())
+			resets := f.forwarder.Resets()
+			require.Len(t, resets, test.resets, "the idle flow goes on")
+			if test.resets > 0 {
+				require.Equal(t, c.addr, resets[0].Client)
+			}
+			require.Equal(t, Forward, idle.request().Action)
+		})
+	}
+}
--- a/wire/health.go
+++ b/wire/health.go
@@ -61,18 +61,20 @@
 		Silence:  milliseconds(r.Silence),
 		Refusals: uint32(r.Refusals),
 		Late:     uint32(r.LateRequests),
+		Longest:  uint32(r.FlowRetransmissions),
 	}
 }
 
 // Decode returns the report of the message.
 func (x *Silence) Decode() flow.Report {
 	return flow.Report{
-		Ticket:          directory.Ticket(x.GetTicket()),
-		SilentFlows:     int(x.GetFlows()),
-		Retransmissions: int(x.GetRepeats()),
-		Silence:         duration(x.GetSilence()),
-		Refusals:        int(x.GetRefusals()),
-		LateRequests:    int(x.GetLate()),
+		Ticket:              directory.Ticket(x.GetTicket()),
+		SilentFlows:         int(x.GetFlows()),
+		Retransmissions:     int(x.GetRepeats()),
+		Silence:             duration(x.GetSilence()),
+		Refusals:            int(x.GetRefusals()),
+		LateRequests:        int(x.GetLate()),
+		FlowRetransmissions: int(x.GetLongest()),
 	}
 }
 
@@ -82,6 +84,7 @@
 		Ticket:  uint32(q.Ticket),
 		Id:      q.ID,
 		Silence: milliseconds(q.Silence),
+		Single:  q.Single,
 	}
 }
 
@@ -91,6 +94,7 @@
 		Ticket:  directory.Ticket(x.GetTicket()),
 		ID:      x.GetId(),
 		Silence: duration(x.GetSilence()),
+		Single:  x.GetSingle(),
 	}
 }
 
