fix: reset all flows of a host that refuses connections

Cause: since refusals have a silence of their own, an inquiry on a crashed host counted as one on a single flow, if fewer than two flows had been repeated: its idle flows were not reset, and their clients would have waited for the deadline of their next request.

Change: an inquiry is on a single flow only if neither refusals nor several flows show the death.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -108,7 +108,7 @@
 			Ticket:  merged.Ticket,
 			ID:      d.lastID,
 			Silence: merged.Silence,
-			Single:  merged.Silence > 0 && !merged.silent(),
+			Single:  !merged.refused(len(balancers)) && !merged.silent(),
 		},
 		sentAt:    now,
 		balancers: len(balancers),
--- a/flow/single_test.go
+++ b/flow/single_test.go
@@ -73,3 +73,19 @@
 		})
 	}
 }
+
+// TestRefusalsResetAllFlows guards against an inquiry that resets only flows with
+// retransmissions although the host refuses connections.
+func TestRefusalsResetAllFlows(t *testing.T) {
+	f := newFixture(t, 1)
+	d := NewDetector(1)
+	refusal := Report{
+		Ticket:   7,
+		Refusals: 1,
+	}
+	d.AddReport(f.now, 1, refusal, 3)
+	merged, _ := d.AddReport(f.now.Add(time.Millisecond), 2, refusal, 3)
+	q, ok := d.Inquire(f.now.Add(refusalDelay), &merged, []uint64{1, 2, 3})
+	require.True(t, ok)
+	require.False(t, q.Single)
+}
