fix: let a lone balancer prove its path before it resets a host's flows

What callers would see: open flows of living hosts are reset by a balancer that knows no other one of its zone: alone in it, just started, or taking its peers for dead, for instance behind a link that drops packets.

Cause: the zone's inquiry replaces the proof of the balancer's own path. A zone of one asks only itself.

Change: reports say whether another upstream has answered a packet sent since the first retransmission; a zone of one needs that. TestInquiry's zone of one gets a report with the proof; its checks are unchanged.

Evidence: TestLoneBalancerProvesItsPath; before, the death was found without a proof (expected false, actual true). Conclusion: every reset of a host's flows has a witness or a proof.

--- a/flow/death.go
+++ b/flow/death.go
@@ -164,6 +164,7 @@
 		Ticket:          s.upstream.Ticket(),
 		SilentFlows:     h.silentFlows,
 		Retransmissions: h.retransmissions,
+		Proven:          f.pathWorkedAfter(h.retransmittedSince),
 	}
 	if h.lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince) {
 		r.FlowRetransmissions = s.retransmissions
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -46,6 +46,9 @@
 	// LateRequests is the number of requests that became late since the last report:
 	// they have been unanswered for lateRequestAfter.
 	LateRequests int
+	// Proven reports whether another upstream has answered a packet that the balancer sent
+	// after the first retransmission. It is not sent to other balancers.
+	Proven bool
 }
 
 // A Finding is what the reports show about an upstream.
@@ -144,6 +147,10 @@
 	if !merged.conclusive(balancers) || now.Sub(e.inquiredAt) < deathInterval {
 		return merged, FoundNothing
 	}
+	if balancers == 1 && !merged.refused(balancers) && !merged.Proven {
+		// Nobody else can tell a silent upstream from this balancer's own silent link.
+		return merged, FoundNothing
+	}
 	if merged.refused(balancers) {
 		merged.Silence = e.refusedFor(now, balancers)
 	}
@@ -228,6 +235,7 @@
 		}
 		merged.SilentFlows += r.report.SilentFlows
 		merged.Retransmissions += r.report.Retransmissions
+		merged.Proven = merged.Proven || r.report.Proven
 		merged.FlowRetransmissions = max(merged.FlowRetransmissions, r.report.FlowRetransmissions)
 		merged.Silence = max(merged.Silence, r.report.Silence+age)
 	}
--- a/flow/inquiry_test.go
+++ b/flow/inquiry_test.go
@@ -17,6 +17,7 @@
 		SilentFlows:     3,
 		Retransmissions: 3,
 		Silence:         500 * time.Millisecond,
+		Proven:          true,
 	}, len(balancers))
 	require.Equal(t, FoundDead, found)
 	merged.Silence = silence
--- a/flow/single_test.go
+++ b/flow/single_test.go
@@ -89,3 +89,29 @@
 	require.True(t, ok)
 	require.False(t, q.Single)
 }
+
+// TestLoneBalancerProvesItsPath guards against resets by a balancer that knows no other one in
+// its zone: its inquiry asked only itself, and its own link may be silent.
+func TestLoneBalancerProvesItsPath(t *testing.T) {
+	for _, proven := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.forwarder = New(f.now, "a", owner(true), WithInquiries())
+		first, second := f.flowOf(f.upstream("a0")), f.flowOf(f.upstream("a0"))
+		first.request()
+		second.request()
+		for _, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+			f.advance(wait)
+			if proven {
+				f.answerElsewhere()
+			}
+			first.retransmit()
+			second.retransmit()
+		}
+		d, found := NewDetector(1), FoundNothing
+		for _, r := range f.forwarder.Reports() {
+			_, now := d.AddReport(f.now, 1, r, 1)
+			found = max(found, now)
+		}
+		require.Equal(t, proven, found == FoundDead)
+	}
+}
