test: let the emulator's balancers follow filbertflow's rules on silent hosts

Cause: the emulator ran the forwarder without inquiries and asked about refusals at once, so that it measured other rules than the daemon has.

Change: balancers of the policies shared and probed leave verdicts to the zone, and put off inquiries on refusals as the daemon does.

Measured: all tests of the emulator pass, without the race detector. Conclusion: trials of the policies stand for the daemon again.

--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -53,7 +53,11 @@
 func (b *balancer) start() {
 	b.down = false
 	b.id = b.emulation.rand.Uint64()
-	b.forwarder = flow.New(b.emulation.now, zoneName(b.zone), ownsAll{})
+	var options []flow.Option
+	if b.emulation.options.Policy != PolicyAlone {
+		options = append(options, flow.WithInquiries())
+	}
+	b.forwarder = flow.New(b.emulation.now, zoneName(b.zone), ownsAll{}, options...)
 	b.detector = flow.NewDetector(b.id)
 	b.packets = backlog{schedule: &b.emulation.schedule}
 	b.messages = backlog{schedule: &b.emulation.schedule}
@@ -187,16 +191,9 @@
 	merged, finding := b.detector.AddReport(b.emulation.now, sender, r, len(peers))
 	switch finding {
 	case flow.FoundDead:
-		if rank == 0 {
-			b.inquire(&merged)
-			return
-		}
-		b.detector.StandBy(b.emulation.now, &merged)
-		b.emulation.after(inquiryInterval, b.checkInquiries)
+		b.handleFoundDead(rank, &merged)
 	case flow.FoundBusy:
-		for _, p := range peers {
-			b.send(p, func() { p.forwarder.MarkBusy(b.emulation.now, r.Ticket) })
-		}
+		b.announceBusy(r.Ticket)
 	case flow.FoundNothing:
 		if !b.detector.ShouldProbe(b.emulation.now, b.id, r.Ticket) {
 			return
@@ -207,6 +204,32 @@
 	}
 }
 
+// handleFoundDead asks the zone whether a host is dead, or leaves that for later or to the
+// other watcher.
+func (b *balancer) handleFoundDead(rank int, merged *flow.Report) {
+	if rank > 0 {
+		b.detector.StandBy(b.emulation.now, merged)
+		b.emulation.after(inquiryInterval, b.checkInquiries)
+		return
+	}
+	deferred, first := b.detector.Defer(b.emulation.now, merged)
+	if first {
+		b.announceBusy(merged.Ticket)
+	}
+	if deferred {
+		b.emulation.after(inquiryInterval, b.checkInquiries)
+		return
+	}
+	b.inquire(merged)
+}
+
+// announceBusy tells the zone that new flows avoid a host.
+func (b *balancer) announceBusy(t directory.Ticket) {
+	for _, p := range b.peers() {
+		b.send(p, func() { p.forwarder.MarkBusy(b.emulation.now, t) })
+	}
+}
+
 // inquire asks the zone whether a host is dead.
 func (b *balancer) inquire(merged *flow.Report) {
 	peers := b.peers()
