fix: mend four faults that a review of eras found

- Hosts whose entry had lapsed long ago became eligible for 2 s after a restore that came without an outage: the grace of lapsed hosts was compared with the last outage (TestRestoreKeepsLongLapsedUpstreamsOut).
It now has the time of the restore.
- A balancer with a directory from a build without eras asked a peer of a known era for the changes since its position, and got them as changes that do not follow (TestPeersOfAKnownEraAfterAnOldBuild).
It asks for a complete listing.
- A balancer that started after a restore took a position without an era for one of the new era (TestStartAfterARestoreBesideAnOldBuild).
An unknown era counts as the own one only in the store's first era.
- Changes without items were sent as no message at all, so that a peer learned neither of the position nor of what is retained (TestChangesWithoutItems).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,9 +48,9 @@
 	retained map[Key]*Retained
 	era      uint64
 	revision uint64
-	// restored is set once the directory has entered a second era. Until then an unknown
-	// era counts as the directory's own.
-	restored bool
+	// listed is the revision of the complete listing that the era began with. Later
+	// revisions are of changes made in this era.
+	listed uint64
 	// prunedRevision is the highest revision of a pruned item: a delta from an earlier
 	// revision would not be complete.
 	prunedRevision uint64
@@ -90,6 +90,9 @@
 	if delta.Revision <= d.revision {
 		return nil, nil
 	}
+	if d.revision == 0 {
+		d.listed = delta.Revision
+	}
 	var changed []Item
 	for i := range delta.Items {
 		if d.set(now, &delta.Items[i]) {
@@ -104,10 +107,10 @@
 }
 
 // Normalize returns a position that a peer or the store has named. An unknown era counts
-// as the directory's own, unless the directory has seen the store being restored: the
-// position may then be from before that.
+// as the directory's own, unless the store has been restored before: the position may be
+// from before that.
 func (d *Directory) Normalize(p Position) Position {
-	if p.Era == 0 && !d.restored {
+	if p.Era == 0 && d.era <= firstEra {
 		p.Era = d.era
 	}
 	return p
--- a/directory/era.go
+++ b/directory/era.go
@@ -22,8 +22,8 @@
 }
 
 // Merge adds what a peer's delta tells beyond the store's history, even if the delta is
-// no newer than the directory: departed hosts that the directory doesn't know, and items
-// that the peer retains or knows from an earlier era. It returns the added items.
+// no newer than the directory: departed hosts that the directory doesn't know, and later
+// items that the peer retains, or knows from an earlier era. It returns the added items.
 func (d *Directory) Merge(now time.Time, delta *Delta) []Item {
 	var changed []Item
 	era := d.Normalize(delta.Position()).Era
@@ -38,8 +38,11 @@
 			if d.set(now, &item) {
 				changed = append(changed, item)
 			}
-		case item.Plan != nil && era < d.era:
-			changed = append(changed, d.mergeRetained(now, &Retained{Item: item})...)
+		case era < d.era:
+			changed = append(changed, d.mergeRetained(now, &Retained{
+				Item:  item,
+				Until: retainedUntil(now, &item),
+			})...)
 		}
 	}
 	if era == d.era {
@@ -115,8 +118,8 @@
 // from are retained.
 func (d *Directory) enterEra(now time.Time, to Position, delta *Delta) []Item {
 	before := d.currentItems()
-	d.restored = d.restored || d.era != 0
-	d.era, d.revision, d.prunedRevision = to.Era, to.Revision, to.Revision
+	d.era, d.revision = to.Era, to.Revision
+	d.listed, d.prunedRevision = to.Revision, to.Revision
 	d.items, d.retained = make(map[Key]*Item, len(delta.Items)), make(map[Key]*Retained)
 	for i := range delta.Items {
 		d.set(now, &delta.Items[i])
@@ -142,14 +145,14 @@
 	switch old.Key.Kind {
 	case KindPlan:
 		if next == nil || next.Plan.Version < old.Plan.Version {
-			d.retain(old, time.Time{})
+			d.retain(old, retainedUntil(now, old))
 			return
 		}
 		d.recordRemovedRoutes(now, old.Plan, next.Plan)
 	case KindZoneOut:
 		// A zone that is out by either item stays out: nothing may be sent to it.
 		if !old.Deleted && (next == nil || next.Deleted) {
-			d.retain(old, now.Add(RetentionPeriod))
+			d.retain(old, retainedUntil(now, old))
 		}
 	case KindUpstream:
 		d.reconcileUpstream(now, old, next)
@@ -169,7 +172,7 @@
 			Upstream: departedCopy(now, old.Upstream),
 		}
 	case old.laterThan(next):
-		d.retain(old, now.Add(RetentionPeriod))
+		d.retain(old, retainedUntil(now, old))
 	}
 }
 
@@ -189,20 +192,30 @@
 }
 
 // acceptsRetained reports whether an item that a peer retains is later than current, the
-// one in force.
+// one in force. A change made in this era ends the retention.
 func (d *Directory) acceptsRetained(i, current *Item) bool {
+	stored := d.items[i.Key]
+	changed := stored != nil && stored.Revision > d.listed
 	switch i.Key.Kind {
 	case KindPlan:
 		return i.Plan != nil && (current == nil || current.Plan.Version < i.Plan.Version)
 	case KindZoneOut:
-		return !i.Deleted && current == nil
+		return !changed && !i.Deleted && (current == nil || current.Deleted)
 	case KindUpstream:
-		listed := d.items[i.Key]
-		return i.Upstream != nil && listed != nil && !listed.Deleted && listed.Upstream != nil && i.laterThan(current)
+		listed := stored != nil && !stored.Deleted && stored.Upstream != nil
+		return !changed && listed && i.Upstream != nil && i.laterThan(current)
 	}
 	return false
 }
 
+// retainedUntil returns the time for Retained.Until of an item.
+func retainedUntil(now time.Time, i *Item) time.Time {
+	if i.Key.Kind == KindPlan {
+		return time.Time{}
+	}
+	return now.Add(RetentionPeriod)
+}
+
 // retain lets an item precede the store's until a time.
 func (d *Directory) retain(i *Item, until time.Time) {
 	item := *i
--- a/directory/item.go
+++ b/directory/item.go
@@ -63,11 +63,12 @@
 	return a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone && a.Draining == b.Draining
 }
 
-// laterThan reports whether the host of i wrote or deleted its entry later than other, whose
-// host has an entry, in whichever era of the store.
+// laterThan reports whether i is later than other, an item of the same host, in whichever
+// era of the store. An entry counts as deleted after all writes since the host's start:
+// writes that only raise Sequence are no changes, so the last one may not be known.
 func (i *Item) laterThan(other *Item) bool {
 	if i.Deleted && !other.Deleted {
-		return !other.Upstream.writtenAfter(i.Upstream)
+		return !other.Upstream.StartedAt.After(i.Upstream.StartedAt)
 	}
 	return i.Upstream.writtenAfter(other.Upstream)
 }
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -234,7 +234,7 @@
 		},
 		{
 			name:        "filbertflow.directory.era",
-			description: "Era of the store that the revision is of; one more than the store says.",
+			description: "Era of the store that the revision is of.",
 			gauge:       true,
 			samples:     singleSample(func() int64 { return int64(c.era.Load()) }),
 		},
--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -53,19 +53,17 @@
 	case <-stream.Context().Done():
 		return stream.Context().Err()
 	}
-	retained := delta.Retained
-	for part := range slices.Chunk(delta.Items, itemsPerMessage) {
-		m := wire.NewDelta(time.Now(), &directory.Delta{
-			Era:      delta.Era,
-			Base:     delta.Base,
-			Revision: delta.Revision,
-			Items:    part,
-			Retained: retained,
-		})
-		if err := stream.Send(m); err != nil {
+	items := delta.Items
+	for first := true; first || len(items) > 0; first = false {
+		part := *delta
+		part.Items = items[:min(itemsPerMessage, len(items))]
+		items = items[len(part.Items):]
+		if !first {
+			part.Retained = nil
+		}
+		if err := stream.Send(wire.NewDelta(time.Now(), &part)); err != nil {
 			return eris.Wrap(err, "send changes")
 		}
-		retained = nil
 	}
 	return stream.CloseSend()
 }
@@ -236,8 +234,8 @@
 }
 
 // relayChanges sends the changes since a position, which the balancer origin has read
-// from the store, to this balancer's children in the relay tree. A new era is only
-// announced, and the peers fetch the changes.
+// from the store, to this balancer's children in the relay tree. If that takes a complete
+// listing, as in a new era, the position is only announced, and the peers fetch it.
 func (s *syncer) relayChanges(now time.Time, since directory.Position, origin uint64) {
 	self := &member.Member{
 		Zone:        s.daemon.options.Zone,
@@ -248,8 +246,8 @@
 		return
 	}
 	parts := []directory.Delta{announcement(s.dir.Position())}
-	if since.Era == s.dir.Position().Era {
-		parts = splitDelta(s.dir.Since(since))
+	if delta := s.dir.Since(since); delta.Base == since.Revision {
+		parts = splitDelta(delta)
 	}
 	for _, part := range parts {
 		data, err := wire.AppendDelta(nil, now, &part, origin)
--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -91,7 +91,7 @@
 		return
 	}
 	if delta.Era < r.position.Era {
-		r.handleError(ctx, eris.Wrapf(errEra, "era %d after era %d", delta.Era, r.position.Era))
+		r.backOff(ctx, eris.Wrapf(errEra, "era %d after era %d", delta.Era, r.position.Era))
 		return
 	}
 	r.accept(ctx, delta)
@@ -134,14 +134,19 @@
 	return r.daemon.source.List(ctx, r.stale)
 }
 
-// handleError handles the error of a call and waits before the next one.
+// handleError handles the error of a watch, and of a listing at the start.
 func (r *reader) handleError(ctx context.Context, err error) {
-	d := r.daemon
 	if errors.Is(err, directory.ErrCompacted) {
-		d.log.Info(time.Now(), "store: change history was compacted, listing all entries", logs.F("revision", r.position.Revision))
+		r.daemon.log.Info(time.Now(), "store: change history was compacted, listing all entries", logs.F("revision", r.position.Revision))
 		r.relist(ctx)
 		return
 	}
+	r.backOff(ctx, err)
+}
+
+// backOff handles a failed call and waits before the next one.
+func (r *reader) backOff(ctx context.Context, err error) {
+	d := r.daemon
 	d.counters.storeErrors.Add(1)
 	if !r.failing {
 		d.log.Warn(time.Now(), "store: calls fail", logs.F("error", err.Error()), logs.F("revision", r.position.Revision))
@@ -164,7 +169,7 @@
 		return
 	}
 	if err != nil {
-		r.handleError(ctx, err)
+		r.backOff(ctx, err)
 		return
 	}
 	r.accept(ctx, delta)
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -64,7 +64,10 @@
 	outage        bool
 	outageStart   time.Time
 	lapseGraceEnd time.Time
-	prunedAt      time.Time
+	// restoredAt is when the directory entered its era. Upstreams that the store's
+	// copy lacks stay eligible for LapseGracePeriod.
+	restoredAt time.Time
+	prunedAt   time.Time
 	// publishedAt is when the last view was published, and publishPending tells
 	// that the directory has changed since.
 	publishedAt    time.Time
@@ -129,14 +132,14 @@
 		return err
 	}
 	after := s.dir.Position()
-	restored := after.Era != before.Era && before.Era != 0
+	restored := after.Era != before.Era && before.Revision > 0
 	if restored {
 		s.handleRestore(now, before, from)
 	}
 	s.changed(now, changed, from)
 	if after.After(before) {
 		s.tracker.SetVersion(config.Version(after.Revision), after.Era)
-		if (len(changed) > 0 || restored) && before.Revision > 0 && origin != 0 {
+		if (len(changed) > 0 && before.Revision > 0 || restored) && origin != 0 {
 			s.relayChanges(now, before, origin)
 		}
 	}
@@ -146,7 +149,8 @@
 // handleRestore handles that the directory has entered a new era: hosts that the store
 // does not list stay eligible until they have had time to register again.
 func (s *syncer) handleRestore(now time.Time, before directory.Position, from string) {
-	s.lapseGraceEnd = now.Add(directory.LapseGracePeriod)
+	s.restoredAt = now
+	s.publishPending = true
 	s.daemon.counters.restores.Add(1)
 	p := s.dir.Position()
 	s.daemon.log.Warn(now, "directory: entered a new era of the store", logs.F("era", p.Era), logs.F("revision", p.Revision),
@@ -221,13 +225,21 @@
 }
 
 // toleratesLapse returns a function that reports whether an upstream stays
-// eligible although its entry is gone: it lapsed during an outage of the store.
+// eligible although its entry is gone: it lapsed during an outage of the store, or
+// the copy lacks it that the store was restored from.
 func (s *syncer) toleratesLapse(now time.Time) func(*directory.Upstream) bool {
 	return func(u *directory.Upstream) bool {
-		return u.Lapsed && u.DepartedAt.After(s.outageStart) && (s.outage || now.Before(s.lapseGraceEnd))
+		outage := u.DepartedAt.After(s.outageStart) && (s.outage || now.Before(s.lapseGraceEnd))
+		copied := !u.DepartedAt.Before(s.restoredAt) && now.Before(s.restoredAt.Add(directory.LapseGracePeriod))
+		return u.Lapsed && (outage || copied)
 	}
 }
 
+// lapsesSettle reports whether upstreams that lapsed stop being eligible about now.
+func (s *syncer) lapsesSettle(now time.Time) bool {
+	return now.Before(s.lapseGraceEnd.Add(directory.LapseGracePeriod)) || now.Before(s.restoredAt.Add(2*directory.LapseGracePeriod))
+}
+
 // applyStoreDelta applies an answer of the store.
 func (s *syncer) applyStoreDelta(now time.Time, delta *directory.Delta) {
 	s.tracker.PlatformAnswered(now)
@@ -286,7 +298,7 @@
 	if settled := s.dir.Settle(now); len(settled) > 0 {
 		s.changed(now, settled, "settled")
 	}
-	if s.publishPending || s.dir.NeedsRefresh(now) || now.Before(s.lapseGraceEnd.Add(directory.LapseGracePeriod)) {
+	if s.publishPending || s.dir.NeedsRefresh(now) || s.lapsesSettle(now) {
 		s.publish(now)
 	}
 	if now.Sub(s.prunedAt) >= pruneInterval {
@@ -392,6 +404,12 @@
 		s.behindSince = now
 		s.announcements = 0
 	}
+	if p.Era < s.peerPosition.Era {
+		return
+	}
+	if p.Era > s.peerPosition.Era {
+		s.announcements = 0
+	}
 	if p.After(s.peerPosition) {
 		s.peerPosition = p
 	}
@@ -415,9 +433,13 @@
 	}
 	s.pulling = true
 	peer, since := s.pullPeer, s.dir.Position()
+	if s.peerPosition.Era != since.Era {
+		// Another era takes a complete listing.
+		since = directory.Position{}
+	}
 	// If the peer does not answer, the next pull waits until a peer announces the
 	// position again.
-	s.peerPosition = since
+	s.peerPosition = s.dir.Position()
 	s.behindSince = now
 	d := s.daemon
 	d.tasks.Go(func() {
