fix: reset no flow because an older host is listed at its address

What callers would see: an open flow of a living host is reset (FLOW) after one repeated packet, if the host's entry is missing and the store lists another host at its address.

Cause: a departed host counted as replaced whenever another one is listed at its address. A copy lists hosts that are older: these have left, and the address went to the departed one.

Change: only a host that started later replaces another.

Conclusion: the starts of the two hosts tell which of them has the address, without the store.

--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -227,7 +227,7 @@
 	other := v.ByAddress(u.Address)
 	switch {
 	case !waiting:
-	case !u.DepartedAt.IsZero() && other != nil && other.ID != u.ID:
+	case !u.DepartedAt.IsZero() && other != nil && other.ID != u.ID && !other.StartedAt.Before(u.StartedAt):
 		d.Action, d.Reason = Reject, ReasonReplaced
 	case f.healthOf(u).state == Dead:
 		d.Action, d.Reason = Reject, ReasonDead
