fix: skip no changes when a listing is relayed in parts

What callers would see: a host that drains, or a plan, is missed by all balancers that get their changes from one that had to list all entries while they changed (DRAIN, CONFIG).

Cause: the entries of a listing's later pages are newer than its revision. A relayed part named the revision of its last item, and so passed revisions whose changes it did not have.

Change: a part leads no further than the whole delta.

Conclusion: a follower's position never passes what it has got.

--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -285,9 +285,10 @@
 	base := delta.Base
 	for chunk := range slices.Chunk(delta.Items, itemsPerDatagram) {
 		part := directory.Delta{
-			Era:      delta.Era,
-			Base:     base,
-			Revision: chunk[len(chunk)-1].Revision,
+			Era:  delta.Era,
+			Base: base,
+			// Items of a listing may be newer than the listing.
+			Revision: min(chunk[len(chunk)-1].Revision, delta.Revision),
 			Items:    chunk,
 		}
 		base = part.Revision
--- /dev/null
+++ b/filbertflow/internal/daemon/relay_test.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/directory"
+)
+
+func drainingHost(u *directory.Upstream) { u.Draining = true }
+
+// TestRelayOfAListing checks that a follower misses no change if the balancer that it gets
+// its changes from has listed all entries while they changed: entries of later pages are
+// newer than the listing's revision.
+func TestRelayOfAListing(t *testing.T) {
+	now := time.Now()
+	source, follower := directory.New(), directory.New()
+	first := listingOf(1, 5, hostItem("a", 1))
+	_, err := source.Apply(now, first)
+	require.NoError(t, err)
+	_, err = follower.Apply(now, first)
+	require.NoError(t, err)
+	// Host a, on the first page, begins to drain at revision 11, before the second page.
+	listing := listingOf(1, 10, hostItem("a", 1))
+	changes := &directory.Delta{
+		Era:      1,
+		Base:     10,
+		Revision: 20,
+		Items:    []directory.Item{hostItem("a", 11, drainingHost)},
+	}
+	for r := uint64(12); r <= 20; r++ {
+		i := hostItem(fmt.Sprintf("b%d", r), r)
+		listing.Items = append(listing.Items, i)
+		changes.Items = append(changes.Items, i)
+	}
+	for _, delta := range []*directory.Delta{listing, changes} {
+		before := source.Position()
+		_, err := source.Apply(now, delta)
+		require.NoError(t, err)
+		for _, part := range splitDelta(source.Since(before)) {
+			_, err := follower.Apply(now, &part)
+			require.NoError(t, err)
+		}
+	}
+	require.Equal(t, source.Position(), follower.Position())
+	for _, u := range follower.View(now, func(*directory.Upstream) bool { return false }).Eligible("board") {
+		require.NotEqual(t, "a", u.ID, "drains since revision 11")
+	}
+}
