fix: count no host that announced to leave as lapsed

What callers would see: for two seconds after a restore, or during an outage of the store, a host that had announced to leave gets new flows (DRAIN).

Cause: a record of a departed host was taken from a peer, or replaced one, as it was. A peer that had not seen the host drain takes it for lapsed, and lapsed hosts stay eligible while the store may have lost their entries by mistake. A balancer that entered an era late dated all departures anew, too. The first of these needs no restore: a listing after status 410 is enough.

Change: what either of two balancers knows counts: a host that one of them has seen drain did not lapse, unless it started again. A departure that the peer has known for longer than the grace of lapsed hosts keeps its time.

Conclusion: a host's own announcement survives peers that missed it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -110,7 +110,7 @@
 // as the directory's own, unless the store has been restored before: the position may be
 // from before that.
 func (d *Directory) Normalize(p Position) Position {
-	if p.Era == 0 && d.era <= firstEra {
+	if p.Era == 0 && d.era <= FirstEra {
 		p.Era = d.era
 	}
 	return p
@@ -240,8 +240,11 @@
 // storedUpstream returns the upstream that is stored for next, which replaces current.
 func storedUpstream(now time.Time, current, next *Item) *Upstream {
 	u := next.Upstream
-	if next.Deleted && u == nil && current != nil && current.Upstream != nil {
-		u = departedCopy(now, current.Upstream)
+	if next.Deleted && current != nil && current.Upstream != nil {
+		if u == nil {
+			u = departedCopy(now, current.Upstream)
+		}
+		u = u.announcedTo(current.Upstream)
 	}
 	if u == nil {
 		return nil
--- a/directory/era.go
+++ b/directory/era.go
@@ -159,23 +159,43 @@
 	}
 }
 
-// reconcileUpstream merges the item of a host. A host that the copy does not list departs,
-// as if its entry had lapsed. If the item is later than the copy's, it is retained.
+// reconcileUpstream merges the item of a host. A host that the listing lacks departs, as if
+// its entry had lapsed. If the item is later than the listing's, it is retained.
 func (d *Directory) reconcileUpstream(now time.Time, old, next *Item) {
 	switch {
 	case old.Upstream == nil:
-	case next == nil || next.Deleted || next.Upstream == nil:
-		d.items[old.Key] = &Item{
-			Key:      old.Key,
-			Revision: d.revision,
-			Deleted:  true,
-			Upstream: departedCopy(now, old.Upstream),
-		}
+	case next == nil || next.Upstream == nil:
+		d.depart(old.Key, departedCopy(now, old.Upstream))
+	case next.Deleted:
+		d.depart(old.Key, departure(now, old.Upstream, next.Upstream))
 	case old.laterThan(next):
 		d.retain(old, retainedUntil(now, old))
 	}
 }
 
+// depart stores the record of a host that departed before the era's listing.
+func (d *Directory) depart(k Key, u *Upstream) {
+	d.items[k] = &Item{
+		Key:      k,
+		Revision: d.revision,
+		Deleted:  true,
+		Upstream: u,
+	}
+}
+
+// departure returns the record of a departed host, by what this balancer knew of it and by
+// a peer's record.
+func departure(now time.Time, known, told *Upstream) *Upstream {
+	if known.writtenAfter(told) || !known.DepartedAt.IsZero() {
+		return departedCopy(now, known).announcedTo(told)
+	}
+	if u := told.announcedTo(known); !u.Lapsed || now.Sub(told.DepartedAt) >= LapseGracePeriod {
+		return u.withTicket()
+	}
+	// The peer has just entered the era: the entry may only be missing in the copy.
+	return departedCopy(now, known)
+}
+
 // mergeRetained adds an item that a peer retains, if it is later than the one in force, and
 // returns it.
 func (d *Directory) mergeRetained(now time.Time, r *Retained) []Item {
--- a/directory/position.go
+++ b/directory/position.go
@@ -6,15 +6,15 @@
 // from a copy begins a new era: it has lost its latest changes, and assigns their revisions
 // again to other changes.
 type Position struct {
-	// Era is firstEra until the store is restored for the first time, and increases with
+	// Era is FirstEra until the store is restored for the first time, and increases with
 	// each restore; zero if it is unknown.
 	Era uint64
 	// Revision is the store's revision within the era; zero before the first one.
 	Revision uint64
 }
 
-// firstEra is the era of a store that was never restored.
-const firstEra = 1
+// FirstEra is the era of a store that was never restored.
+const FirstEra = 1
 
 // After reports whether p is later than q. Every position of an era is later than all
 // positions of earlier eras.
--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -70,6 +70,18 @@
 	return n
 }
 
+// announcedTo returns the record of a departed host, u, as corrected by other, which is
+// what another balancer knows of it: a host that has announced to leave did not lapse.
+func (u *Upstream) announcedTo(other *Upstream) *Upstream {
+	left := other.Draining || !other.DepartedAt.IsZero() && !other.Lapsed
+	if !u.Lapsed || !left || u.StartedAt.After(other.StartedAt) {
+		return u
+	}
+	d := *u
+	d.Lapsed = false
+	return &d
+}
+
 // writtenAfter reports whether the host wrote u later than other, in whichever era of the
 // store.
 func (u *Upstream) writtenAfter(other *Upstream) bool {
