fix: retain items of an earlier era while the store is away again

What callers would see: a host that had announced to leave gets requests (DRAIN), if the store is restored from a copy that lists it as ready and goes away again before the host could write its entry once more.

Cause: the time for which an item of an earlier era is retained ran on while nobody could write.

Change: retention ends only once the store has answered after its end, and is counted anew when an outage ends. It is 8 s instead of 6, so that a silence of 3 s that does not count as an outage leaves the hosts time to write.

Evidence: TestRetentionOutlastsAnOutage failed before (the host was eligible). Conclusion: the copy counts only after those who know better have had the time to say so.

--- a/directory/era.go
+++ b/directory/era.go
@@ -9,8 +9,8 @@
 // RetentionPeriod is how long a directory prefers what it knew before the store was
 // restored to what the copy says of the same host or zone. By then live hosts and the
 // operators have written again, and the entries of dead hosts in the copy have lapsed after
-// three heartbeats of 1.2 s at most.
-const RetentionPeriod = 6 * time.Second
+// three heartbeats of 1.2 s at most, even if the store was silent for 3 s once more.
+const RetentionPeriod = 8 * time.Second
 
 // A Retained item of an earlier era precedes the one that the store has for its key since
 // it was restored from a copy, because the copy is older.
@@ -68,12 +68,20 @@
 	return all
 }
 
-// Settle ends the retention of items that nobody has written again in time, and returns
-// the items that replace them.
-func (d *Directory) Settle(now time.Time) []Item {
+// ExtendRetention starts RetentionPeriod anew, since the store has been away: nobody could
+// write again.
+func (d *Directory) ExtendRetention(now time.Time) {
+	for _, r := range d.retained {
+		r.Until = retainedUntil(now, &r.Item)
+	}
+}
+
+// Settle ends the retention of items that nobody had written again in time when the store
+// last answered, and returns the items that replace them.
+func (d *Directory) Settle(now, answered time.Time) []Item {
 	var changed []Item
 	for k, r := range d.retained {
-		if r.Until.IsZero() || now.Before(r.Until) {
+		if r.Until.IsZero() || answered.Before(r.Until) {
 			continue
 		}
 		delete(d.retained, k)
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -192,7 +192,7 @@
 			}
 			require.Equal(t, test.hosts, eligible(d, start))
 			later := start.Add(RetentionPeriod)
-			d.Settle(later)
+			d.Settle(later, later)
 			require.Equal(t, test.settled, eligible(d, later))
 		})
 	}
@@ -263,7 +263,7 @@
 		require.Equal(t, source.Position(), d.Position())
 		require.Equal(t, uint64(9), d.View(start, noneLapsed).Plan.Version)
 		require.Empty(t, eligible(d, start))
-		d.Settle(start.Add(RetentionPeriod))
+		d.Settle(start.Add(RetentionPeriod), start.Add(RetentionPeriod))
 		require.Equal(t, []string{"1"}, eligible(d, start), "the host is alive, as its entry has not lapsed")
 	}
 	lagging := New()
--- a/filbertflow/internal/daemon/relay_test.go
+++ b/filbertflow/internal/daemon/relay_test.go
@@ -50,3 +50,20 @@
 		require.NotEqual(t, "a", u.ID, "drains since revision 11")
 	}
 }
+
+// TestRetentionOutlastsAnOutage checks that a host that drains is not eligible again because
+// the store went away once more before the host could write its entry again.
+func TestRetentionOutlastsAnOutage(t *testing.T) {
+	d := newDaemon(t)
+	s, now := d.syncer, time.Now()
+	written := func(n int64) func(*directory.Upstream) {
+		return func(u *directory.Upstream) { u.Sequence = n }
+	}
+	s.applyStoreDelta(now, listingOf(1, 5, hostItem("1", 5, written(4), drainingHost)))
+	s.applyStoreDelta(now, listingOf(2, 3, hostItem("1", 3, written(2))))
+	for end := now.Add(2 * directory.RetentionPeriod); now.Before(end); now = now.Add(tick) {
+		s.tick(t.Context(), now)
+	}
+	require.True(t, s.outage)
+	require.Empty(t, d.view.Load().Eligible("board"), "nothing was heard of the store since")
+}
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -262,6 +262,7 @@
 	case !silent && s.outage:
 		s.outage = false
 		s.lapseGraceEnd = now.Add(directory.LapseGracePeriod)
+		s.dir.ExtendRetention(now)
 		s.daemon.log.Info(now, "store: outage ended", logs.F("for_ms", now.Sub(s.outageStart).Milliseconds()))
 	}
 }
@@ -295,7 +296,7 @@
 	s.updateRoles(now)
 	s.daemon.counters.setStoreAge(now, s.tracker.PlatformAge(now))
 	s.catchUp(ctx, now)
-	if settled := s.dir.Settle(now); len(settled) > 0 {
+	if settled := s.dir.Settle(now, now.Add(-s.tracker.PlatformAge(now))); len(settled) > 0 {
 		s.changed(now, settled, "settled")
 	}
 	if s.publishPending || s.dir.NeedsRefresh(now) || s.lapsesSettle(now) {
