fix: ask peers at the same position for what they retain

What callers would see: requests handled by an older configuration than a confirmed one (CONFIG), at a balancer that had not learned of it before the store was restored from a copy, until the operator writes again.

Cause: a balancer pulls from peers that are ahead. Those that entered the era by the same copy name the same position, and what they retain is no change of the store.

Change: after entering a later era than the first, a balancer asks two peers that name the same era for the changes since its position, which carry what they retain.

Evidence: TestReaderThatWasBehindLearnsOfANewerPlan failed before (plan 5 instead of 9). Conclusion: the newest confirmed plan needs one balancer that knows it.

--- a/filbertflow/internal/daemon/relay_test.go
+++ b/filbertflow/internal/daemon/relay_test.go
@@ -51,6 +51,29 @@
 	}
 }
 
+// TestReaderThatWasBehindLearnsOfANewerPlan checks that a balancer that enters an era by the
+// copy, without a plan that its peers know from before, takes it over from them, although
+// they name the same position, and nobody writes the plan again.
+func TestReaderThatWasBehindLearnsOfANewerPlan(t *testing.T) {
+	now := time.Now()
+	peer := newDaemon(t)
+	copied := listingOf(2, 3, planItem(5, 3))
+	peer.syncer.applyStoreDelta(now, listingOf(1, 5, planItem(9, 5)))
+	peer.syncer.applyStoreDelta(now, copied)
+	address := serveDirectory(t, peer)
+	d := newDaemon(t)
+	s := d.syncer
+	s.applyStoreDelta(now, listingOf(1, 3, planItem(5, 3)))
+	s.applyStoreDelta(now, copied)
+	for range 10 {
+		now = now.Add(pullDelay)
+		s.notePosition(now, copied.Position(), address)
+		s.tick(t.Context(), now)
+		pulled(t, d)
+	}
+	require.Equal(t, uint64(9), s.dir.View(now, func(*directory.Upstream) bool { return false }).Plan.Version)
+}
+
 // TestRetentionOutlastsAnOutage checks that a host that drains is not eligible again because
 // the store went away once more before the host could write its entry again.
 func TestRetentionOutlastsAnOutage(t *testing.T) {
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -28,6 +28,9 @@
 	// publishInterval is the shortest time between two views that are published
 	// for changes: making a view walks over all hosts.
 	publishInterval = 100 * time.Millisecond
+	// maxMergePulls is the number of peers that are asked for what they retain from
+	// before a restore of the store: one of them may know no more.
+	maxMergePulls = 2
 	// pruneInterval is the time between two removals of expired entries and
 	// reports.
 	pruneInterval = 10 * time.Second
@@ -81,7 +84,11 @@
 	pullPeer      netip.AddrPort
 	behindSince   time.Time
 	pulling       bool
-	clock         *suspensionClock
+	// mergePulls is the number of pulls that are still to be made in a new era for what
+	// peers retain from earlier ones, and mergePeer a peer to ask.
+	mergePulls int
+	mergePeer  netip.AddrPort
+	clock      *suspensionClock
 }
 
 func newSyncer(now time.Time, d *Daemon) *syncer {
@@ -133,6 +140,9 @@
 	}
 	after := s.dir.Position()
 	restored := after.Era != before.Era && before.Revision > 0
+	if after.Era != before.Era && after.Era > directory.FirstEra {
+		s.mergePulls = maxMergePulls
+	}
 	if restored {
 		s.handleRestore(now, before, from)
 	}
@@ -398,6 +408,9 @@
 // ahead, so picking the latest position would make all balancers ask it.
 func (s *syncer) notePosition(now time.Time, p directory.Position, peer netip.AddrPort) {
 	p = s.dir.Normalize(p)
+	if s.mergePulls > 0 && p.Era == s.dir.Position().Era {
+		s.mergePeer = peer
+	}
 	if !p.After(s.dir.Position()) {
 		return
 	}
@@ -420,9 +433,18 @@
 	}
 }
 
-// catchUp pulls changes that should have arrived by now.
+// catchUp pulls changes that should have arrived by now, and what peers retain from
+// earlier eras.
 func (s *syncer) catchUp(ctx context.Context, now time.Time) {
-	if s.peerPosition.After(s.dir.Position()) && now.Sub(s.behindSince) >= pullDelay {
+	switch {
+	case s.pulling:
+	case s.peerPosition.After(s.dir.Position()):
+		if now.Sub(s.behindSince) >= pullDelay {
+			s.pull(ctx, now)
+		}
+	case s.mergePulls > 0 && s.mergePeer.IsValid():
+		s.mergePulls--
+		s.pullPeer, s.mergePeer = s.mergePeer, netip.AddrPort{}
 		s.pull(ctx, now)
 	}
 }
@@ -434,7 +456,7 @@
 	}
 	s.pulling = true
 	peer, since := s.pullPeer, s.dir.Position()
-	if s.peerPosition.Era != since.Era {
+	if s.peerPosition.After(since) && s.peerPosition.Era != since.Era {
 		// Another era takes a complete listing.
 		since = directory.Position{}
 	}
