fix: tell peers of deletions from before a listing

What callers would see: a host that left stays eligible without end at some balancers (DRAIN), after they got their changes from a balancer that had listed all entries.

Cause: a listing does not tell what was deleted before it. A balancer that started, or listed again after status 410, answered a peer's "changes after 93" with the changes that it knew, as if these were all. The fault is older than eras, and of the same class: it answers from a position whose history it does not have.

Change: a listing counts like a pruning: who asks from an earlier revision gets a complete listing.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -100,6 +100,8 @@
 		}
 	}
 	if delta.Base == 0 {
+		// Deletions from before the listing are not known here.
+		d.prunedRevision = max(d.prunedRevision, delta.Revision)
 		changed = append(changed, d.deleteUnlisted(now, delta)...)
 	}
 	d.era, d.revision = to.Era, to.Revision
