fix: follow a restored store only from a listing that is not old

What callers would see: a balancer that starts soon after a restore handles requests by what the store has lost, and its peers after it (CONFIG, DRAIN).

Cause: the first listing of a process may be seconds old, to save the store's capacity. If it has the content from before a restore under the new era, its revision is one of the new era that the store has not given out yet.

Change: in a later era than the first, the first listing is repeated as one that is not old.

It costs one more listing a start after a restore.

--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -94,6 +94,11 @@
 		r.backOff(ctx, eris.Wrapf(errEra, "era %d after era %d", delta.Era, r.position.Era))
 		return
 	}
+	if listed && delta.Era > directory.FirstEra {
+		// A listing that may be old may be from before the restore.
+		r.relist(ctx)
+		return
+	}
 	r.accept(ctx, delta)
 	if len(delta.Items) > 0 && !listed {
 		sleep(ctx, d.watchDelay())
