fix: repeat failed pulls for what peers retain

Cause: after a restore a balancer asks two peers for what they retain; a pull that failed, as on a full link, counted as one of the two.

Change: a pull counts once it has been answered.

Conclusion: two answers are got in the end; a third peer that alone knows a newer plan is still not asked.

--- a/filbertflow/internal/daemon/relay_test.go
+++ b/filbertflow/internal/daemon/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -74,6 +75,32 @@
 	require.Equal(t, uint64(9), s.dir.View(now, func(*directory.Upstream) bool { return false }).Plan.Version)
 }
 
+// TestFailedPullsAreRepeatedAfterARestore checks that pulls that fail do not use up those for
+// what peers retain.
+func TestFailedPullsAreRepeatedAfterARestore(t *testing.T) {
+	now := time.Now()
+	copied := listingOf(2, 3, planItem(5, 3))
+	peer := newDaemon(t)
+	peer.syncer.applyStoreDelta(now, listingOf(1, 5, planItem(9, 5)))
+	peer.syncer.applyStoreDelta(now, copied)
+	address := serveDirectory(t, peer)
+	d := newDaemon(t)
+	s := d.syncer
+	s.applyStoreDelta(now, listingOf(1, 3, planItem(5, 3)))
+	s.applyStoreDelta(now, copied)
+	for i := range 4 * maxMergePulls {
+		now = now.Add(pullDelay)
+		a := address
+		if i < maxMergePulls {
+			a = netip.MustParseAddrPort("127.0.0.1:1")
+		}
+		s.notePosition(now, copied.Position(), a)
+		s.tick(t.Context(), now)
+		pulled(t, d)
+	}
+	require.Equal(t, uint64(9), s.dir.View(now, func(*directory.Upstream) bool { return false }).Plan.Version)
+}
+
 // TestRetentionOutlastsAnOutage checks that a host that drains is not eligible again because
 // the store went away once more before the host could write its entry again.
 func TestRetentionOutlastsAnOutage(t *testing.T) {
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -88,7 +88,9 @@
 	// peers retain from earlier ones, and mergePeer a peer to ask.
 	mergePulls int
 	mergePeer  netip.AddrPort
-	clock      *suspensionClock
+	// merging is whether the pull in progress is one of them.
+	merging bool
+	clock   *suspensionClock
 }
 
 func newSyncer(now time.Time, d *Daemon) *syncer {
@@ -443,7 +445,7 @@
 			s.pull(ctx, now)
 		}
 	case s.mergePulls > 0 && s.mergePeer.IsValid():
-		s.mergePulls--
+		s.merging = true
 		s.pullPeer, s.mergePeer = s.mergePeer, netip.AddrPort{}
 		s.pull(ctx, now)
 	}
@@ -477,6 +479,10 @@
 // finishPull applies the answer of a peer; delta is nil if there was none.
 func (s *syncer) finishPull(now time.Time, delta *directory.Delta) {
 	s.pulling = false
+	if s.merging && delta != nil {
+		s.mergePulls--
+	}
+	s.merging = false
 	if delta != nil {
 		s.applyPeerDelta(now, delta)
 	}
