--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -28,6 +28,9 @@
 	// publishInterval is the shortest time between two views that are published
 	// for changes: making a view walks over all hosts.
 	publishInterval = 100 * time.Millisecond
+	// maxMergePulls is the number of peers that are asked for what they retain from
+	// before a restore of the store: one of them may know no more.
+	maxMergePulls = 2
 	// pruneInterval is the time between two removals of expired entries and
 	// reports.
 	pruneInterval = 10 * time.Second
@@ -64,21 +67,30 @@
 	outage        bool
 	outageStart   time.Time
 	lapseGraceEnd time.Time
-	prunedAt      time.Time
+	// restoredAt is when the directory entered its era. Upstreams that the store's
+	// copy lacks stay eligible for LapseGracePeriod.
+	restoredAt time.Time
+	prunedAt   time.Time
 	// publishedAt is when the last view was published, and publishPending tells
 	// that the directory has changed since.
 	publishedAt    time.Time
 	publishPending bool
-	// peerRevision is the highest revision that a peer has announced,
-	// announcements the number of announcements of revisions that are not known
+	// peerPosition is the latest position that a peer has announced,
+	// announcements the number of announcements of positions that are not known
 	// here, and pullPeer one of the peers that sent them. behindSince is when
 	// this balancer fell behind.
-	peerRevision  uint64
+	peerPosition  directory.Position
 	announcements int
 	pullPeer      netip.AddrPort
 	behindSince   time.Time
 	pulling       bool
-	clock         *suspensionClock
+	// mergePulls is the number of pulls that are still to be made in a new era for what
+	// peers retain from earlier ones, and mergePeer a peer to ask.
+	mergePulls int
+	mergePeer  netip.AddrPort
+	// merging is whether the pull in progress is one of them.
+	merging bool
+	clock   *suspensionClock
 }
 
 func newSyncer(now time.Time, d *Daemon) *syncer {
@@ -123,21 +135,55 @@
 // apply applies a delta that the balancer origin has read from the store, and
 // relays the changes to peers. The argument from is the source for the log.
 func (s *syncer) apply(now time.Time, delta *directory.Delta, origin uint64, from string) error {
-	before := s.dir.Revision()
+	before := s.dir.Position()
 	changed, err := s.dir.Apply(now, delta)
 	if err != nil {
 		return err
 	}
+	after := s.dir.Position()
+	restored := after.Era != before.Era && before.Revision > 0
+	if after.Era != before.Era && after.Era > directory.FirstEra {
+		s.mergePulls = maxMergePulls
+	}
+	if restored {
+		s.handleRestore(now, before, from)
+	}
 	s.changed(now, changed, from)
-	if s.dir.Revision() > before {
-		s.tracker.SetVersion(config.Version(s.dir.Revision()))
-		if len(changed) > 0 && before > 0 && origin != 0 {
+	if after.After(before) {
+		s.tracker.SetVersion(config.Version(after.Revision), after.Era)
+		if (len(changed) > 0 && before.Revision > 0 || restored) && origin != 0 {
 			s.relayChanges(now, before, origin)
 		}
 	}
 	return nil
 }
 
+// handleRestore handles that the directory has entered a new era: hosts that the store
+// does not list stay eligible until they have had time to register again.
+func (s *syncer) handleRestore(now time.Time, before directory.Position, from string) {
+	s.restoredAt = now
+	s.publishPending = true
+	s.daemon.counters.restores.Add(1)
+	p := s.dir.Position()
+	s.daemon.log.Warn(now, "directory: entered a new era of the store", logs.F("era", p.Era), logs.F("revision", p.Revision),
+		logs.F("old_era", before.Era), logs.F("old_revision", before.Revision), logs.F("from", from))
+	for _, r := range s.dir.Retained() {
+		s.logRetained(now, &r)
+	}
+}
+
+// logRetained logs an item that is kept from an earlier era.
+func (s *syncer) logRetained(now time.Time, r *directory.Retained) {
+	fields := []logs.Field{logs.F("kind", r.Item.Key.Kind.String()), logs.F("name", r.Item.Key.Name), logs.F("gone", r.Item.Deleted)}
+	if p := r.Item.Plan; p != nil {
+		fields = append(fields, logs.F("plan", p.Version))
+	}
+	if u := r.Item.Upstream; u != nil {
+		fields = append(fields, logs.F("draining", u.Draining))
+	}
+	s.daemon.log.Info(now, "directory: item of an earlier era retained", fields...)
+}
+
 // changed logs changed items and publishes a view with them.
 func (s *syncer) changed(now time.Time, changed []directory.Item, from string) {
 	if len(changed) == 0 && s.daemon.view.Load() != nil {
@@ -181,21 +227,31 @@
 	s.publishedAt, s.publishPending = now, false
 	s.daemon.view.Store(v)
 	s.daemon.counters.upstreams.Store(int64(v.Upstreams()))
-	s.daemon.counters.revision.Store(v.Revision)
+	s.daemon.counters.revision.Store(v.Position.Revision)
+	s.daemon.counters.era.Store(v.Position.Era)
+	s.daemon.counters.retained.Store(int64(len(s.dir.Retained())))
 	if first {
 		close(s.daemon.firstView)
-		s.daemon.log.Info(now, "directory: first view", logs.F("revision", v.Revision), logs.F("upstreams", v.Upstreams()))
+		s.daemon.log.Info(now, "directory: first view", logs.F("revision", v.Position.Revision), logs.F("upstreams", v.Upstreams()))
 	}
 }
 
 // toleratesLapse returns a function that reports whether an upstream stays
-// eligible although its entry is gone: it lapsed during an outage of the store.
+// eligible although its entry is gone: it lapsed during an outage of the store, or
+// the copy lacks it that the store was restored from.
 func (s *syncer) toleratesLapse(now time.Time) func(*directory.Upstream) bool {
 	return func(u *directory.Upstream) bool {
-		return u.Lapsed && u.DepartedAt.After(s.outageStart) && (s.outage || now.Before(s.lapseGraceEnd))
+		outage := u.DepartedAt.After(s.outageStart) && (s.outage || now.Before(s.lapseGraceEnd))
+		copied := !u.DepartedAt.Before(s.restoredAt) && now.Before(s.restoredAt.Add(directory.LapseGracePeriod))
+		return u.Lapsed && (outage || copied)
 	}
 }
 
+// lapsesSettle reports whether upstreams that lapsed stop being eligible about now.
+func (s *syncer) lapsesSettle(now time.Time) bool {
+	return now.Before(s.lapseGraceEnd.Add(directory.LapseGracePeriod)) || now.Before(s.restoredAt.Add(2*directory.LapseGracePeriod))
+}
+
 // applyStoreDelta applies an answer of the store.
 func (s *syncer) applyStoreDelta(now time.Time, delta *directory.Delta) {
 	s.tracker.PlatformAnswered(now)
@@ -218,6 +274,7 @@
 	case !silent && s.outage:
 		s.outage = false
 		s.lapseGraceEnd = now.Add(directory.LapseGracePeriod)
+		s.dir.ExtendRetention(now)
 		s.daemon.log.Info(now, "store: outage ended", logs.F("for_ms", now.Sub(s.outageStart).Milliseconds()))
 	}
 }
@@ -251,7 +308,10 @@
 	s.updateRoles(now)
 	s.daemon.counters.setStoreAge(now, s.tracker.PlatformAge(now))
 	s.catchUp(ctx, now)
-	if s.publishPending || s.dir.NeedsRefresh(now) || now.Before(s.lapseGraceEnd.Add(directory.LapseGracePeriod)) {
+	if settled := s.dir.Settle(now, now.Add(-s.tracker.PlatformAge(now))); len(settled) > 0 {
+		s.changed(now, settled, "settled")
+	}
+	if s.publishPending || s.dir.NeedsRefresh(now) || s.lapsesSettle(now) {
 		s.publish(now)
 	}
 	if now.Sub(s.prunedAt) >= pruneInterval {
@@ -274,7 +334,7 @@
 		s.daemon.leads.Store(leads)
 		s.daemon.log.Info(now, "store: leading reader changed", logs.F("leads", leads))
 	}
-	reads := readerPolicy.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Revision() > 0)
+	reads := readerPolicy.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Position().Revision > 0)
 	if reads == s.isReader {
 		return
 	}
@@ -325,7 +385,10 @@
 	if !s.tracker.HandleHeartbeat(now, from, &h).Known {
 		return
 	}
-	s.noteRevision(now, uint64(h.Sender.Version), h.Sender.Control)
+	s.notePosition(now, directory.Position{
+		Era:      h.Digest,
+		Revision: uint64(h.Sender.Version),
+	}, h.Sender.Control)
 }
 
 // handleDelta applies changes that a peer relays. If they do not follow the known
@@ -337,32 +400,53 @@
 		return
 	}
 	if err := s.apply(now, delta, origin, "peer"); err != nil {
-		s.noteRevision(now, delta.Revision, from)
+		s.notePosition(now, delta.Position(), from)
 		s.pull(ctx, now)
 	}
 }
 
-// noteRevision records that a peer has a revision. Of the peers that are ahead,
+// notePosition records that a peer has a position. Of the peers that are ahead,
 // one picked at random is asked for changes: the reader is always the furthest
-// ahead, so picking the highest revision would make all balancers ask it.
-func (s *syncer) noteRevision(now time.Time, revision uint64, peer netip.AddrPort) {
-	if revision <= s.dir.Revision() {
+// ahead, so picking the latest position would make all balancers ask it.
+func (s *syncer) notePosition(now time.Time, p directory.Position, peer netip.AddrPort) {
+	p = s.dir.Normalize(p)
+	if s.mergePulls > 0 && p.Era == s.dir.Position().Era {
+		s.mergePeer = peer
+	}
+	if !p.After(s.dir.Position()) {
 		return
 	}
-	if s.peerRevision <= s.dir.Revision() {
+	if !s.peerPosition.After(s.dir.Position()) {
 		s.behindSince = now
 		s.announcements = 0
 	}
-	s.peerRevision = max(s.peerRevision, revision)
+	if p.Era < s.peerPosition.Era {
+		return
+	}
+	if p.Era > s.peerPosition.Era {
+		s.announcements = 0
+	}
+	if p.After(s.peerPosition) {
+		s.peerPosition = p
+	}
 	s.announcements++
 	if rand.IntN(s.announcements) == 0 {
 		s.pullPeer = peer
 	}
 }
 
-// catchUp pulls changes that should have arrived by now.
+// catchUp pulls changes that should have arrived by now, and what peers retain from
+// earlier eras.
 func (s *syncer) catchUp(ctx context.Context, now time.Time) {
-	if s.peerRevision > s.dir.Revision() && now.Sub(s.behindSince) >= pullDelay {
+	switch {
+	case s.pulling:
+	case s.peerPosition.After(s.dir.Position()):
+		if now.Sub(s.behindSince) >= pullDelay {
+			s.pull(ctx, now)
+		}
+	case s.mergePulls > 0 && s.mergePeer.IsValid():
+		s.merging = true
+		s.pullPeer, s.mergePeer = s.mergePeer, netip.AddrPort{}
 		s.pull(ctx, now)
 	}
 }
@@ -373,10 +457,14 @@
 		return
 	}
 	s.pulling = true
-	peer, since := s.pullPeer, s.dir.Revision()
+	peer, since := s.pullPeer, s.dir.Position()
+	if s.peerPosition.After(since) && s.peerPosition.Era != since.Era {
+		// Another era takes a complete listing.
+		since = directory.Position{}
+	}
 	// If the peer does not answer, the next pull waits until a peer announces the
-	// revision again.
-	s.peerRevision = s.dir.Revision()
+	// position again.
+	s.peerPosition = s.dir.Position()
 	s.behindSince = now
 	d := s.daemon
 	d.tasks.Go(func() {
@@ -391,16 +479,20 @@
 // finishPull applies the answer of a peer; delta is nil if there was none.
 func (s *syncer) finishPull(now time.Time, delta *directory.Delta) {
 	s.pulling = false
+	if s.merging && delta != nil {
+		s.mergePulls--
+	}
+	s.merging = false
 	if delta != nil {
 		s.applyPeerDelta(now, delta)
 	}
 }
 
 // applyPeerDelta applies a peer's delta, including its record of hosts whose
-// entries are gone.
+// entries are gone and of items of earlier eras.
 func (s *syncer) applyPeerDelta(now time.Time, delta *directory.Delta) {
 	if err := s.apply(now, delta, s.daemon.incarnation, "peer"); err != nil {
 		s.daemon.log.Warn(now, "peer: changes do not follow the known revision", logs.F("base", delta.Base))
 	}
-	s.changed(now, s.dir.MergeDeparted(now, delta), "peer")
+	s.changed(now, s.dir.Merge(now, delta), "peer")
 }
