fix: let a draining entry of the copy end a lapsed record

What callers would see: during an outage, or for two seconds after a restore, a host that drains by the store's word gets new flows (DRAIN).

Cause: a record of a host whose entry had lapsed was retained before a later entry, which said that the host drains; lapsed hosts stay eligible while the store may have lost entries by mistake.

Change: an entry that drains is later than a deletion by lapse.

--- a/directory/item.go
+++ b/directory/item.go
@@ -64,11 +64,12 @@
 }
 
 // laterThan reports whether i is later than other, an item of the same host, in whichever
-// era of the store. An entry counts as deleted after all writes since the host's start:
-// writes that only raise Sequence are no changes, so the last one may not be known.
+// era of the store. An entry counts as deleted after all writes since the host's start, as
+// writes that only raise Sequence are no changes and the last one may not be known; but a
+// host that drains has not lapsed.
 func (i *Item) laterThan(other *Item) bool {
 	if i.Deleted && !other.Deleted {
-		return !other.Upstream.StartedAt.After(i.Upstream.StartedAt)
+		return !other.Upstream.Draining && !other.Upstream.StartedAt.After(i.Upstream.StartedAt)
 	}
 	return i.Upstream.writtenAfter(other.Upstream)
 }
