test: give test hosts an address of their own

Cause: TestCrashedUpstreamIsProbed and TestLateRequestsAreReportedWithoutPackets failed once each beside other work. Sixteen processes of the daemon's tests at once, six rounds each, showed why: 21 failures, all "bind: address already in use". The tests listen on TCP at the number of a free UDP port of 127.0.0.1, which any connection of another process may have.

Change: the hosts of these tests are at a loopback address by the process's number. What is checked stays.

Measured: the same sixteen processes, none of 96 rounds failed. Conclusion: the cause was the harness, not the daemon.

--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -23,7 +24,20 @@
 
 func newEndpoint(t *testing.T) *endpoint {
 	t.Helper()
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return newEndpointAt(t, net.IPv4(127, 0, 0, 1))
+}
+
+// newHostEndpoint returns an endpoint at an address of this process, whose TCP port is free,
+// too: at 127.0.0.1 it may be the port of any connection of another process.
+func newHostEndpoint(t *testing.T) *endpoint {
+	t.Helper()
+	id := os.Getpid()
+	return newEndpointAt(t, net.IPv4(127, 77, byte(id>>8), byte(id)))
+}
+
+func newEndpointAt(t *testing.T, ip net.IP) *endpoint {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return &endpoint{
@@ -60,7 +74,7 @@
 func newIdleFlow(t *testing.T) *idleFlow {
 	t.Helper()
 	d := newDaemon(t)
-	host, client := newEndpoint(t), newEndpoint(t)
+	host, client := newHostEndpoint(t), newEndpoint(t)
 	d.options.Codec = platform.Codec{ClientPort: client.address().Port()}
 	u := directory.Upstream{
 		ID:      "i-0a",
