test: the store's reader and the pulls in a new era

Cause: the reader had no tests of its own.

Change: tests with a fake store in synthetic time: a new era leads to one listing however it shows; older or failed listings, and answers of an old or no era, change nothing, cost two calls a second at most, and end when the store recovers. Tests of pulls: one complete pull for a heartbeat or an announcement of a new era, none for an old one at a higher revision, and maxMergePulls small ones at the same position. serveDirectory is split, so that calls can be counted. A failing test: listings succeed and every watch gets status 410.

Conclusion: the reader still makes calls without a pause if listings succeed and watches after them don't; product code is unchanged.

--- a/filbertflow/internal/daemon/restore_test.go
+++ b/filbertflow/internal/daemon/restore_test.go
@@ -72,9 +72,16 @@
 
 // serveDirectory serves d's directory as a peer does, and returns its address.
 func serveDirectory(t *testing.T, d *Daemon) netip.AddrPort {
+	t.Helper()
+	return serveChanges(t, d, &directoryServer{daemon: d})
+}
+
+// serveChanges lets a server answer calls for changes, with d's events handled, and returns
+// its address.
+func serveChanges(t *testing.T, d *Daemon, server wire.DRPCDirectoryServer) netip.AddrPort {
 	t.Helper()
 	mux := drpcmux.New()
-	require.NoError(t, wire.DRPCRegisterDirectory(mux, &directoryServer{daemon: d}))
+	require.NoError(t, wire.DRPCRegisterDirectory(mux, server))
 	var config net.ListenConfig
 	p, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
