fix: pause between listings if every watch gets status 410

Cause: a listing that succeeds ended the backoff, and the next watch failed again. It takes a store that keeps no history at all.

Change: only an answered watch ends the backoff, and a watch that fails right after a listing waits like a failed call.

Conclusion: no way of failing makes the reader call without a pause.

--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -63,7 +63,10 @@
 	// listing is needed.
 	position directory.Position
 	// stale tells that a listing may be old, as a watch follows at once.
-	stale      bool
+	stale bool
+	// relisted tells that the last call that succeeded was a listing after a watch that
+	// could not be answered.
+	relisted   bool
 	retryDelay time.Duration
 	// failing tells that the last call failed.
 	failing bool
@@ -100,6 +103,7 @@
 		return
 	}
 	r.accept(ctx, delta)
+	r.relisted, r.retryDelay = false, 0
 	if len(delta.Items) > 0 && !listed {
 		sleep(ctx, d.watchDelay())
 	}
@@ -119,7 +123,6 @@
 		r.failing = false
 		d.log.Info(time.Now(), "store: calls succeed again", logs.F("revision", delta.Revision))
 	}
-	r.retryDelay = 0
 	r.advance(delta.Position())
 	d.postWait(ctx, func(now time.Time) { d.syncer.applyStoreDelta(now, delta) })
 }
@@ -141,7 +144,7 @@
 
 // handleError handles the error of a watch, and of a listing at the start.
 func (r *reader) handleError(ctx context.Context, err error) {
-	if errors.Is(err, directory.ErrCompacted) {
+	if errors.Is(err, directory.ErrCompacted) && !r.relisted {
 		r.daemon.log.Info(time.Now(), "store: change history was compacted, listing all entries", logs.F("revision", r.position.Revision))
 		r.relist(ctx)
 		return
@@ -152,6 +155,7 @@
 // backOff handles a failed call and waits before the next one.
 func (r *reader) backOff(ctx context.Context, err error) {
 	d := r.daemon
+	r.relisted = false
 	d.counters.storeErrors.Add(1)
 	if !r.failing {
 		d.log.Warn(time.Now(), "store: calls fail", logs.F("error", err.Error()), logs.F("revision", r.position.Revision))
@@ -178,6 +182,7 @@
 		return
 	}
 	r.accept(ctx, delta)
+	r.relisted = true
 }
 
 // sleep waits for d or until ctx ends.
