--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -235,7 +235,8 @@
 // announceBusy announces to the zone that an upstream is busy: its answers are
 // late, or it refuses connections.
 func (s *syncer) announceBusy(now time.Time, merged *flow.Report) {
-	s.daemon.log.Info(now, "upstream: reported busy", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("late", merged.LateRequests), logs.F("refusals", merged.Refusals))
+	s.daemon.log.Info(now, "upstream: reported busy", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)),
+		logs.F("late", merged.LateRequests), logs.F("refusals", merged.Refusals))
 	s.daemon.queueBusy(now, merged.Ticket)
 	s.sendHealth(relays(s.zonePeers()), &wire.Health{Busy: []uint32{uint32(merged.Ticket)}})
 }
--- a/flow/death.go
+++ b/flow/death.go
@@ -44,8 +44,9 @@
 }
 
 // Confirm applies the confirmation of an inquiry: the upstream's open flows, or those that
-// an inquiry on a single flow was about, are reset at the next call of Advance. It is ignored if it comes late, since the upstream may have
-// recovered, or if the upstream has shown progress here since the inquiry.
+// an inquiry on a single flow was about, are reset at the next call of Advance. It is ignored
+// if it comes late, since the upstream may have recovered, or if the upstream has shown
+// progress here since the inquiry.
 func (f *Forwarder) Confirm(now time.Time, t directory.Ticket, id uint32) {
 	a, ok := f.asked[t]
 	if !ok || a.id != id {
--- a/flow/health.go
+++ b/flow/health.go
@@ -48,9 +48,9 @@
 	deadOpeningAge = 250 * time.Millisecond
 	// flowRetransmissions is the number of retransmissions after which a single flow is
 	// reset, or the zone asked about its upstream, if that has shown no progress since the
-	// first transmission: four transmissions were lost and 1.4 s have passed. Another upstream must have
-	// answered a later packet, since a balancer whose own link is congested gets no
-	// answers at all.
+	// first transmission: four transmissions were lost and 1.4 s have passed. Another
+	// upstream must have answered a later packet, since a balancer whose own link is
+	// congested gets no answers at all.
 	flowRetransmissions = 3
 	// initialBackoff is how long new flows first avoid a silent upstream: its directory
 	// entry lapses after three heartbeats of 1.2 s at most. The time doubles up to
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -16,8 +16,9 @@
 }
 
 // judgeSilence resets the flows of an upstream that is dead by this balancer's evidence
-// alone, unless that is left to the zone. It takes a proof that the balancer's own path works; without one the upstream is
-// judged again when the proof comes. Reports need none, since the zone is asked first.
+// alone, unless that is left to the zone. It takes a proof that the balancer's own path works;
+// without one the upstream is judged again when the proof comes. Reports need none, since the
+// zone is asked first.
 func (f *Forwarder) judgeSilence(now time.Time, u *directory.Upstream, h *health) {
 	if f.asksZone || h.state == Dead || !h.silentToDeath(now) {
 		return
