fix: serve by the store's word where retained items leave no host

Cause: `flow: reject reason="no upstream"` at all balancers from the restore until `directory: zone out from=settled`. Zones that the operator had taken out, and hosts that had been draining, were retained from before the restore. Nobody wrote them again: the operator had taken them back meanwhile, which the store, having lost the entry, does not tell. Both zones were out by retained items, so no host was left.

Change: a service without an eligible host places new flows on the hosts that are eligible by the store's items alone. Retained items go first only while others can serve.

Tests: TestRetentionLeavesAHost, TestNewFlowsGoToTheFallback (without the change there is no host to place on).

Conclusion: what is known from before a restore may make callers wait for nothing, but not turn all of them away.

--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -274,3 +274,47 @@
 	source.Merge(start, lagging.Since(Position{}))
 	require.Equal(t, uint64(11), source.View(start, noneLapsed).Plan.Version, "a confirmed plan counts from any era")
 }
+
+// TestRetentionLeavesAHost guards against a service that refuses everybody after a restore,
+// because zones out and hosts retained from before it leave no eligible host, although the
+// store lists some.
+func TestRetentionLeavesAHost(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		known    []Item
+		copied   []Item
+		fallback int
+	}{
+		{
+			name:     "a zone out",
+			known:    []Item{written("1", 8, 4), zoneOut("a", 20, false)},
+			copied:   []Item{written("1", 8, 4)},
+			fallback: 1,
+		},
+		{
+			name:     "a host that had left",
+			known:    []Item{written("1", 19, 4, draining)},
+			copied:   []Item{written("1", 8, 2)},
+			fallback: 1,
+		},
+		{
+			name:   "a zone out in the copy, too",
+			known:  []Item{written("1", 19, 4, draining)},
+			copied: []Item{written("1", 8, 2), zoneOut("a", 9, false)},
+		},
+		{
+			name:   "another host is eligible",
+			known:  []Item{written("1", 19, 4, draining), written("2", 7, 1)},
+			copied: []Item{written("1", 8, 2), written("2", 7, 1)},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := New()
+			restore(t, d, start, 1, 20, test.known...)
+			require.Empty(t, d.View(start, noneLapsed).Fallback("board"))
+			restore(t, d, start, 2, 10, test.copied...)
+			v := d.View(start, noneLapsed)
+			require.Len(t, v.Fallback("board"), test.fallback)
+		})
+	}
+}
--- a/directory/view.go
+++ b/directory/view.go
@@ -19,6 +19,9 @@
 	routes map[netip.AddrPort]*Route
 	// eligible holds the hosts that new flows may go to, by service, ordered by ID.
 	eligible map[string][]*Upstream
+	// fallback holds, for services without eligible hosts, those that would be eligible
+	// without the items retained from earlier eras.
+	fallback map[string][]*Upstream
 	byTicket map[Ticket]*Upstream
 	// byAddress holds the listed host at each address.
 	byAddress     map[netip.AddrPort]*Upstream
@@ -35,6 +38,7 @@
 		Position:      d.Position(),
 		routes:        make(map[netip.AddrPort]*Route),
 		eligible:      make(map[string][]*Upstream),
+		fallback:      make(map[string][]*Upstream),
 		byTicket:      make(map[Ticket]*Upstream, len(d.items)),
 		byAddress:     make(map[netip.AddrPort]*Upstream, len(d.items)),
 		limits:        make(map[string]*Service),
@@ -53,6 +57,9 @@
 	for _, u := range upstreamsOf(items) {
 		v.add(d.coldAfterReturn(now, v, u), lapsed)
 	}
+	if len(d.retained) > 0 {
+		d.addFallback(now, v, lapsed)
+	}
 	for _, hosts := range v.eligible {
 		slices.SortFunc(hosts, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
@@ -75,6 +82,12 @@
 	return v.eligible[service]
 }
 
+// Fallback returns the hosts that new flows of a service may go to if none is eligible: by
+// the store's items alone, they are. The caller must not modify them.
+func (v *View) Fallback(service string) []*Upstream {
+	return v.fallback[service]
+}
+
 // Limits returns the limits of a service's hosts, or nil.
 func (v *View) Limits(service string) *Service {
 	return v.limits[service]
@@ -101,6 +114,21 @@
 	return v.upstreams
 }
 
+// addFallback adds the fallback of services without eligible hosts to v.
+func (d *Directory) addFallback(now time.Time, v *View, lapsed func(u *Upstream) bool) {
+	for _, u := range upstreamsOf(d.items) {
+		gone := !u.DepartedAt.IsZero() && !lapsed(u)
+		zone := d.items[Key{
+			Kind: KindZoneOut,
+			Name: u.Zone,
+		}]
+		if gone || u.Draining || zone != nil && !zone.Deleted || len(v.eligible[u.Service]) > 0 {
+			continue
+		}
+		v.fallback[u.Service] = append(v.fallback[u.Service], d.coldAfterReturn(now, v, u))
+	}
+}
+
 func (v *View) add(u *Upstream, lapsed func(u *Upstream) bool) {
 	if other := v.byTicket[u.Ticket()]; other == nil || precedes(u, other) {
 		v.byTicket[u.Ticket()] = u
--- a/flow/place.go
+++ b/flow/place.go
@@ -40,6 +40,9 @@
 	}
 	service := selectService(r, k)
 	hosts := v.Eligible(service)
+	if len(hosts) == 0 {
+		hosts = v.Fallback(service)
+	}
 	f.checkOpenings(now, hosts)
 	d := Decision{
 		Action:  Reject,
--- a/flow/restored_test.go
+++ b/flow/restored_test.go
@@ -59,3 +59,22 @@
 		})
 	}
 }
+
+// TestNewFlowsGoToTheFallback checks that a flow is placed by the store's own items where
+// those that are retained from before a restore leave no host.
+func TestNewFlowsGoToTheFallback(t *testing.T) {
+	f := newFixture(t, 0)
+	f.host("a9", "a", "board")
+	copied := f.dir.Since(directory.Position{})
+	copied.Era = 2
+	f.set(directory.Item{Key: directory.Key{
+		Kind: directory.KindZoneOut,
+		Name: "a",
+	}})
+	require.Equal(t, ReasonNoUpstream, f.client(boardAddress).open().Reason)
+	_, err := f.dir.Apply(f.now, copied)
+	require.NoError(t, err)
+	d := f.client(boardAddress).open()
+	require.Equal(t, ReasonPlaced, d.Reason)
+	require.Equal(t, "a9", d.Upstream.ID)
+}
