--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts start. They use the standard library only.
+set -eu
+cd "$(dirname "$0")/stand"
+GOWORK=off GOFLAGS=-mod=readonly go build -o ../build/stand .
