--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -34,6 +34,9 @@
 	address endpoint
 	work    time.Duration
 	born    time.Time
+	// maxFlows is the number of flows that the host holds; it sends nothing to a SYN beyond
+	// that. Zero is no limit.
+	maxFlows int
 
 	socket *net.UDPConn
 	health *http.Server
@@ -42,6 +45,8 @@
 	draining bool
 	drainAck time.Time
 	flows    map[flowKey]*hostFlow
+	held     int // flows that are not closed
+	refused  int // SYNs that got nothing because the host was full
 	seq      int
 }
 
@@ -183,6 +188,7 @@
 	}
 	if p.flags&flagFIN != 0 && p.seq+uint32(len(p.data)) == f.expected && !f.closed {
 		f.closed = true
+		h.held--
 		f.expected++
 		f.transmit(&packet{flags: flagACK | flagFIN})
 		time.AfterFunc(10*time.Second, func() {
@@ -208,6 +214,11 @@
 	if f != nil {
 		h.drop(f)
 	}
+	if h.maxFlows > 0 && h.held >= h.maxFlows {
+		h.refused++
+		return
+	}
+	h.held++
 	f = &hostFlow{host: h, key: k, isn: rand.Uint32(), expected: p.seq + 1, clientSN: p.seq, echo: p.echo}
 	f.next = f.isn + 1
 	h.flows[k] = f
@@ -309,6 +320,9 @@
 }
 
 func (h *host) drop(f *hostFlow) {
+	if h.flows[f.key] == f && !f.closed {
+		h.held--
+	}
 	delete(h.flows, f.key)
 	if f.timer != nil {
 		f.timer.Stop()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"stale-pages": stalePages,
 	"two-hosts":   twoHosts,
+	"full-hosts":  fullHosts,
 }
 
 func main() {
