--- a/review/stand/fullhosts.go
+++ b/review/stand/fullhosts.go
@@ -19,9 +19,11 @@
 	arrivalsB = 440
 	arrivalsA = 1.5
 	tries     = 3
+	// evacuation is how long a zone is out of service.
+	evacuation = 59 * time.Second
 	// bursts is how often the burst comes, every burstInterval.
 	bursts        = 3
-	burstInterval = 20 * time.Second
+	burstInterval = 15 * time.Second
 )
 
 // fullHosts takes one of two zones out of service, so that the hosts of the other one serve
@@ -41,8 +43,6 @@
 	if _, err := b.addHost("book", zones[1]); err != nil {
 		return failed, err
 	}
-	b.store.put("op/evacuate/"+zones[0], map[string]any{})
-	b.rec.log("operator: zone %s is evacuated", zones[0])
 	for _, z := range []int{0, 1, 0, 1, 0, 1, 1} {
 		b.addDaemon(zones[z])
 	}
@@ -51,6 +51,8 @@
 	if err := b.startDaemons(ctx); err != nil {
 		return failed, err
 	}
+	b.store.put("op/evacuate/"+zones[0], map[string]any{})
+	b.rec.log("operator: zone %s is evacuated", zones[0])
 	var mu sync.Mutex
 	flowHost := make(map[flowKey]*host)
 	reset := 0
@@ -143,7 +145,7 @@
 			notOpened.Load(), sent.Load(), ran.Load(), answered.Load(), lost.Load(), load)
 	}
 	began := time.Now()
-	for time.Since(began) < (bursts+1)*burstInterval+5*time.Second {
+	for time.Since(began) < evacuation {
 		time.Sleep(time.Second)
 		status()
 		if at := time.Since(began); trouble {
@@ -153,8 +155,10 @@
 			}
 		}
 	}
-	cancel()
+	b.store.delete("op/evacuate/" + zones[0])
+	b.rec.log("operator: zone %s is taken back", zones[0])
 	time.Sleep(2 * time.Second)
+	cancel()
 	mu.Lock()
 	defer mu.Unlock()
 	text := fmt.Sprintf("flows %d (attempts that did not open %d), requests %d, answered %d, lost %d; open flows reset by others than their host %d",
