--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -11,4 +11,4 @@
 done
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec "$root/review/build/stand" -case stale-pages -root "$root" -record "$here/record.txt" -trouble=$trouble
+exec "$root/review/build/stand" -case two-hosts -root "$root" -record "$here/record.txt" -trouble=$trouble
--- a/review/stand/stalepages.go
+++ b/review/stand/stalepages.go
@@ -18,12 +18,16 @@
 
 func plan(version int) map[string]any {
 	route := func(name string, a endpoint, service, kind string) map[string]any {
-		return map[string]any{"name": name, "hostname": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()),
-			"type": kind, "timeout-ms": 5000, "latency-goal-ms": 300, "priority": 1, "service": service, "max-attempts": 2}
+		return map[string]any{
+			"name": name, "hostname": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()),
+			"type": kind, "timeout-ms": 5000, "latency-goal-ms": 300, "priority": 1, "service": service, "max-attempts": 2,
+		}
 	}
 	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "health-path": "/health", "max-conns": 2000, "protocol": "h1",
-			"tls": false, "warmup-s": 2.0, "warmup-per-s": 0.0}
+		return map[string]any{
+			"name": name, "health-path": "/health", "max-conns": 2000, "protocol": "h1",
+			"tls": false, "warmup-s": 2.0, "warmup-per-s": 0.0,
+		}
 	}
 	return map[string]any{
 		"version":  version,
