--- a/review/stand/stalepages.go
+++ b/review/platform/stalepages.go
@@ -12,8 +12,8 @@
 )
 
 var (
-	deskRoute = netip.MustParseAddrPort("198.18.0.1:8443")
-	bookRoute = netip.MustParseAddrPort("198.18.0.2:8443")
+	deskRoute = netip.MustParseAddrPort("127.198.0.1:8443")
+	bookRoute = netip.MustParseAddrPort("127.198.0.2:8443")
 )
 
 func plan(version int) map[string]any {
