fix: send the copies of a first packet to one host

Cause: a balancer that had not seen a flow's first packet took a copy of it for a new flow and chose a host by its own loads. Both hosts answered, the client's packets carried the echo of the one that spoke last, and that one reset the flow. A second copy that a balancer moves by itself gives a flow two hosts, too.

A copy of an unknown flow now waits for up to 30 ms while the zone's balancers are asked for it; the one that placed the first packet is still up when it leaves. Where nobody knows the flow, or a copy is moved, the zone is told that the flow is ambiguous, and the first packet after the opening decides for all balancers at which host it has opened.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -18,21 +18,25 @@
 	abandoned    atomic.Uint64
 	stateChanges [flow.NumStates]atomic.Uint64
 	busy         atomic.Uint64
-	inquiries    [inquiryEventCount]atomic.Uint64
-	probes       [probeResultCount]atomic.Uint64
-	peers        [peerStateCount]atomic.Int64
-	malformed    atomic.Uint64
-	socketErrors atomic.Uint64
-	storeErrors  atomic.Uint64
-	lists        atomic.Uint64
-	watches      atomic.Uint64
-	peerBytes    atomic.Uint64
-	flows        atomic.Int64
-	upstreams    atomic.Int64
-	revision     atomic.Uint64
-	era          atomic.Uint64
-	retained     atomic.Int64
-	restores     atomic.Uint64
+	// ambiguous counts the flows whose first packet may have reached several upstreams,
+	// and lookupsAnswered the lookups of peers that this balancer has answered.
+	ambiguous       atomic.Uint64
+	lookupsAnswered atomic.Uint64
+	inquiries       [inquiryEventCount]atomic.Uint64
+	probes          [probeResultCount]atomic.Uint64
+	peers           [peerStateCount]atomic.Int64
+	malformed       atomic.Uint64
+	socketErrors    atomic.Uint64
+	storeErrors     atomic.Uint64
+	lists           atomic.Uint64
+	watches         atomic.Uint64
+	peerBytes       atomic.Uint64
+	flows           atomic.Int64
+	upstreams       atomic.Int64
+	revision        atomic.Uint64
+	era             atomic.Uint64
+	retained        atomic.Int64
+	restores        atomic.Uint64
 	// storeAnswered is when the store last answered, in nanoseconds since the
 	// daemon's start.
 	storeAnswered atomic.Int64
@@ -152,6 +156,7 @@
 		c.forwarded.Add(1)
 	case flow.Reject:
 		c.rejected.Add(1)
+	case flow.Hold:
 	case flow.Drop:
 		c.dropped.Add(1)
 	}
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -317,6 +317,7 @@
 	for _, v := range m.GetRefutations() {
 		s.handleRefutation(now, v.Decode())
 	}
+	s.handleOpenings(from, m)
 	for _, t := range m.GetBusy() {
 		s.daemon.queueBusy(now, directory.Ticket(t))
 	}
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -170,6 +170,16 @@
 			description: "Times that an upstream was taken to be behind with its work.",
 			samples:     singleSample(func() int64 { return int64(c.busy.Load()) }),
 		},
+		{
+			name:        "filbertflow.flows.ambiguous",
+			description: "Changes of what is known of flows whose first packet may have reached several upstreams.",
+			samples:     singleSample(func() int64 { return int64(c.ambiguous.Load()) }),
+		},
+		{
+			name:        "filbertflow.lookups.answered",
+			description: "Lookups of peers for a flow that this balancer knows.",
+			samples:     singleSample(func() int64 { return int64(c.lookupsAnswered.Load()) }),
+		},
 		{
 			name:        "filbertflow.inquiries",
 			description: "Inquiries whether an upstream is dead, by what happened to them.",
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -60,6 +60,8 @@
 	table    *member.Table
 	detector *flow.Detector
 	isReader bool
+	// ambiguous are the flows to tell the zone of.
+	ambiguous ambiguousFlows
 	// outage is set while the store has not answered for longer than
 	// outageThreshold; outageStart is when it last answered before the latest
 	// outage. Upstreams whose entries lapsed since then stay eligible until
@@ -304,6 +306,7 @@
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
 	}
 	s.checkInquiries(now)
+	s.shareAmbiguous(now)
 	s.updateOutage(now)
 	s.updateRoles(now)
 	s.daemon.counters.setStoreAge(now, s.tracker.PlatformAge(now))
@@ -357,7 +360,11 @@
 	var states [peerStateCount]int64
 	for _, m := range next.Members() {
 		states[m.State]++
-		if state, ok := known[m.Incarnation]; !ok || state != m.State {
+		state, ok := known[m.Incarnation]
+		if !ok {
+			s.welcome(&m)
+		}
+		if !ok || state != m.State {
 			s.daemon.log.Info(now, "peer: "+m.State.String(), logs.F("peer", m.Name), logs.F("peer_zone", m.Zone), logs.F("incarnation", m.Incarnation))
 		}
 	}
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
@@ -73,6 +74,8 @@
 	emptyView directory.View
 	// resumedAt is the daemon's resumedAt that was handled last.
 	resumedAt int64
+	// held holds the datagrams of packets that the forwarder holds, with headroom.
+	held map[flow.ID][]byte
 	// wakeScheduled tells that a timer will wake the packet handler.
 	wakeScheduled bool
 }
@@ -81,9 +84,10 @@
 	reader, err := newPacketReader(d.packets)
 	return &packetHandler{
 		daemon:    d,
-		forwarder: flow.New(time.Now(), d.options.Zone, d, flow.WithInquiries()),
+		forwarder: flow.New(time.Now(), d.options.Zone, d, flow.WithInquiries(), flow.WithLookups()),
 		reader:    reader,
 		buffer:    make([]byte, maxDatagramSize),
+		held:      make(map[flow.ID][]byte),
 	}, err
 }
 
@@ -147,6 +151,7 @@
 	t.applyOutcomes(now, view)
 	d.counters.recordDecision(&decision, time.Since(now), t.forwarder.Flows())
 	t.logDecision(now, n, view, &decision)
+	t.exchangeOpenings(now)
 }
 
 // view returns the current view of the directory, or an empty one if there is
@@ -170,6 +175,7 @@
 	now, view := time.Now(), t.view()
 	t.forwarder.Advance(now, view)
 	t.applyOutcomes(now, view)
+	t.exchangeOpenings(now)
 }
 
 // applyOutcomes carries out what the forwarder has decided apart from the packet
@@ -218,6 +224,12 @@
 		_, err = d.packets.WriteToUDPAddrPort(out, decision.Upstream.Address)
 	case flow.Reject:
 		err = t.sendReset(&t.packet)
+	case flow.Hold:
+		t.held[flow.ID{
+			Client:   t.packet.Client,
+			Service:  t.packet.Service,
+			Sequence: t.packet.Sequence,
+		}] = slices.Clone(t.buffer[:d.options.Headroom+n])
 	case flow.Drop:
 	}
 	t.recordSendError(err)
--- a/flow/death.go
+++ b/flow/death.go
@@ -107,6 +107,7 @@
 	clear(f.asked)
 	f.confirmedDeaths = nil
 	f.pendingOpenings, f.pendingRequests = nil, nil
+	f.dropHeld()
 	for _, h := range f.health {
 		h.clearEvidence()
 	}
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -14,6 +14,8 @@
 	// Reject resets the flow at the client. No further packet of it reaches an
 	// upstream.
 	Reject
+	// Hold keeps the packet until Forwarder.Released returns the decision on it.
+	Hold
 )
 
 // String returns a's name.
@@ -23,6 +25,8 @@
 		return "forward"
 	case Reject:
 		return "reject"
+	case Hold:
+		return "hold"
 	default:
 		return "drop"
 	}
@@ -64,17 +68,20 @@
 	// ReasonDelayed drops a packet that waited while the balancer's process did not run:
 	// the client may have opened the flow by another balancer since.
 	ReasonDelayed
+	// ReasonLookup holds a retransmitted first packet of a flow that this balancer does
+	// not know, until another one tells where the flow's first packet went.
+	ReasonLookup
 )
 
 // reasonNames holds the names of the reasons, indexed by Reason.
 var reasonNames = [...]string{
 	"placed", "copy", "moved", "ticket", "remembered", "unknown upstream",
 	"not ready", "no route", "no upstream", "dead upstream", "silent upstream",
-	"replaced upstream", "delayed",
+	"replaced upstream", "delayed", "lookup",
 }
 
 // NumReasons is the number of reasons.
-const NumReasons = int(ReasonDelayed) + 1
+const NumReasons = int(ReasonLookup) + 1
 
 // String returns r's name.
 func (r Reason) String() string {
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -29,6 +29,7 @@
 	flows        *flowTable
 	health       map[directory.Ticket]*health
 	attempts     *attempts
+	openings     openings
 	stateChanges []StateChange
 	resets       []Packet
 	reports      []Report
@@ -81,6 +82,7 @@
 		health:      make(map[directory.Ticket]*health),
 		asked:       make(map[directory.Ticket]askedDeath),
 		attempts:    newAttempts(),
+		openings:    newOpenings(),
 	}
 	for _, o := range options {
 		o(f)
@@ -89,10 +91,12 @@
 }
 
 // Advance moves the forwarder's time to now without a packet. It resets the open flows
-// of upstreams whose death was confirmed, and checks the packets whose answers were due.
+// of upstreams whose death was confirmed, and checks the packets whose answers were due and
+// those that were held.
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
 	f.applyDeaths(now, v)
 	f.checkPending(now)
+	f.checkLookups(now, v)
 }
 
 // StateChanges returns the state changes of upstreams since the last call.
@@ -141,6 +145,9 @@
 	if v.Plan == nil {
 		return Decision{Reason: ReasonNotReady}
 	}
+	if p.Copy > 0 {
+		return f.openElsewhere(now, v, p, k)
+	}
 	d := f.place(now, v, p, k, nil)
 	if d.Action == Forward {
 		f.addFlow(now, k, d.Upstream, p)
@@ -155,6 +162,7 @@
 	u := s.upstream
 	h := f.healthOf(u)
 	f.recordRetransmission(now, h, s)
+	s.retransmissions = max(s.retransmissions, p.Copy)
 	if s.retransmissions < moveAfterCopies && !now.Before(h.avoidUntil) && placeable(v, u) {
 		return f.forwardCopy(s)
 	}
@@ -167,6 +175,7 @@
 		copies := s.retransmissions
 		f.addFlow(now, k, d.Upstream, p)
 		f.flows.find(k).retransmissions = copies
+		f.markAmbiguous(now, p, k, d.Ticket)
 	}
 	return d
 }
@@ -197,7 +206,7 @@
 
 // follow decides on a packet of an open flow.
 func (f *Forwarder) follow(now time.Time, v *directory.View, p *Packet, k key, s *flowState) Decision {
-	u, reason := f.upstreamOf(v, p, s)
+	u, reason := f.upstreamOf(now, v, p, k, s)
 	if u == nil {
 		return Decision{Reason: ReasonUnknown}
 	}
@@ -260,8 +269,14 @@
 }
 
 // upstreamOf returns the upstream of an open flow, or nil, and how it was found.
-func (f *Forwarder) upstreamOf(v *directory.View, p *Packet, s *flowState) (*directory.Upstream, Reason) {
+func (f *Forwarder) upstreamOf(now time.Time, v *directory.View, p *Packet, k key, s *flowState) (*directory.Upstream, Reason) {
 	t, reason := p.Ticket, ReasonTicket
+	if u := f.openedAt(now, v, p, k); u != nil {
+		if u.Ticket() != t {
+			reason = ReasonRemembered
+		}
+		return u, reason
+	}
 	if s != nil && s.upstream.Ticket() != t && s.establishedAt(p) {
 		t, reason = s.upstream.Ticket(), ReasonRemembered
 	}
@@ -478,6 +493,7 @@
 	for _, s := range forgotten {
 		f.closeFlow(s)
 	}
+	f.openings.expire(now, f.idleTimeout)
 	for t, a := range f.asked {
 		if now.Sub(a.askedAt) >= maxInquiryAge {
 			delete(f.asked, t)
--- /dev/null
+++ b/flow/opening.go
@@ -0,0 +1,325 @@
+package flow
+
+import (
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+)
+
+const (
+	// lookupTimeout is how long a retransmitted first packet of an unknown flow waits for
+	// the balancer that knows the flow.
+	lookupTimeout = 30 * time.Millisecond
+	// maxLookups is the maximum number of first packets that wait.
+	maxLookups = 1024
+	// maxFlowLength is the number of content bytes after which a packet is not taken for
+	// one of an ambiguous flow: another flow may use the same addresses and ports by then.
+	maxFlowLength = 1 << 24
+)
+
+// An ID identifies a flow. Its addresses and ports may be those of an earlier flow.
+type ID struct {
+	Client  netip.AddrPort
+	Service netip.AddrPort
+	// Sequence is the sequence number of the flow's first packet.
+	Sequence uint32
+}
+
+// key returns the key of the flow.
+func (id *ID) key() key {
+	return newKey(id.Client, id.Service)
+}
+
+// An Opening is what a balancer knows of the upstream of a flow.
+type Opening struct {
+	Flow   ID
+	Ticket directory.Ticket
+	// Open reports whether the flow has opened at the upstream. Until then, its first
+	// packet was sent there, and maybe to other upstreams.
+	Open bool
+}
+
+// A Release is a first packet that was held, and the decision on it.
+type Release struct {
+	Flow     ID
+	Packet   Packet
+	Decision Decision
+}
+
+// openings holds what a forwarder knows of flows that other balancers have seen opening.
+type openings struct {
+	// enabled reports whether other balancers are asked for the flows of retransmitted
+	// first packets.
+	enabled bool
+	// held holds the first packets that wait for an answer to a lookup, and waiting their
+	// deadlines in order. An entry of waiting may be over already.
+	held    map[key]*heldPacket
+	waiting []lookupDeadline
+	// ambiguous holds the flows whose first packet may have reached several upstreams.
+	ambiguous map[key]*ambiguousFlow
+	// lookups, released and changed are the outputs since they were last taken.
+	lookups  []ID
+	released []Release
+	changed  []Opening
+}
+
+// heldPacket is a first packet that waits.
+type heldPacket struct {
+	packet Packet
+	// deadline is that of the entry in waiting.
+	deadline time.Time
+}
+
+type lookupDeadline struct {
+	key      key
+	deadline time.Time
+}
+
+// An ambiguousFlow is a flow whose first packet may have reached several upstreams. All of
+// them answer it again and again, and the client's packets carry the ticket of the one that
+// it last heard of, which is not always the one at which the flow has opened.
+type ambiguousFlow struct {
+	// sequence is that of the flow's first packet.
+	sequence uint32
+	// ticket is the upstream at which the flow has opened, or, unless open is set, the
+	// last one that the first packet was sent to.
+	ticket directory.Ticket
+	open   bool
+	usedAt time.Time
+}
+
+func newOpenings() openings {
+	return openings{
+		held:      make(map[key]*heldPacket),
+		ambiguous: make(map[key]*ambiguousFlow),
+	}
+}
+
+// WithLookups has the forwarder hold a retransmitted first packet of an unknown flow until
+// another balancer has told where the flow's first packet went, for lookupTimeout at most.
+func WithLookups() Option {
+	return func(f *Forwarder) {
+		f.openings.enabled = true
+	}
+}
+
+// Lookups returns the flows to ask other balancers for since the last call.
+func (f *Forwarder) Lookups() []ID {
+	l := f.openings.lookups
+	f.openings.lookups = nil
+	return l
+}
+
+// Released returns the held packets that were decided on since the last call.
+func (f *Forwarder) Released() []Release {
+	r := f.openings.released
+	f.openings.released = nil
+	return r
+}
+
+// AmbiguousFlows returns what has changed since the last call about flows whose first packet may
+// have reached several upstreams. All balancers of the zone must learn of it by AddAmbiguous.
+func (f *Forwarder) AmbiguousFlows() []Opening {
+	c := f.openings.changed
+	f.openings.changed = nil
+	return c
+}
+
+// Opening answers a lookup of another balancer. It returns false if the flow is unknown here.
+func (f *Forwarder) Opening(id ID) (Opening, bool) {
+	k := id.key()
+	if a := f.openings.ambiguous[k]; a != nil && a.sequence == id.Sequence {
+		return a.opening(id), true
+	}
+	s := f.flows.find(k)
+	if s == nil || s.closed || !s.openedBy(&Packet{Sequence: id.Sequence}) {
+		return Opening{}, false
+	}
+	return Opening{
+		Flow:   id,
+		Ticket: s.upstream.Ticket(),
+		Open:   !s.opening,
+	}, true
+}
+
+// AddOpening applies another balancer's answer to a lookup: the held packet goes to the
+// upstream that has got the first one, or where a further copy goes after that.
+func (f *Forwarder) AddOpening(now time.Time, v *directory.View, o Opening) {
+	k := o.Flow.key()
+	h, u := f.openings.held[k], v.ByTicket(o.Ticket)
+	if h == nil || u == nil || h.packet.Sequence != o.Flow.Sequence {
+		return
+	}
+	delete(f.openings.held, k)
+	f.release(h, f.openAt(now, v, &h.packet, k, u, o.Open))
+}
+
+// AddAmbiguous records what another balancer knows of a flow whose first packet may have
+// reached several upstreams.
+func (f *Forwarder) AddAmbiguous(now time.Time, o Opening) {
+	k := o.Flow.key()
+	if a := f.openings.ambiguous[k]; a != nil && a.sequence == o.Flow.Sequence && a.open {
+		return
+	}
+	f.openings.ambiguous[k] = &ambiguousFlow{
+		sequence: o.Flow.Sequence,
+		ticket:   o.Ticket,
+		open:     o.Open,
+		usedAt:   now,
+	}
+}
+
+// openElsewhere decides on a copy of a first packet that this balancer has not seen: another
+// one has, unless the first packet was lost on its way.
+func (f *Forwarder) openElsewhere(now time.Time, v *directory.View, p *Packet, k key) Decision {
+	if a := f.openings.find(now, p, k); a != nil {
+		if u := v.ByTicket(a.ticket); u != nil {
+			return f.openAt(now, v, p, k, u, a.open)
+		}
+	}
+	if !f.openings.enabled || p.Delayed || len(f.openings.held) >= maxLookups {
+		return f.openUnseen(now, v, p, k)
+	}
+	h := f.openings.held[k]
+	if h == nil || h.packet.Sequence != p.Sequence {
+		h = &heldPacket{deadline: now.Add(lookupTimeout)}
+		f.openings.held[k] = h
+		f.openings.waiting = append(f.openings.waiting, lookupDeadline{
+			key:      k,
+			deadline: h.deadline,
+		})
+		f.openings.lookups = append(f.openings.lookups, p.flow())
+	}
+	h.packet = *p
+	return Decision{
+		Action: Hold,
+		Reason: ReasonLookup,
+	}
+}
+
+// openAt decides on a copy of a first packet that another balancer has sent to u. The
+// argument open reports whether the flow has opened there.
+func (f *Forwarder) openAt(now time.Time, v *directory.View, p *Packet, k key, u *directory.Upstream, open bool) Decision {
+	f.addFlow(now, k, u, p)
+	s := f.flows.find(k)
+	if open {
+		return f.forwardCopy(s)
+	}
+	return f.openCopy(now, v, p, k, s)
+}
+
+// openUnseen places a flow whose first packet may have been placed by a balancer that is
+// gone, or that runs behind.
+func (f *Forwarder) openUnseen(now time.Time, v *directory.View, p *Packet, k key) Decision {
+	d := f.place(now, v, p, k, nil)
+	if d.Action == Forward {
+		f.addFlow(now, k, d.Upstream, p)
+		f.markAmbiguous(now, p, k, d.Ticket)
+	}
+	return d
+}
+
+// checkLookups places the flows of first packets that have waited for lookupTimeout.
+func (f *Forwarder) checkLookups(now time.Time, v *directory.View) {
+	for len(f.openings.waiting) > 0 && !now.Before(f.openings.waiting[0].deadline) {
+		w := f.openings.waiting[0]
+		f.openings.waiting = f.openings.waiting[1:]
+		h := f.openings.held[w.key]
+		if h == nil || !h.deadline.Equal(w.deadline) {
+			continue
+		}
+		delete(f.openings.held, w.key)
+		f.release(h, f.openUnseen(now, v, &h.packet, w.key))
+	}
+}
+
+// dropHeld drops the first packets that wait: their clients may have opened the flows by other
+// balancers.
+func (f *Forwarder) dropHeld() {
+	for _, h := range f.openings.held {
+		f.release(h, Decision{Reason: ReasonDelayed})
+	}
+	clear(f.openings.held)
+	f.openings.waiting = nil
+}
+
+func (f *Forwarder) release(h *heldPacket, d Decision) {
+	f.openings.released = append(f.openings.released, Release{
+		Flow:     h.packet.flow(),
+		Packet:   h.packet,
+		Decision: d,
+	})
+}
+
+// markAmbiguous records that a flow's first packet was sent to the upstream with a ticket, and
+// may have been sent to others.
+func (f *Forwarder) markAmbiguous(now time.Time, p *Packet, k key, t directory.Ticket) {
+	a := &ambiguousFlow{
+		sequence: p.Sequence,
+		ticket:   t,
+		usedAt:   now,
+	}
+	f.openings.ambiguous[k] = a
+	f.openings.changed = append(f.openings.changed, a.opening(p.flow()))
+}
+
+// openedAt returns the upstream at which an ambiguous flow has opened, or nil. The first packet
+// that the client sends after its first one answers that upstream, and carries its ticket.
+func (f *Forwarder) openedAt(now time.Time, v *directory.View, p *Packet, k key) *directory.Upstream {
+	a := f.openings.find(now, p, k)
+	if a == nil {
+		return nil
+	}
+	if !a.open && p.Flags.Has(FlagAcknowledge) && p.Ticket != 0 && v.ByTicket(p.Ticket) != nil {
+		a.ticket, a.open = p.Ticket, true
+		id := p.flow()
+		id.Sequence = a.sequence
+		f.openings.changed = append(f.openings.changed, a.opening(id))
+	}
+	if !a.open {
+		return nil
+	}
+	return v.ByTicket(a.ticket)
+}
+
+// find returns the ambiguous flow that a packet belongs to, or nil.
+func (o *openings) find(now time.Time, p *Packet, k key) *ambiguousFlow {
+	a := o.ambiguous[k]
+	if a == nil {
+		return nil
+	}
+	offset := p.Sequence - a.sequence
+	if p.Flags.Has(FlagOpen) && offset != 0 || offset > maxFlowLength {
+		return nil
+	}
+	a.usedAt = now
+	return a
+}
+
+// expire forgets ambiguous flows that have been idle for longer than idleTimeout.
+func (o *openings) expire(now time.Time, idleTimeout time.Duration) {
+	maps.DeleteFunc(o.ambiguous, func(_ key, a *ambiguousFlow) bool { return now.Sub(a.usedAt) >= idleTimeout })
+}
+
+// opening returns what is known of the flow.
+func (a *ambiguousFlow) opening(id ID) Opening {
+	return Opening{
+		Flow:   id,
+		Ticket: a.ticket,
+		Open:   a.open,
+	}
+}
+
+// newKey returns the key of the flow between two addresses.
+func newKey(from, to netip.AddrPort) key {
+	var k key
+	client, service := from.Addr().As4(), to.Addr().As4()
+	copy(k[0:], client[:])
+	copy(k[4:], service[:])
+	binary.BigEndian.PutUint16(k[8:], from.Port())
+	binary.BigEndian.PutUint16(k[10:], to.Port())
+	return k
+}
--- a/flow/packet.go
+++ b/flow/packet.go
@@ -47,6 +47,9 @@
 	Acknowledged uint32
 	// Length is the length of the content in bytes.
 	Length int
+	// Copy is which retransmission of a flow's first packet this is, as the client counts
+	// them; zero for the first packet itself and for later ones.
+	Copy int
 	// Delayed reports whether the packet may have waited while the balancer's process did
 	// not run.
 	Delayed bool
@@ -54,13 +57,16 @@
 
 // key returns the key of the packet's flow.
 func (p *Packet) key() key {
-	var k key
-	client, service := p.Client.Addr().As4(), p.Service.Addr().As4()
-	copy(k[0:], client[:])
-	copy(k[4:], service[:])
-	binary.BigEndian.PutUint16(k[8:], p.Client.Port())
-	binary.BigEndian.PutUint16(k[10:], p.Service.Port())
-	return k
+	return newKey(p.Client, p.Service)
+}
+
+// flow returns the ID of the flow whose first packet p is, or a copy of that.
+func (p *Packet) flow() ID {
+	return ID{
+		Client:   p.Client,
+		Service:  p.Service,
+		Sequence: p.Sequence,
+	}
 }
 
 // A key identifies a flow by its two IPv4 addresses and ports.
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -53,8 +53,8 @@
 	return d
 }
 
-// NextTimer returns the next deadline of a pending answer, at which Advance is to be
-// called; zero if no answer is pending.
+// NextTimer returns the next deadline of a pending answer or a held packet, at which Advance
+// is to be called; zero if there is none.
 func (f *Forwarder) NextTimer() time.Time {
 	var next time.Time
 	for _, waiting := range [][]pendingAnswer{f.pendingOpenings, f.pendingRequests} {
@@ -62,6 +62,9 @@
 			next = waiting[0].deadline
 		}
 	}
+	if w := f.openings.waiting; len(w) > 0 && (next.IsZero() || w[0].deadline.Before(next)) {
+		next = w[0].deadline
+	}
 	return next
 }
 
--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -88,7 +88,7 @@
 		}
 	case flow.Reject:
 		b.emulation.after(clientDelay, c.handleReset)
-	case flow.Drop:
+	case flow.Hold, flow.Drop:
 	}
 	b.processOutputs()
 }
