--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -54,6 +54,9 @@
 	inquiryStarted inquiryEvent = iota
 	inquiryConfirmed
 	inquiryRefuted
+	// inquiryUnproven means that nobody refuted the inquiry, and too few balancers had tried
+	// the upstream to reset open flows.
+	inquiryUnproven
 	// inquiryUnanswered means that this balancer ran behind and did not answer.
 	inquiryUnanswered
 )
@@ -63,7 +66,7 @@
 
 // String returns the name of e.
 func (e inquiryEvent) String() string {
-	return [...]string{"started", "confirmed", "refuted", "unanswered"}[e]
+	return [...]string{"started", "confirmed", "refuted", "unproven", "unanswered"}[e]
 }
 
 // byInquiryEvent returns the number of inquiries by event.
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -136,6 +136,9 @@
 		return
 	}
 	merged, found := s.detector.AddReport(now, sender, r, len(s.zonePeers())+1)
+	if found != flow.FoundBusy && s.detector.ShouldProbe(now, s.daemon.incarnation, r.Ticket) {
+		s.daemon.queueProbe(r.Ticket)
+	}
 	switch found {
 	case flow.FoundDead:
 		if w := s.watchers(r.Ticket); len(w) > 0 && w[0].Incarnation != s.daemon.incarnation {
@@ -143,7 +146,7 @@
 			return
 		}
 		deferred, first := s.detector.Defer(now, &merged)
-		if first {
+		if first && merged.Refusals > 0 {
 			s.announceBusy(now, &merged)
 		}
 		if !deferred {
@@ -152,31 +155,41 @@
 	case flow.FoundBusy:
 		s.announceBusy(now, &merged)
 	case flow.FoundNothing:
-		if s.detector.ShouldProbe(now, s.daemon.incarnation, r.Ticket) {
-			s.daemon.queueProbe(r.Ticket)
-		}
 	}
 }
 
-// inquire asks the zone whether an upstream is dead.
+// inquire asks the zone whether an upstream is dead, and the upstream's zone if that is another
+// one: its balancers see most of the upstream's answers.
 func (s *syncer) inquire(now time.Time, merged *flow.Report) {
-	peers := s.zonePeers()
-	balancers := make([]uint64, 0, len(peers)+1)
-	balancers = append(balancers, s.daemon.incarnation)
-	for _, m := range peers {
-		balancers = append(balancers, m.Incarnation)
-	}
-	q, ok := s.detector.Inquire(now, merged, balancers)
+	peers, remote := s.zonePeers(), s.remoteWitnesses(merged.Ticket)
+	balancers := append(incarnations(peers), s.daemon.incarnation)
+	q, ok := s.detector.Inquire(now, merged, balancers, incarnations(remote))
 	if !ok {
 		return
 	}
 	s.daemon.counters.inquiries[inquiryStarted].Add(1)
 	s.daemon.log.Info(now, "upstream: reported dead", logs.F("upstream", s.daemon.upstreamID(merged.Ticket)), logs.F("inquiry", q.ID),
 		logs.F("silent_flows", merged.SilentFlows), logs.F("repeats", merged.Retransmissions),
-		logs.F("silence_ms", merged.Silence.Milliseconds()), logs.F("refusals", merged.Refusals),
-		logs.F("flow_repeats", merged.FlowRetransmissions), logs.F("single", q.Single))
+		logs.F("silence_ms", q.Silence.Milliseconds()), logs.F("refusals", merged.Refusals),
+		logs.F("flow_repeats", merged.FlowRetransmissions), logs.F("silent_openings", merged.SilentOpenings),
+		logs.F("opening_repeats", merged.OpeningRetransmissions), logs.F("asked", len(balancers)), logs.F("remote", len(remote)))
 	s.daemon.queueInquiry(receivedInquiry{Inquiry: q})
 	s.sendHealth(relays(peers), &wire.Health{Inquiries: []*wire.Inquiry{wire.NewInquiry(&q)}})
+	q.Remote = true
+	s.sendHealth(relays(remote), &wire.Health{Inquiries: []*wire.Inquiry{wire.NewInquiry(&q)}})
+}
+
+// remoteWitnesses returns the balancers of an upstream's zone if that is another one.
+func (s *syncer) remoteWitnesses(t directory.Ticket) []member.Member {
+	v := s.daemon.view.Load()
+	if v == nil {
+		return nil
+	}
+	u := v.ByTicket(t)
+	if u == nil || u.Zone == s.daemon.options.Zone {
+		return nil
+	}
+	return s.livePeers(u.Zone)
 }
 
 // sendAnswer sends an answer to the balancer that inquired.
@@ -190,9 +203,14 @@
 
 // handleAnswer adds an answer to this balancer's inquiry, and tells the zone the outcome.
 func (s *syncer) handleAnswer(now time.Time, sender uint64, a flow.Answer) {
-	switch s.detector.AddAnswer(now, sender, a) {
-	case flow.Confirmed:
-		s.confirm(now, a.Ticket, a.ID)
+	outcome, scope := s.detector.AddAnswer(now, sender, a)
+	switch outcome {
+	case flow.Confirmed, flow.Unproven:
+		s.confirm(now, &flow.Confirmation{
+			Ticket: a.Ticket,
+			ID:     a.ID,
+			Scope:  scope,
+		})
 	case flow.Refuted:
 		s.refute(now, flow.Refutation{
 			Ticket: a.Ticket,
@@ -205,8 +223,9 @@
 // checkInquiries ends the inquiries whose answers are overdue, and makes those that the
 // other watcher has not made in time.
 func (s *syncer) checkInquiries(now time.Time) {
-	for _, q := range s.detector.Overdue(now) {
-		s.confirm(now, q.Ticket, q.ID)
+	overdue := s.detector.Overdue(now)
+	for i := range overdue {
+		s.confirm(now, &overdue[i])
 	}
 	due := s.detector.Due(now)
 	for i := range due {
@@ -214,15 +233,17 @@
 	}
 }
 
-// confirm tells the zone that an upstream is dead.
-func (s *syncer) confirm(now time.Time, t directory.Ticket, id uint32) {
-	s.daemon.counters.inquiries[inquiryConfirmed].Add(1)
-	s.daemon.log.Info(now, "upstream: death confirmed", logs.F("upstream", s.daemon.upstreamID(t)), logs.F("inquiry", id))
-	s.daemon.queueConfirmation(now, t, id)
-	s.sendHealth(relays(s.zonePeers()), &wire.Health{Confirmations: []*wire.Confirmation{{
-		Ticket: uint32(t),
-		Id:     id,
-	}}})
+// confirm tells the zone that nobody has seen an upstream live, and which of its flows that
+// affects.
+func (s *syncer) confirm(now time.Time, c *flow.Confirmation) {
+	event, message := inquiryConfirmed, "upstream: death confirmed"
+	if c.Scope == flow.ScopeNew {
+		event, message = inquiryUnproven, "upstream: death unproven"
+	}
+	s.daemon.counters.inquiries[event].Add(1)
+	s.daemon.log.Info(now, message, logs.F("upstream", s.daemon.upstreamID(c.Ticket)), logs.F("inquiry", c.ID), logs.F("scope", c.Scope.String()))
+	s.daemon.queueConfirmation(now, *c)
+	s.sendHealth(relays(s.zonePeers()), &wire.Health{Confirmations: []*wire.Confirmation{wire.NewConfirmation(c)}})
 }
 
 // refute tells the zone that an upstream answers.
@@ -250,9 +271,9 @@
 	})
 }
 
-// queueConfirmation queues the notice that an upstream is dead.
-func (d *Daemon) queueConfirmation(now time.Time, ticket directory.Ticket, id uint32) {
-	d.queueNotice(func(t *packetHandler) { t.forwarder.Confirm(now, ticket, id) })
+// queueConfirmation queues the confirmation of an inquiry.
+func (d *Daemon) queueConfirmation(now time.Time, c flow.Confirmation) {
+	d.queueNotice(func(t *packetHandler) { t.forwarder.Confirm(now, c) })
 }
 
 // queueRefutation queues the notice that an upstream answers.
@@ -300,7 +321,9 @@
 		s.handleReport(now, m.GetSender(), r.Decode())
 	}
 	for _, v := range m.GetInquiries() {
-		s.detector.ObserveInquiry(now, directory.Ticket(v.GetTicket()))
+		if !v.GetRemote() {
+			s.detector.ObserveInquiry(now, directory.Ticket(v.GetTicket()))
+		}
 		s.daemon.queueInquiry(receivedInquiry{
 			Inquiry: v.Decode(),
 			from:    from,
@@ -310,9 +333,9 @@
 		s.handleAnswer(now, m.GetSender(), v.Decode())
 	}
 	for _, v := range m.GetConfirmations() {
-		t := directory.Ticket(v.GetTicket())
-		s.detector.ObserveConfirmation(now, t)
-		s.daemon.queueConfirmation(now, t, v.GetId())
+		c := v.Decode()
+		s.detector.ObserveConfirmation(now, c.Ticket)
+		s.daemon.queueConfirmation(now, c)
 	}
 	for _, v := range m.GetRefutations() {
 		s.handleRefutation(now, v.Decode())
@@ -359,15 +382,29 @@
 
 // zonePeers returns the other balancers of the zone that are not dead.
 func (s *syncer) zonePeers() []member.Member {
+	return s.livePeers(s.daemon.options.Zone)
+}
+
+// livePeers returns the other balancers of a zone that are not dead.
+func (s *syncer) livePeers(zone string) []member.Member {
 	var peers []member.Member
 	for _, m := range s.tracker.Members() {
-		if m.State != member.Dead && m.Zone == s.daemon.options.Zone && m.Incarnation != s.daemon.incarnation {
+		if m.State != member.Dead && m.Zone == zone && m.Incarnation != s.daemon.incarnation {
 			peers = append(peers, m)
 		}
 	}
 	return peers
 }
 
+// incarnations returns the incarnations of balancers.
+func incarnations(members []member.Member) []uint64 {
+	all := make([]uint64, 0, len(members)+1)
+	for _, m := range members {
+		all = append(all, m.Incarnation)
+	}
+	return all
+}
+
 // relays returns the addresses of balancers for datagrams.
 func relays(members []member.Member) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(members))
--- a/filbertflow/internal/daemon/probe.go
+++ b/filbertflow/internal/daemon/probe.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// probeTimeout bounds a probe: many round trips within a zone. A probe whose
-	// first packet is lost has no result.
-	probeTimeout = 150 * time.Millisecond
 	// maxProbes is the number of concurrent probes.
 	maxProbes = 16
 	// probeQueueSize is the number of upstreams that may wait for a probe;
@@ -89,7 +86,8 @@
 // watch it if it refuses the connection: no process listens at its address. An
 // accepted connection is closed without sending anything.
 func (d *Daemon) probeUpstream(ctx context.Context, u *directory.Upstream) {
-	dialer := net.Dialer{Timeout: probeTimeout}
+	startedAt := time.Now()
+	dialer := net.Dialer{Timeout: flow.ProbeTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", u.Address.String())
 	if err == nil {
 		err = conn.Close()
@@ -101,7 +99,8 @@
 		fields = append(fields, logs.F("error", err.Error()))
 	}
 	d.log.Info(time.Now(), "upstream: probed", fields...)
-	if result != probeRefused {
+	d.recordProbe(startedAt, u, result)
+	if result != probeRefused || u.Zone != d.options.Zone {
 		return
 	}
 	r := flow.Report{
@@ -111,6 +110,30 @@
 	d.post(func(now time.Time) { d.syncer.sendReport(now, &r) })
 }
 
+// recordProbe tells the packet handler what a probe has shown. An accepted connection may be
+// one to the next host at the address. A refused one shows nothing of a host that drains, which
+// may stop listening before its last flows end, or that is in another zone, as a network cut
+// may refuse it.
+func (d *Daemon) recordProbe(startedAt time.Time, u *directory.Upstream, result probeResult) {
+	v := d.view.Load()
+	if v == nil {
+		return
+	}
+	listed := v.ByAddress(u.Address)
+	switch result {
+	case probeAccepted:
+		if listed == nil || listed.Ticket() != u.Ticket() {
+			return
+		}
+	case probeRefused:
+		if u.Zone != d.options.Zone || d.isDraining(u.Ticket()) {
+			return
+		}
+	case probeNoAnswer:
+	}
+	d.queueNotice(func(t *packetHandler) { t.forwarder.RecordProbe(startedAt, u.Ticket(), result == probeAccepted) })
+}
+
 // queueProbe queues a probe of the upstream that a ticket identifies.
 func (d *Daemon) queueProbe(t directory.Ticket) {
 	v := d.view.Load()
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -288,7 +288,7 @@
 	for _, b := range t.forwarder.StateChanges() {
 		t.daemon.counters.stateChanges[b.State].Add(1)
 		t.daemon.log.Info(now, "upstream: "+b.State.String(), logs.F("upstream", b.Upstream.ID), logs.F("revision", v.Position.Revision),
-			logs.F("silent_flows", b.SilentFlows), logs.F("silence_ms", b.Silence.Milliseconds()),
+			logs.F("silent_flows", b.SilentFlows), logs.F("silent_openings", b.SilentOpenings), logs.F("silence_ms", b.Silence.Milliseconds()),
 			logs.F("shared", b.Shared))
 	}
 }
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -204,7 +204,11 @@
 		case <-time.After(time.Second):
 			t.Fatal("no answer")
 		}
-		q.daemon.queueConfirmation(time.Now(), q.upstream.Ticket(), 1)
+		q.daemon.queueConfirmation(time.Now(), flow.Confirmation{
+			Ticket: q.upstream.Ticket(),
+			ID:     1,
+			Scope:  flow.ScopeAll,
+		})
 	}
 	t.Run("refutes a death if there was progress since", func(t *testing.T) {
 		q := newIdleFlow(t)
@@ -218,7 +222,11 @@
 	})
 	t.Run("resets nothing without an inquiry", func(t *testing.T) {
 		q := newIdleFlow(t)
-		q.daemon.queueConfirmation(time.Now(), q.upstream.Ticket(), 1)
+		q.daemon.queueConfirmation(time.Now(), flow.Confirmation{
+			Ticket: q.upstream.Ticket(),
+			ID:     1,
+			Scope:  flow.ScopeAll,
+		})
 		require.Zero(t, q.client.receive(200*time.Millisecond))
 	})
 }
--- a/flow/death.go
+++ b/flow/death.go
@@ -10,19 +10,16 @@
 type askedDeath struct {
 	id      uint32
 	askedAt time.Time
-	// single is as in Inquiry.
-	single bool
 }
 
 // confirmedDeath is an upstream whose flows are to be reset.
 type confirmedDeath struct {
 	ticket directory.Ticket
-	// single is as in Inquiry.
-	single bool
+	scope  Scope
 }
 
-// Ask answers an inquiry. Unless this balancer has seen progress, new flows avoid the
-// upstream. Its packets that arrived before the inquiry must have been handled: one of
+// Ask answers an inquiry. Unless this balancer has seen that the upstream lives, new flows avoid
+// it. Its packets that arrived before the inquiry must have been handled: one of
 // them may show progress.
 func (f *Forwarder) Ask(now time.Time, q Inquiry) Answer {
 	h := f.healthOfTicket(q.Ticket)
@@ -30,58 +27,62 @@
 		Ticket: q.Ticket,
 		ID:     q.ID,
 	}
-	if age := now.Sub(h.lastProgress); !h.lastProgress.IsZero() && age < q.Silence {
+	life := h.lastLife()
+	if age := now.Sub(life); !life.IsZero() && age < q.Silence {
 		a.Alive, a.Age = true, age
 		return a
 	}
+	if q.Remote {
+		return a
+	}
+	a.Silent = h.open.flows > 0 && now.Sub(h.open.retransmittedAt) < maxRetransmitInterval
+	a.Unreached = h.unreachedAt.After(life) && now.Sub(h.unreachedAt) < unreachedLifetime
 	h.backOff(now)
 	f.asked[q.Ticket] = askedDeath{
 		id:      q.ID,
 		askedAt: now,
-		single:  q.Single,
 	}
 	return a
 }
 
-// Confirm applies the confirmation of an inquiry: the upstream's open flows, or those that
-// an inquiry on a single flow was about, are reset at the next call of Advance. It is ignored
+// Confirm applies the end of an inquiry that nobody has refuted: the open flows in its scope
+// are reset at the next call of Advance. It is ignored
 // if it comes late, since the upstream may have recovered, or if the upstream has shown
-// progress here since the inquiry.
-func (f *Forwarder) Confirm(now time.Time, t directory.Ticket, id uint32) {
-	a, ok := f.asked[t]
-	if !ok || a.id != id {
+// here since the inquiry that it lives.
+func (f *Forwarder) Confirm(now time.Time, c Confirmation) {
+	a, ok := f.asked[c.Ticket]
+	if !ok || a.id != c.ID {
 		return
 	}
-	delete(f.asked, t)
-	if now.Sub(a.askedAt) < maxInquiryAge && !f.healthOfTicket(t).lastProgress.After(a.askedAt) {
+	delete(f.asked, c.Ticket)
+	if c.Scope != ScopeNew && now.Sub(a.askedAt) < maxInquiryAge && !f.healthOfTicket(c.Ticket).lastLife().After(a.askedAt) {
 		f.confirmedDeaths = append(f.confirmedDeaths, confirmedDeath{
-			ticket: t,
-			single: a.single,
+			ticket: c.Ticket,
+			scope:  c.Scope,
 		})
 	}
 }
 
+// RecordProbe records a connection to an upstream that was started at a time, and whether it was
+// accepted. It was not if it was refused, or if there was no answer within ProbeTimeout.
+func (f *Forwarder) RecordProbe(startedAt time.Time, t directory.Ticket, accepted bool) {
+	h := f.healthOfTicket(t)
+	if accepted {
+		h.reachedAt = latest(h.reachedAt, startedAt)
+		return
+	}
+	h.unreachedAt = latest(h.unreachedAt, startedAt)
+}
+
 // MarkAlive applies a refutation: another balancer has seen progress of the upstream
-// since the inquiry on it. Retransmissions that came after that progress remain
-// evidence of silence.
+// since the inquiry on it.
 func (f *Forwarder) MarkAlive(now time.Time, r Refutation) {
 	delete(f.asked, r.Ticket)
 	h := f.health[r.Ticket]
 	if h == nil {
 		return
 	}
-	at := now.Add(-r.Age)
-	if h.state == Dead || h.silentFlows == 0 || !h.lastRetransmission.After(at) {
-		h.clearEvidence()
-		return
-	}
-	h.lastProgressElsewhere = at
-	if h.silentSince.Before(at) {
-		h.silentSince = at
-	}
-	if h.state == Answering {
-		h.avoidUntil = time.Time{}
-	}
+	h.markAlive(now.Add(-r.Age))
 }
 
 // MarkBusy records that other balancers found an upstream overloaded. New flows avoid
@@ -140,7 +141,7 @@
 func (f *Forwarder) applyDeaths(now time.Time, v *directory.View) {
 	for _, d := range f.confirmedDeaths {
 		t := d.ticket
-		if d.single {
+		if d.scope == ScopeWaiting {
 			f.abandon(t, flowRetransmissions)
 			continue
 		}
@@ -163,16 +164,17 @@
 // been retransmitted.
 func (f *Forwarder) report(now time.Time, s *flowState, h *health) {
 	r := Report{
-		Ticket:          s.upstream.Ticket(),
-		SilentFlows:     h.silentFlows,
-		Retransmissions: h.retransmissions,
-		Proven:          f.pathWorkedAfter(h.retransmittedSince),
+		Ticket:                 s.upstream.Ticket(),
+		SilentFlows:            h.open.flows,
+		Retransmissions:        h.open.retransmissions,
+		Silence:                h.open.duration(now),
+		SilentOpenings:         h.opening.flows,
+		OpeningRetransmissions: h.opening.retransmissions,
+		OpeningSilence:         h.opening.duration(now),
+		Proven:                 f.pathWorkedAfter(latest(h.open.retransmittedSince, h.opening.retransmittedSince)),
 	}
-	if h.lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince) {
+	if !s.opening && h.lastProgress.Before(s.unansweredSince) && f.pathWorkedAfter(s.unansweredSince) {
 		r.FlowRetransmissions = s.retransmissions
 	}
-	if !h.silentSince.IsZero() {
-		r.Silence = now.Sub(h.silentSince)
-	}
 	f.reports = append(f.reports, r)
 }
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -18,6 +18,12 @@
 	// minRefusals is the number of balancers that must find connections refused before
 	// the upstream is dead. In a zone with fewer balancers, all of them must.
 	minRefusals = 2
+	// minWitnesses is the number of balancers that must have found an upstream silent
+	// before all of its flows are reset. In a zone with one balancer, that one must.
+	minWitnesses = 2
+	// probeRetransmissions is the number of retransmissions on one open flow after which
+	// its upstream is probed, before the zone is asked.
+	probeRetransmissions = flowRetransmissions - 1
 	// minLateRequests is the number of late requests within reportLifetime that show
 	// that an upstream is overloaded.
 	minLateRequests = 2
@@ -29,14 +35,20 @@
 // reports.
 type Report struct {
 	Ticket directory.Ticket
-	// SilentFlows is the number of flows with retransmissions since the upstream's last
+	// SilentFlows is the number of open flows with retransmissions since the upstream's last
 	// progress at the balancer, and Retransmissions is the number of their
 	// retransmissions.
 	SilentFlows     int
 	Retransmissions int
-	// Silence is the time since the first unanswered packet was sent.
+	// Silence is the time since the first unanswered packet of an open flow was sent.
 	Silence time.Duration
-	// FlowRetransmissions is the number of retransmissions on the flow with the most. Since
+	// SilentOpenings, OpeningRetransmissions and OpeningSilence are the same for first
+	// packets of flows. A host that holds as many flows as it can leaves them
+	// unanswered and serves the others.
+	SilentOpenings         int
+	OpeningRetransmissions int
+	OpeningSilence         time.Duration
+	// FlowRetransmissions is the number of retransmissions on the open flow with the most. Since
 	// that flow's oldest unanswered packet was first sent, the upstream has shown no
 	// progress at the balancer, but another one has.
 	FlowRetransmissions int
@@ -60,8 +72,8 @@
 	FoundNothing Finding = iota
 	// FoundBusy means that the upstream is overloaded.
 	FoundBusy
-	// FoundDead means that the upstream is dead, unless a balancer of the zone has seen
-	// progress in the meantime: an inquiry must confirm it.
+	// FoundDead means that the upstream may be dead: an inquiry must show whether a
+	// balancer has seen since that it lives, and which flows are affected.
 	FoundDead
 )
 
@@ -158,14 +170,18 @@
 }
 
 // ShouldProbe reports whether this balancer, which has the given incarnation, should
-// probe an upstream because another balancer reported that it refuses connections. It
+// probe an upstream because another balancer reported that it refuses connections, or because
+// it seems to be silent. It
 // counts as that probe: it returns true once per probeInterval at most.
 func (d *Detector) ShouldProbe(now time.Time, incarnation uint64, t directory.Ticket) bool {
 	e := d.upstreams[t]
 	if e == nil || now.Sub(e.probedAt) < probeInterval {
 		return false
 	}
-	if at, own := e.refusedAt[incarnation]; len(e.refusedAt) == 0 || own && now.Sub(at) < reportLifetime {
+	if at, own := e.refusedAt[incarnation]; own && now.Sub(at) < reportLifetime {
+		return false
+	}
+	if merged := e.merge(now, t); len(e.refusedAt) == 0 && !merged.suspicious() {
 		return false
 	}
 	e.probedAt = now
@@ -237,7 +253,14 @@
 		merged.Retransmissions += r.report.Retransmissions
 		merged.Proven = merged.Proven || r.report.Proven
 		merged.FlowRetransmissions = max(merged.FlowRetransmissions, r.report.FlowRetransmissions)
-		merged.Silence = max(merged.Silence, r.report.Silence+age)
+		if r.report.SilentFlows > 0 {
+			merged.Silence = max(merged.Silence, r.report.Silence+age)
+		}
+		merged.SilentOpenings += r.report.SilentOpenings
+		merged.OpeningRetransmissions += r.report.OpeningRetransmissions
+		if r.report.SilentOpenings > 0 {
+			merged.OpeningSilence = max(merged.OpeningSilence, r.report.OpeningSilence+age)
+		}
 	}
 	for incarnation, at := range e.refusedAt {
 		if now.Sub(at) >= reportLifetime || !at.After(e.lastProgress) {
@@ -248,23 +271,46 @@
 	}
 	if !e.lastProgress.IsZero() {
 		merged.Silence = min(merged.Silence, now.Sub(e.lastProgress))
+		merged.OpeningSilence = min(merged.OpeningSilence, now.Sub(e.lastProgress))
 	}
 	return merged
 }
 
-// conclusive reports whether r shows that an upstream is dead, or that it has lost a single
-// flow. Silence is judged by retransmissions, which only waiting clients send; a first packet
+// conclusive reports whether the zone is to be asked about an upstream. Silence is judged by
+// retransmissions, which only waiting clients send; a first packet
 // may be unanswered because its client has left. One balancer's refusals don't suffice: the
 // cause may be on a network path that only this balancer uses.
 func (r *Report) conclusive(balancers int) bool {
-	return r.refused(balancers) || r.silent() || r.FlowRetransmissions >= flowRetransmissions
+	return r.refused(balancers) || r.silent() || r.unresponsive() || r.FlowRetransmissions >= flowRetransmissions
 }
 
-// silent reports whether several flows show that an upstream is dead.
+// silent reports whether several open flows show that an upstream is silent.
 func (r *Report) silent() bool {
 	return r.SilentFlows >= suspectFlows && r.Retransmissions >= deadRetransmissions && r.Silence >= deadAfter
 }
 
+// unresponsive reports whether several flows, open or not, show that an upstream does not
+// respond.
+func (r *Report) unresponsive() bool {
+	return r.SilentFlows+r.SilentOpenings >= suspectFlows && r.Retransmissions+r.OpeningRetransmissions >= deadRetransmissions &&
+		max(r.Silence, r.OpeningSilence) >= deadAfter
+}
+
+// suspicious reports whether the upstream should be probed, as the zone may soon be asked about
+// it.
+func (r *Report) suspicious() bool {
+	return r.SilentFlows+r.SilentOpenings >= suspectFlows || r.FlowRetransmissions >= probeRetransmissions
+}
+
+// silence returns for how long nobody must have seen the upstream live. Reports on open flows
+// say more than those on first packets.
+func (r *Report) silence(balancers int) time.Duration {
+	if r.refused(balancers) || r.silent() || r.FlowRetransmissions >= flowRetransmissions {
+		return r.Silence
+	}
+	return max(r.Silence, r.OpeningSilence)
+}
+
 // refused reports whether enough balancers of the zone found connections refused.
 func (r *Report) refused(balancers int) bool {
 	return r.Refusals > 0 && r.Refusals >= refusalsNeeded(balancers)
--- a/flow/detector_test.go
+++ b/flow/detector_test.go
@@ -83,7 +83,7 @@
 				dead := found == FoundDead
 				require.Equal(t, test.dead[i], dead, i)
 				if dead {
-					_, ok := d.Inquire(start.Add(h.at), &merged, []uint64{1, 2, 3})
+					_, ok := d.Inquire(start.Add(h.at), &merged, []uint64{1, 2, 3}, nil)
 					require.True(t, ok)
 				}
 			}
@@ -162,8 +162,13 @@
 				c.acknowledgeAnswer()
 			}
 			f.advance(test.confirmedAfter)
-			f.forwarder.Confirm(f.now, ticket, 2)
-			f.forwarder.Confirm(f.now, ticket, 3)
+			for _, id := range []uint32{2, 3} {
+				f.forwarder.Confirm(f.now, Confirmation{
+					Ticket: ticket,
+					ID:     id,
+					Scope:  ScopeAll,
+				})
+			}
 			require.Equal(t, test.zone, f.client(boardAddress).open().Upstream.Zone)
 			require.Len(t, f.forwarder.Resets(), test.resets)
 		})
@@ -269,15 +274,17 @@
 			now := time.Now()
 			merged, found := d.AddReport(now, 1, silent(420*time.Millisecond), 3)
 			require.Equal(t, FoundDead, found)
-			q, ok := d.Inquire(now, &merged, []uint64{1, 2, 3})
+			q, ok := d.Inquire(now, &merged, []uint64{1, 2, 3}, nil)
 			require.True(t, ok)
 			alive := Answer{
 				ID:    q.ID,
 				Alive: true,
 				Age:   test.age,
 			}
-			require.Equal(t, Refuted, d.AddAnswer(now, 2, alive))
-			require.Equal(t, Undecided, d.AddAnswer(now, 3, alive), "only the first refutation is announced")
+			outcome, _ := d.AddAnswer(now, 2, alive)
+			require.Equal(t, Refuted, outcome)
+			outcome, _ = d.AddAnswer(now, 3, alive)
+			require.Equal(t, Undecided, outcome, "only the first refutation is announced")
 			d.Refute(now, Refutation{Age: test.age})
 			joined, found := d.AddReport(now.Add(test.next), 1, silent(420*time.Millisecond+test.next), 3)
 			require.Equal(t, test.dead, found == FoundDead)
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -369,7 +369,7 @@
 	before := h.state
 	h.recordRetransmission(now, s)
 	if h.state != before {
-		f.recordStateChange(s.upstream, h, now.Sub(h.silentSince))
+		f.recordStateChange(s.upstream, h, max(h.open.duration(now), h.opening.duration(now)))
 	}
 	f.report(now, s, h)
 	f.judgeSilence(now, s.upstream, h)
@@ -401,10 +401,11 @@
 // recordStateChange adds the current state of u to the state changes.
 func (f *Forwarder) recordStateChange(u *directory.Upstream, h *health, silence time.Duration) {
 	f.stateChanges = append(f.stateChanges, StateChange{
-		Upstream:    u,
-		State:       h.state,
-		SilentFlows: h.silentFlows,
-		Silence:     silence,
+		Upstream:       u,
+		State:          h.state,
+		SilentFlows:    h.open.flows,
+		SilentOpenings: h.opening.flows,
+		Silence:        silence,
 	})
 }
 
--- a/flow/health.go
+++ b/flow/health.go
@@ -94,8 +94,10 @@
 type StateChange struct {
 	Upstream *directory.Upstream
 	State    State
-	// SilentFlows is the number of flows with retransmissions and without progress.
-	SilentFlows int
+	// SilentFlows is the number of open flows with retransmissions and without progress,
+	// and SilentOpenings that of flows whose first packet is retransmitted.
+	SilentFlows    int
+	SilentOpenings int
 	// Silence is the time since the first unanswered packet; zero if no packet is
 	// unanswered here.
 	Silence time.Duration
@@ -109,19 +111,14 @@
 	state State
 	// diedAt is when the upstream was last found dead.
 	diedAt time.Time
-	// epoch is incremented when evidence of silence is cleared; a flow counts as silent
-	// once per epoch.
-	epoch uint32
-	// silentFlows is the number of flows with retransmissions in this epoch, and
-	// retransmissions is the number of their retransmissions.
-	silentFlows     int
-	retransmissions int
-	// silentSince is when the first unanswered packet was sent, and retransmittedSince
-	// when the first retransmission came; zero unless silentFlows is positive.
-	silentSince        time.Time
-	retransmittedSince time.Time
-	// lastRetransmission is when the last retransmission came.
-	lastRetransmission time.Time
+	// open is the silence on open flows, and opening that on flows that have not opened. An upstream that holds as many flows as it can answers no first packet,
+	// so those don't show that it is dead.
+	open    silence
+	opening silence
+	// reachedAt is when the last connection to the upstream that was accepted was
+	// started, and unreachedAt when the last one was that was refused or not answered.
+	reachedAt   time.Time
+	unreachedAt time.Time
 	// lastProgress is when the upstream last showed progress here, and
 	// lastProgressElsewhere when it last did according to another balancer's refutation.
 	lastProgress          time.Time
@@ -146,6 +143,82 @@
 	filledAt time.Time
 }
 
+// silence is what shows that an upstream is silent.
+type silence struct {
+	// epoch is incremented when the silence is cleared; a flow counts once per epoch.
+	epoch uint32
+	// flows is the number of flows with retransmissions, and retransmissions is the number
+	// of these.
+	flows           int
+	retransmissions int
+	// since is when the first unanswered packet was sent, and retransmittedSince and
+	// retransmittedAt when the first and the last retransmission came; zero unless flows
+	// is positive.
+	since              time.Time
+	retransmittedSince time.Time
+	retransmittedAt    time.Time
+}
+
+// add adds a retransmission of a flow's packet that has been unanswered since a time. The
+// argument counted is the flow's epoch, plus one.
+func (s *silence) add(now, since time.Time, counted *uint32) {
+	s.retransmissions++
+	s.retransmittedAt = now
+	if *counted == s.epoch+1 {
+		return
+	}
+	*counted = s.epoch + 1
+	s.flows++
+	if s.retransmittedSince.IsZero() {
+		s.retransmittedSince = now
+	}
+	if s.since.IsZero() || since.Before(s.since) {
+		s.since = since
+	}
+}
+
+// clear ends the silence.
+func (s *silence) clear() {
+	*s = silence{epoch: s.epoch + 1}
+}
+
+// startAfter has the silence start at t at the earliest.
+func (s *silence) startAfter(t time.Time) {
+	if s.flows > 0 && s.since.Before(t) {
+		s.since = t
+	}
+}
+
+// duration returns how long the silence has lasted.
+func (s *silence) duration(now time.Time) time.Duration {
+	if s.since.IsZero() {
+		return 0
+	}
+	return now.Sub(s.since)
+}
+
+// silentFlows returns the number of flows with retransmissions, open or not.
+func (h *health) silentFlows() int {
+	return h.open.flows + h.opening.flows
+}
+
+// lastRetransmission returns when the last retransmission came.
+func (h *health) lastRetransmission() time.Time {
+	return latest(h.open.retransmittedAt, h.opening.retransmittedAt)
+}
+
+// lastLife returns when the upstream last showed that it lives.
+func (h *health) lastLife() time.Time {
+	return latest(h.lastProgress, h.reachedAt)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordProgress records that the upstream has answered, and reports whether this
 // changed its state.
 func (h *health) recordProgress(now time.Time) bool {
@@ -213,8 +286,8 @@
 		return false
 	}
 	h.markDead(now)
-	h.silentFlows = max(h.silentFlows, h.openings)
-	h.silentSince = h.openingTimes[0]
+	h.opening.flows = max(h.opening.flows, h.openings)
+	h.opening.since = h.openingTimes[0]
 	h.backOff(now)
 	return true
 }
@@ -233,26 +306,16 @@
 func (h *health) recordRetransmission(now time.Time, s *flowState) {
 	h.expireDeath(now)
 	returned := h.state != Answering && !now.Before(h.avoidUntil)
-	if stale := h.silentFlows > 0 && now.Sub(h.lastRetransmission) >= maxRetransmitInterval; returned || stale {
+	if stale := h.silentFlows() > 0 && now.Sub(h.lastRetransmission()) >= maxRetransmitInterval; returned || stale {
 		// The upstream may have recovered: only new evidence counts.
 		h.clearEvidence()
 	}
-	h.lastRetransmission = now
-	h.retransmissions++
-	if s.epoch != h.epoch+1 {
-		s.epoch = h.epoch + 1
-		h.silentFlows++
-		if h.retransmittedSince.IsZero() {
-			h.retransmittedSince = now
-		}
-		if h.silentSince.IsZero() || s.unansweredSince.Before(h.silentSince) {
-			h.silentSince = s.unansweredSince
-		}
-		if h.silentSince.Before(h.lastProgressElsewhere) {
-			h.silentSince = h.lastProgressElsewhere
-		}
+	evidence := &h.open
+	if s.opening {
+		evidence = &h.opening
 	}
-	if h.silentFlows >= suspectFlows {
+	evidence.add(now, latest(s.unansweredSince, h.lastProgressElsewhere), &s.epoch)
+	if h.silentFlows() >= suspectFlows {
 		h.state = max(h.state, Suspected)
 	}
 	if h.state != Answering {
@@ -260,24 +323,39 @@
 	}
 }
 
-// silentToDeath reports whether the evidence of silence shows that the upstream is dead.
+// silentToDeath reports whether the silence on open flows shows that the upstream is dead.
 func (h *health) silentToDeath(now time.Time) bool {
-	return h.silentFlows >= suspectFlows && h.retransmissions >= deadRetransmissions && now.Sub(h.silentSince) >= deadAfter
+	return h.open.flows >= suspectFlows && h.open.retransmissions >= deadRetransmissions && h.open.duration(now) >= deadAfter
 }
 
 // clearEvidence clears the evidence of silence and resets the state to Answering.
 func (h *health) clearEvidence() {
-	if h.silentFlows > 0 {
-		h.epoch++
-	}
-	h.silentFlows, h.retransmissions = 0, 0
-	h.silentSince, h.retransmittedSince = time.Time{}, time.Time{}
+	h.open.clear()
+	h.opening.clear()
 	h.openings = 0
 	h.openedAt = time.Time{}
 	h.state = Answering
 	h.avoidUntil = time.Time{}
 }
 
+// markAlive records that another balancer has seen at a time that the upstream lives. First
+// packets that it leaves unanswered remain evidence against new flows, and retransmissions since
+// then against open ones.
+func (h *health) markAlive(at time.Time) {
+	h.lastProgressElsewhere = at
+	if h.state == Dead || !h.open.retransmittedAt.After(at) {
+		h.open.clear()
+	}
+	h.open.startAfter(at)
+	h.opening.startAfter(at)
+	h.state = Answering
+	if h.silentFlows() >= suspectFlows {
+		h.state = Suspected
+		return
+	}
+	h.avoidUntil = time.Time{}
+}
+
 // backOff makes new flows avoid the upstream for the next backoff, which doubles from
 // initialBackoff to maxBackoff. It does nothing while the last one still runs.
 func (h *health) backOff(now time.Time) {
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -35,19 +35,51 @@
 	// refuses connections it is the time since it was refused: progress from before that
 	// does not count.
 	Silence time.Duration
-	// Single reports whether the evidence is of a single flow: the confirmation resets
-	// only flows with as many retransmissions.
-	Single bool
+	// Remote tells that the receiver is of another zone than the sender: it can refute
+	// the death of an upstream of its own zone.
+	Remote bool
 }
 
 // An Answer is a balancer's answer to an Inquiry.
 type Answer struct {
 	Ticket directory.Ticket
 	ID     uint32
-	// Alive reports whether the balancer has seen progress within the inquiry's
-	// Silence, and Age is the time since that progress.
+	// Alive reports whether the balancer has seen within the inquiry's Silence that the
+	// upstream lives, by progress or by a probe, and Age is the time since then.
 	Alive bool
 	Age   time.Duration
+	// Silent reports whether the upstream leaves packets of open flows unanswered here, and
+	// Unreached whether it has left a probe unanswered. A balancer that has neither is no
+	// witness: it may have sent the upstream nothing.
+	Silent    bool
+	Unreached bool
+}
+
+// A Scope tells which flows of an upstream the evidence of an inquiry affects.
+type Scope uint8
+
+// Scopes, in ascending order of the evidence that they need: the reset of an open flow can't be
+// undone.
+const (
+	// ScopeNew means that only new flows avoid the upstream.
+	ScopeNew Scope = iota
+	// ScopeWaiting means that open flows with flowRetransmissions are reset, too.
+	ScopeWaiting
+	// ScopeAll means that the upstream is dead: all of its open flows are reset.
+	ScopeAll
+)
+
+// String returns s's name.
+func (s Scope) String() string {
+	return [...]string{"new", "waiting", "all"}[min(s, ScopeAll)]
+}
+
+// A Confirmation ends an inquiry that no balancer has refuted. In ScopeNew nothing is reset.
+type Confirmation struct {
+	Ticket directory.Ticket
+	// ID is that of the inquiry.
+	ID    uint32
+	Scope Scope
 }
 
 // An Outcome is what the answers to an inquiry show so far.
@@ -57,9 +89,13 @@
 const (
 	// Undecided means that answers are missing, or that the inquiry is over.
 	Undecided Outcome = iota
-	// Confirmed means that the upstream is dead.
+	// Confirmed means that the upstream is dead, or, in ScopeWaiting, that it does not
+	// answer some flows.
 	Confirmed
-	// Refuted means that a balancer has seen progress.
+	// Unproven means that nobody has seen the upstream live, and that too few balancers
+	// have tried it.
+	Unproven
+	// Refuted means that a balancer has seen that the upstream lives.
 	Refuted
 )
 
@@ -67,18 +103,58 @@
 type openInquiry struct {
 	Inquiry
 	sentAt time.Time
-	// balancers is the number of balancers asked, and missing holds the incarnations
-	// of those that have not answered.
+	// balancers is the number of balancers of the zone, and missing holds the incarnations
+	// of those that have not answered. The map remote holds the incarnations of the
+	// balancers of the upstream's zone, if that is another one, that have not.
 	balancers int
 	missing   map[uint64]struct{}
+	remote    map[uint64]struct{}
+	// refused reports whether the upstream's address refuses connections, and single
+	// whether a single flow has flowRetransmissions.
+	refused bool
+	single  bool
+	// witnesses is the number of balancers that have found the upstream silent or
+	// unreachable, and unreached that of those that have found it unreachable.
+	witnesses int
+	unreached int
 }
 
-// confirmed reports whether the answers received by now suffice. All balancers must
+// scope returns what the answers by now show, if none of them has refuted the inquiry. Flows
+// without a packet under way are reset only if several balancers have tried the upstream, and
+// if a probe was not answered: the path of a single balancer may be at fault, and a host
+// that is full answers probes.
+func (q *openInquiry) scope() Scope {
+	switch {
+	case q.refused, q.unreached > 0 && q.witnesses >= min(minWitnesses, q.balancers):
+		return ScopeAll
+	case q.single:
+		return ScopeWaiting
+	default:
+		return ScopeNew
+	}
+}
+
+// addAnswer adds the answer of a balancer.
+func (q *openInquiry) addAnswer(incarnation uint64, a *Answer) {
+	delete(q.remote, incarnation)
+	if _, ok := q.missing[incarnation]; !ok {
+		return
+	}
+	delete(q.missing, incarnation)
+	if a.Silent || a.Unreached {
+		q.witnesses++
+	}
+	if a.Unreached {
+		q.unreached++
+	}
+}
+
+// complete reports whether the answers received by now suffice. All balancers must
 // answer within answerTimeout, since any of them may be the only one that has seen
 // progress; one that does not answer in time must not protect a dead upstream for
 // longer. Nobody can have seen progress within a silence of zero.
-func (q *openInquiry) confirmed(now time.Time) bool {
-	if len(q.missing) == 0 {
+func (q *openInquiry) complete(now time.Time) bool {
+	if len(q.missing)+len(q.remote) == 0 {
 		return true
 	}
 	overdue := q.Silence == 0 || now.Sub(q.sentAt) >= answerTimeout
@@ -95,8 +171,9 @@
 
 // Inquire starts an inquiry on an upstream that the merged reports show to be dead.
 // The argument balancers holds the incarnations of the zone's live balancers, including
-// this one. It returns false if an inquiry on the upstream was made recently.
-func (d *Detector) Inquire(now time.Time, merged *Report, balancers []uint64) (Inquiry, bool) {
+// this one, and remote those of the upstream's zone if that is another one. It returns false
+// if an inquiry on the upstream was made recently.
+func (d *Detector) Inquire(now time.Time, merged *Report, balancers, remote []uint64) (Inquiry, bool) {
 	e := d.upstreams[merged.Ticket]
 	if e == nil || d.inquiries[merged.Ticket] != nil || now.Sub(e.inquiredAt) < deathInterval {
 		return Inquiry{}, false
@@ -107,63 +184,82 @@
 		Inquiry: Inquiry{
 			Ticket:  merged.Ticket,
 			ID:      d.lastID,
-			Silence: merged.Silence,
-			Single:  !merged.refused(len(balancers)) && !merged.silent(),
+			Silence: merged.silence(len(balancers)),
 		},
 		sentAt:    now,
 		balancers: len(balancers),
-		missing:   make(map[uint64]struct{}, len(balancers)),
-	}
-	for _, b := range balancers {
-		q.missing[b] = struct{}{}
+		missing:   setOf(balancers),
+		remote:    setOf(remote),
+		refused:   merged.refused(len(balancers)),
+		single:    merged.FlowRetransmissions >= flowRetransmissions,
 	}
 	d.inquiries[merged.Ticket] = q
 	return q.Inquiry, true
 }
 
+func setOf(incarnations []uint64) map[uint64]struct{} {
+	set := make(map[uint64]struct{}, len(incarnations))
+	for _, i := range incarnations {
+		set[i] = struct{}{}
+	}
+	return set
+}
+
 // AddAnswer adds the answer of the balancer with the given incarnation, and returns what
-// the inquiry shows then. The inquiry ends unless that is Undecided.
-func (d *Detector) AddAnswer(now time.Time, incarnation uint64, a Answer) Outcome {
+// the inquiry shows then. The inquiry ends unless that is Undecided. The scope is that of a
+// inquiry that is over without a refutation.
+func (d *Detector) AddAnswer(now time.Time, incarnation uint64, a Answer) (Outcome, Scope) {
 	q := d.inquiries[a.Ticket]
 	if q == nil || q.ID != a.ID {
-		return Undecided
+		return Undecided, ScopeNew
 	}
 	if a.Alive {
 		delete(d.inquiries, a.Ticket)
-		return Refuted
+		return Refuted, ScopeNew
 	}
-	delete(q.missing, incarnation)
-	if !q.confirmed(now) {
-		return Undecided
+	q.addAnswer(incarnation, &a)
+	if !q.complete(now) {
+		return Undecided, ScopeNew
 	}
 	delete(d.inquiries, a.Ticket)
-	return Confirmed
+	scope := q.scope()
+	if scope == ScopeNew {
+		return Unproven, scope
+	}
+	return Confirmed, scope
 }
 
-// Overdue ends the inquiries whose answers are overdue, and returns those that the
-// answers received suffice to confirm.
-func (d *Detector) Overdue(now time.Time) []Inquiry {
-	var confirmed []Inquiry
+// Overdue ends the inquiries whose answers are overdue, and returns the confirmations of those
+// for which the answers received suffice.
+func (d *Detector) Overdue(now time.Time) []Confirmation {
+	var confirmed []Confirmation
 	for t, q := range d.inquiries {
 		if now.Sub(q.sentAt) < answerTimeout {
 			continue
 		}
 		delete(d.inquiries, t)
-		if q.confirmed(now) {
-			confirmed = append(confirmed, q.Inquiry)
+		if q.complete(now) {
+			confirmed = append(confirmed, Confirmation{
+				Ticket: t,
+				ID:     q.ID,
+				Scope:  q.scope(),
+			})
 		}
 	}
 	return confirmed
 }
 
 // Defer puts off the inquiry on an upstream that the merged reports show to be dead by refused
-// connections; Due returns the reports when the inquiry is due. It reports whether it does so,
-// and whether this is the first such call on the upstream.
+// connections, or that this balancer is probing; Due returns the reports when the inquiry is due.
+// It reports whether it does so, and whether this is the first such call on the upstream.
 func (d *Detector) Defer(now time.Time, merged *Report) (deferred, first bool) {
-	if merged.Refusals == 0 {
-		return false, false
+	if merged.Refusals > 0 {
+		return true, d.addCandidate(now, merged, refusalDelay)
+	}
+	if e := d.upstreams[merged.Ticket]; e != nil && now.Sub(e.probedAt) < ProbeTimeout {
+		return true, d.addCandidate(now, merged, e.probedAt.Add(ProbeTimeout).Sub(now))
 	}
-	return true, d.addCandidate(now, merged, refusalDelay)
+	return false, false
 }
 
 // StandBy leaves the inquiry on an upstream that the merged reports show to be dead to
@@ -171,8 +267,11 @@
 // reports.
 func (d *Detector) StandBy(now time.Time, merged *Report) {
 	delay := standbyDelay
-	if merged.Refusals > 0 {
+	switch e := d.upstreams[merged.Ticket]; {
+	case merged.Refusals > 0:
 		delay += refusalDelay
+	case e != nil && now.Sub(e.probedAt) < ProbeTimeout:
+		delay += e.probedAt.Add(ProbeTimeout).Sub(now)
 	}
 	d.addCandidate(now, merged, delay)
 }
@@ -198,6 +297,7 @@
 		if !now.Before(c.due) {
 			delete(d.candidates, t)
 			c.merged.Silence += now.Sub(c.foundAt)
+			c.merged.OpeningSilence += now.Sub(c.foundAt)
 			due = append(due, c.merged)
 		}
 	}
--- a/flow/inquiry_test.go
+++ b/flow/inquiry_test.go
@@ -21,9 +21,9 @@
 	}, len(balancers))
 	require.Equal(t, FoundDead, found)
 	merged.Silence = silence
-	q, ok := d.Inquire(now, &merged, balancers)
+	q, ok := d.Inquire(now, &merged, balancers, nil)
 	require.True(t, ok)
-	_, ok = d.Inquire(now, &merged, balancers)
+	_, ok = d.Inquire(now, &merged, balancers, nil)
 	require.False(t, ok, "one inquiry at a time")
 	return d, q
 }
@@ -75,9 +75,10 @@
 			now := time.Now()
 			d, q := inquiryOf(t, now, test.silence, zone...)
 			for i, from := range test.answers {
-				o := d.AddAnswer(now, from, Answer{
-					Ticket: q.Ticket,
-					ID:     q.ID,
+				o, _ := d.AddAnswer(now, from, Answer{
+					Ticket:    q.Ticket,
+					ID:        q.ID,
+					Unreached: true,
 				})
 				require.Equal(t, test.outcomes[i], o, i)
 			}
@@ -97,12 +98,14 @@
 		Ticket: q.Ticket,
 		ID:     q.ID - 1,
 	}
-	require.Equal(t, Undecided, d.AddAnswer(now, 1, answer))
+	outcome, _ := d.AddAnswer(now, 1, answer)
+	require.Equal(t, Undecided, outcome)
 	d.HandleBacklog(now, maxBacklog-1)
 	require.True(t, d.Waiting())
 	d.HandleBacklog(now, maxBacklog)
 	answer.ID = q.ID
-	require.Equal(t, Undecided, d.AddAnswer(now, 1, answer))
+	outcome, _ = d.AddAnswer(now, 1, answer)
+	require.Equal(t, Undecided, outcome)
 	_, found := d.AddReport(now.Add(resumeGracePeriod-1), 1, Report{
 		SilentFlows:     9,
 		Retransmissions: 9,
--- a/flow/opening_test.go
+++ b/flow/opening_test.go
@@ -16,6 +16,8 @@
 type zone struct {
 	*fixture
 	balancers []*Forwarder
+	// detector is that of the host's first watcher.
+	detector *Detector
 }
 
 // newZone returns a zone in which each balancer has flows at all hosts but one, which it
--- a/flow/place.go
+++ b/flow/place.go
@@ -76,7 +76,7 @@
 	for _, u := range hosts {
 		h := f.healthOf(u)
 		if h.checkOpenings(now, f.lastAnswered) {
-			f.recordStateChange(u, h, now.Sub(h.silentSince))
+			f.recordStateChange(u, h, h.opening.duration(now))
 			f.abandon(u.Ticket(), 0)
 		}
 	}
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -7,6 +7,11 @@
 )
 
 const (
+	// ProbeTimeout is how long a probe waits for the answer: many round trips between
+	// zones. A probe whose first packet is lost has none.
+	ProbeTimeout = 150 * time.Millisecond
+	// unreachedLifetime is how long a probe without an answer counts.
+	unreachedLifetime = 2 * time.Second
 	// probeInterval is the minimum time between two probes of an upstream by one
 	// balancer.
 	probeInterval = 500 * time.Millisecond
--- a/flow/rehash_test.go
+++ b/flow/rehash_test.go
@@ -99,7 +99,10 @@
 			require.Equal(t, Forward, idle.request().Action)
 
 			f.forwarder.Ask(f.now, Inquiry{Ticket: idle.host.Ticket()})
-			f.forwarder.Confirm(f.now, idle.host.Ticket(), 0)
+			f.forwarder.Confirm(f.now, Confirmation{
+				Ticket: idle.host.Ticket(),
+				Scope:  ScopeAll,
+			})
 			f.forwarder.Advance(f.now, f.view())
 			require.GreaterOrEqual(t, len(f.forwarder.Resets()), 3, "the zone has found the host dead")
 		})
--- a/flow/restart_test.go
+++ b/flow/restart_test.go
@@ -49,19 +49,21 @@
 			f.now = refusedAt.Add(reportedAfter)
 			merged, found := d.AddReport(f.now, 2, refusal, 3)
 			require.Equal(t, FoundDead, found)
-			q, ok := d.Inquire(f.now, &merged, []uint64{1, 2, 3})
+			q, ok := d.Inquire(f.now, &merged, []uint64{1, 2, 3}, nil)
 			require.True(t, ok)
 			a := f.forwarder.Ask(f.now, q)
 			require.Equal(t, test.alive, a.Alive)
-			require.Equal(t, Undecided, d.AddAnswer(f.now, 1, Answer{
+			outcome, _ := d.AddAnswer(f.now, 1, Answer{
 				Ticket: q.Ticket,
 				ID:     q.ID,
-			}))
+			})
+			require.Equal(t, Undecided, outcome)
 			want := Undecided
 			if test.alive {
 				want = Refuted
 			}
-			require.Equal(t, want, d.AddAnswer(f.now, 2, a), "the third balancer may refute it, too")
+			outcome, _ = d.AddAnswer(f.now, 2, a)
+			require.Equal(t, want, outcome, "the third balancer may refute it, too")
 		})
 	}
 }
@@ -107,7 +109,7 @@
 			f.advance(refusalDelay)
 			due := d.Due(f.now)
 			require.Len(t, due, 1)
-			q, ok := d.Inquire(f.now, &due[0], []uint64{1})
+			q, ok := d.Inquire(f.now, &due[0], []uint64{1}, nil)
 			require.True(t, ok)
 			require.Equal(t, refusalDelay, q.Silence)
 			require.Equal(t, test.answers, f.forwarder.Ask(f.now, q).Alive)
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -23,14 +23,14 @@
 	if f.asksZone || h.state == Dead || !h.silentToDeath(now) {
 		return
 	}
-	if !f.pathWorkedAfter(h.retransmittedSince) {
+	if !f.pathWorkedAfter(h.open.retransmittedSince) {
 		if !slices.Contains(f.unproven, u) {
 			f.unproven = append(f.unproven, u)
 		}
 		return
 	}
 	h.markDead(now)
-	f.recordStateChange(u, h, now.Sub(h.silentSince))
+	f.recordStateChange(u, h, h.open.duration(now))
 	f.abandon(u.Ticket(), 0)
 }
 
--- a/flow/single_test.go
+++ b/flow/single_test.go
@@ -53,15 +53,21 @@
 			d, peer := NewDetector(1), New(f.now, "a", owner(true))
 			merged, found := d.AddReport(f.now, 1, reports[len(reports)-1], 2)
 			require.Equal(t, FoundDead, found)
-			q, ok := d.Inquire(f.now, &merged, []uint64{1, 2})
+			q, ok := d.Inquire(f.now, &merged, []uint64{1, 2}, nil)
 			require.True(t, ok)
 			if test.progress > 0 {
 				peer.healthOf(c.host).recordProgress(f.now.Add(-test.progress))
 			}
-			require.Equal(t, Undecided, d.AddAnswer(f.now, 1, f.forwarder.Ask(f.now, q)))
-			require.Equal(t, test.outcome, d.AddAnswer(f.now, 2, peer.Ask(f.now, q)))
+			outcome, _ := d.AddAnswer(f.now, 1, f.forwarder.Ask(f.now, q))
+			require.Equal(t, Undecided, outcome)
+			outcome, scope := d.AddAnswer(f.now, 2, peer.Ask(f.now, q))
+			require.Equal(t, test.outcome, outcome)
 			if test.outcome == Confirmed {
-				f.forwarder.Confirm(f.now, q.Ticket, q.ID)
+				f.forwarder.Confirm(f.now, Confirmation{
+					Ticket: q.Ticket,
+					ID:     q.ID,
+					Scope:  scope,
+				})
 			}
 			f.forwarder.Advance(f.now, f.view())
 			resets := f.forwarder.Resets()
@@ -85,9 +91,18 @@
 	}
 	d.AddReport(f.now, 1, refusal, 3)
 	merged, _ := d.AddReport(f.now.Add(time.Millisecond), 2, refusal, 3)
-	q, ok := d.Inquire(f.now.Add(refusalDelay), &merged, []uint64{1, 2, 3})
+	q, ok := d.Inquire(f.now.Add(refusalDelay), &merged, []uint64{1, 2, 3}, nil)
 	require.True(t, ok)
-	require.False(t, q.Single)
+	outcome, scope := Undecided, ScopeNew
+	for from := uint64(1); outcome == Undecided; from++ {
+		require.Less(t, from, uint64(4))
+		outcome, scope = d.AddAnswer(f.now.Add(refusalDelay), from, Answer{
+			Ticket: q.Ticket,
+			ID:     q.ID,
+		})
+	}
+	require.Equal(t, Confirmed, outcome)
+	require.Equal(t, ScopeAll, scope)
 }
 
 // TestLoneBalancerProvesItsPath guards against resets by a balancer that knows no other one in
--- a/flow/table.go
+++ b/flow/table.go
@@ -38,7 +38,7 @@
 	// retransmissions is the number of retransmissions of the first packet, or of later
 	// unanswered ones.
 	retransmissions int
-	// epoch is the upstream's epoch in which the flow was last counted as silent, plus
+	// epoch is the epoch of the upstream's silence in which the flow was last counted, plus
 	// one; zero for never.
 	epoch uint32
 }
--- a/flow/witness_test.go
+++ b/flow/witness_test.go
@@ -32,11 +32,12 @@
 			merged = m
 		}
 	}
-	q, ok := d.Inquire(f.now, &merged, []uint64{1, 2, 3})
+	q, ok := d.Inquire(f.now, &merged, []uint64{1, 2, 3}, nil)
 	require.True(t, ok)
-	outcome := Undecided
+	outcome, scope := Undecided, ScopeNew
 	for i, g := range []*Forwarder{f.forwarder, New(f.now, "a", owner(true)), New(f.now, "a", owner(true))} {
-		outcome = d.AddAnswer(f.now, uint64(i+1), g.Ask(f.now, q))
+		outcome, scope = d.AddAnswer(f.now, uint64(i+1), g.Ask(f.now, q))
 	}
 	require.NotEqual(t, Confirmed, outcome)
+	require.Equal(t, ScopeNew, scope)
 }
--- a/flowlab/internal/emulation/balancer.go
+++ b/flowlab/internal/emulation/balancer.go
@@ -189,18 +189,17 @@
 func (b *balancer) handleReport(sender uint64, rank int, r flow.Report) {
 	peers := b.peers()
 	merged, finding := b.detector.AddReport(b.emulation.now, sender, r, len(peers))
+	if finding != flow.FoundBusy && b.detector.ShouldProbe(b.emulation.now, b.id, r.Ticket) {
+		if u := b.emulation.view.ByTicket(r.Ticket); u != nil {
+			b.probe(u.ID)
+		}
+	}
 	switch finding {
 	case flow.FoundDead:
 		b.handleFoundDead(rank, &merged)
 	case flow.FoundBusy:
 		b.announceBusy(r.Ticket)
 	case flow.FoundNothing:
-		if !b.detector.ShouldProbe(b.emulation.now, b.id, r.Ticket) {
-			return
-		}
-		if u := b.emulation.view.ByTicket(r.Ticket); u != nil {
-			b.probe(u.ID)
-		}
 	}
 }
 
@@ -213,7 +212,7 @@
 		return
 	}
 	deferred, first := b.detector.Defer(b.emulation.now, merged)
-	if first {
+	if first && merged.Refusals > 0 {
 		b.announceBusy(merged.Ticket)
 	}
 	if deferred {
@@ -230,26 +229,56 @@
 	}
 }
 
-// inquire asks the zone whether a host is dead.
+// inquire asks the zone whether a host is dead, and the host's zone if that is another one.
 func (b *balancer) inquire(merged *flow.Report) {
-	peers := b.peers()
-	ids := make([]uint64, 0, len(peers))
-	for _, p := range peers {
-		ids = append(ids, p.id)
-	}
-	q, ok := b.detector.Inquire(b.emulation.now, merged, ids)
+	peers, remote := b.peers(), b.remoteWitnesses(merged.Ticket)
+	q, ok := b.detector.Inquire(b.emulation.now, merged, ids(peers), ids(remote))
 	if !ok {
 		return
 	}
 	for _, p := range peers {
 		b.send(p, func() { p.answer(b, q) })
 	}
+	asRemote := q
+	asRemote.Remote = true
+	for _, p := range remote {
+		b.send(p, func() { p.answer(b, asRemote) })
+	}
 	b.emulation.after(inquiryInterval, b.checkInquiries)
 }
 
+// remoteWitnesses returns the running balancers of a host's zone if that is another one.
+func (b *balancer) remoteWitnesses(t directory.Ticket) []*balancer {
+	u := b.emulation.view.ByTicket(t)
+	if u == nil || u.Zone == zoneName(b.zone) {
+		return nil
+	}
+	var remote []*balancer
+	for i, z := range b.emulation.balancersByZone {
+		if zoneName(i) != u.Zone {
+			continue
+		}
+		for _, p := range z {
+			if !p.down {
+				remote = append(remote, p)
+			}
+		}
+	}
+	return remote
+}
+
+// ids returns the IDs of balancers.
+func ids(balancers []*balancer) []uint64 {
+	all := make([]uint64, 0, len(balancers))
+	for _, b := range balancers {
+		all = append(all, b.id)
+	}
+	return all
+}
+
 // answer answers an inquiry after the packets that are queued.
 func (b *balancer) answer(from *balancer, q flow.Inquiry) {
-	if from != b {
+	if from != b && !q.Remote {
 		b.detector.ObserveInquiry(b.emulation.now, q.Ticket)
 	}
 	b.packets.add(func() {
@@ -260,9 +289,14 @@
 
 // handleAnswer handles an answer to an inquiry.
 func (b *balancer) handleAnswer(sender uint64, a flow.Answer) {
-	switch b.detector.AddAnswer(b.emulation.now, sender, a) {
-	case flow.Confirmed:
-		b.confirm(a.Ticket, a.ID)
+	outcome, scope := b.detector.AddAnswer(b.emulation.now, sender, a)
+	switch outcome {
+	case flow.Confirmed, flow.Unproven:
+		b.confirm(flow.Confirmation{
+			Ticket: a.Ticket,
+			ID:     a.ID,
+			Scope:  scope,
+		})
 	case flow.Refuted:
 		r := flow.Refutation{
 			Ticket: a.Ticket,
@@ -281,8 +315,8 @@
 	if b.down {
 		return
 	}
-	for _, q := range b.detector.Overdue(b.emulation.now) {
-		b.confirm(q.Ticket, q.ID)
+	for _, c := range b.detector.Overdue(b.emulation.now) {
+		b.confirm(c)
 	}
 	for _, r := range b.detector.Due(b.emulation.now) {
 		b.inquire(&r)
@@ -292,12 +326,12 @@
 	}
 }
 
-// confirm tells the zone that a host is dead.
-func (b *balancer) confirm(t directory.Ticket, id uint32) {
+// confirm tells the zone which flows of a host the evidence affects.
+func (b *balancer) confirm(c flow.Confirmation) {
 	for _, p := range b.peers() {
 		b.send(p, func() {
-			p.detector.ObserveConfirmation(b.emulation.now, t)
-			p.forwarder.Confirm(b.emulation.now, t, id)
+			p.detector.ObserveConfirmation(b.emulation.now, c.Ticket)
+			p.forwarder.Confirm(b.emulation.now, c)
 			p.handleTimer()
 		})
 	}
@@ -309,12 +343,20 @@
 	b.detector.Refute(b.emulation.now, r)
 }
 
-// probe connects to a host and reports a refused connection.
+// probe connects to a host, records whether it accepts, and reports a refused connection.
 func (b *balancer) probe(id string) {
-	h := b.emulation.hosts[id]
+	h, startedAt := b.emulation.hosts[id], b.emulation.now
 	b.emulation.result.Probes++
-	b.emulation.after(2*b.delayTo(h), func() {
-		if h.state == hostCrashed && !b.down {
+	wait := 2 * b.delayTo(h)
+	if h.state == hostPoweredOff {
+		wait = flow.ProbeTimeout
+	}
+	b.emulation.after(wait, func() {
+		if b.down {
+			return
+		}
+		b.forwarder.RecordProbe(startedAt, h.upstream.Ticket(), h.state == hostServing)
+		if h.state == hostCrashed {
 			b.sendReport(flow.Report{
 				Ticket:   h.upstream.Ticket(),
 				Refusals: 1,
--- a/wire/health.go
+++ b/wire/health.go
@@ -62,6 +62,10 @@
 		Refusals: uint32(r.Refusals),
 		Late:     uint32(r.LateRequests),
 		Longest:  uint32(r.FlowRetransmissions),
+
+		Openings:       uint32(r.SilentOpenings),
+		OpeningRepeats: uint32(r.OpeningRetransmissions),
+		OpeningSilence: milliseconds(r.OpeningSilence),
 	}
 }
 
@@ -75,6 +79,10 @@
 		Refusals:            int(x.GetRefusals()),
 		LateRequests:        int(x.GetLate()),
 		FlowRetransmissions: int(x.GetLongest()),
+
+		SilentOpenings:         int(x.GetOpenings()),
+		OpeningRetransmissions: int(x.GetOpeningRepeats()),
+		OpeningSilence:         duration(x.GetOpeningSilence()),
 	}
 }
 
@@ -84,7 +92,7 @@
 		Ticket:  uint32(q.Ticket),
 		Id:      q.ID,
 		Silence: milliseconds(q.Silence),
-		Single:  q.Single,
+		Remote:  q.Remote,
 	}
 }
 
@@ -94,7 +102,7 @@
 		Ticket:  directory.Ticket(x.GetTicket()),
 		ID:      x.GetId(),
 		Silence: duration(x.GetSilence()),
-		Single:  x.GetSingle(),
+		Remote:  x.GetRemote(),
 	}
 }
 
@@ -105,6 +113,9 @@
 		Id:     a.ID,
 		Alive:  a.Alive,
 		Age:    milliseconds(a.Age),
+
+		Silent:    a.Silent,
+		Unreached: a.Unreached,
 	}
 }
 
@@ -115,5 +126,30 @@
 		ID:     x.GetId(),
 		Alive:  x.GetAlive(),
 		Age:    duration(x.GetAge()),
+
+		Silent:    x.GetSilent(),
+		Unreached: x.GetUnreached(),
+	}
+}
+
+// NewConfirmation returns the message for a confirmation of an inquiry.
+func NewConfirmation(c *flow.Confirmation) *Confirmation {
+	return &Confirmation{
+		Ticket: uint32(c.Ticket),
+		Id:     c.ID,
+		Scope:  uint32(c.Scope),
+	}
+}
+
+// Decode returns the confirmation of the message. A scope that this build does not know, or
+// none, as from former builds, affects no open flow.
+func (x *Confirmation) Decode() flow.Confirmation {
+	c := flow.Confirmation{
+		Ticket: directory.Ticket(x.GetTicket()),
+		ID:     x.GetId(),
+	}
+	if s := x.GetScope(); s <= uint32(flow.ScopeAll) {
+		c.Scope = flow.Scope(s)
 	}
+	return c
 }
--- a/wire/health_test.go
+++ b/wire/health_test.go
@@ -15,7 +15,7 @@
 		Ticket:  7,
 		ID:      1<<32 - 1,
 		Silence: 450 * time.Millisecond,
-		Single:  true,
+		Remote:  true,
 	}
 	answers := []flow.Answer{
 		{
