fix: send the changes of one revision in one datagram

Cause: a delta that is split into datagrams could have the changes of one revision in two of them. A follower that applied the first named that revision, and dropped the second as old, so that a host whose entry was deleted could stay listed there. Listings delete many hosts at one revision; their relay announces the position only today, so that the fault was out of reach.

The changes of one revision now stay together. Where they are too many for a datagram, the revision is announced, and followers fetch it.

--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -278,24 +278,48 @@
 // itemsPerDatagram is the greatest number of items in a datagram.
 const itemsPerDatagram = 8
 
-// splitDelta splits a delta into consecutive ones of itemsPerDatagram items at
-// most.
+// splitDelta splits a delta into consecutive ones of itemsPerDatagram items at most. The
+// items of one revision are not split, since a follower would name the revision before it has
+// all of them. Where they are too many for a datagram, a delta without items announces the
+// revision, and the followers fetch the items.
 func splitDelta(delta *directory.Delta) []directory.Delta {
 	var all []directory.Delta
 	base := delta.Base
-	for chunk := range slices.Chunk(delta.Items, itemsPerDatagram) {
+	for rest := delta.Items; len(rest) > 0; {
+		items := firstRevisions(rest)
 		part := directory.Delta{
 			Era:  delta.Era,
 			Base: base,
 			// Items of a listing may be newer than the listing.
-			Revision: min(chunk[len(chunk)-1].Revision, delta.Revision),
-			Items:    chunk,
+			Revision: min(items[len(items)-1].Revision, delta.Revision),
+			Items:    items,
+		}
+		if len(rest) == len(items) {
+			part.Revision = delta.Revision
+		}
+		rest = rest[len(items):]
+		if len(items) > itemsPerDatagram {
+			part = announcement(part.Position())
 		}
 		base = part.Revision
 		all = append(all, part)
 	}
-	if len(all) > 0 {
-		all[len(all)-1].Revision = delta.Revision
-	}
 	return all
 }
+
+// firstRevisions returns the items of the first revisions that fit a datagram together, or of
+// the first one if that does not fit. The items are ordered by revision.
+func firstRevisions(items []directory.Item) []directory.Item {
+	end := 0
+	for end < len(items) {
+		next := end + 1
+		for next < len(items) && items[next].Revision == items[end].Revision {
+			next++
+		}
+		if end > 0 && next > itemsPerDatagram {
+			break
+		}
+		end = next
+	}
+	return items[:end]
+}
--- a/filbertflow/internal/daemon/restore_test.go
+++ b/filbertflow/internal/daemon/restore_test.go
@@ -77,14 +77,17 @@
 }
 
 // serveChanges lets a server answer calls for changes, with d's events handled, and returns
-// its address.
-func serveChanges(t *testing.T, d *Daemon, server wire.DRPCDirectoryServer) netip.AddrPort {
+// its address. The listener is wrapped before it is used.
+func serveChanges(t *testing.T, d *Daemon, server wire.DRPCDirectoryServer, wrap ...func(net.Listener) net.Listener) netip.AddrPort {
 	t.Helper()
 	mux := drpcmux.New()
 	require.NoError(t, wire.DRPCRegisterDirectory(mux, server))
 	var config net.ListenConfig
 	p, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
+	for _, w := range wrap {
+		p = w(p)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
 	go func() {
