--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -145,7 +145,7 @@
 // handleError handles the error of a watch, and of a listing at the start.
 func (r *reader) handleError(ctx context.Context, err error) {
 	if errors.Is(err, directory.ErrCompacted) && !r.relisted {
-		r.daemon.log.Info(time.Now(), "store: change history was compacted, listing all entries", logs.F("revision", r.position.Revision))
+		r.daemon.log.Info(time.Now(), "store: change history was compacted, listing all entries", logs.F("revision", r.position.Revision), logs.F("error", err.Error()))
 		r.relist(ctx)
 		return
 	}
