fix: replace readers of the store that are silent

Cause: one balancer of each zone reads the store. If all readers are lost at once, the next one started when the store's last known answer was 3 s old, or when the lost ones were declared dead; a change may take 3 s in all. The age can't be judged sooner, as it is passed on from balancer to balancer in large zones.

The first four of a zone's order now send each other heartbeats, and one of them reads as soon as all before it have been silent for 1.25 s.

--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/config"
@@ -40,8 +41,9 @@
 // with other zones: two may fail at once.
 const gatewaysPerZone = 3
 
-// readerPolicy determines how many balancers of a zone read the store. If the
-// reader fails, the readers of other zones replace it: its peers learn of new
+// readerPolicy determines how many balancers of a zone read the store. The candidates for
+// that send each other heartbeats, and replace a reader that is silent for candidateSilence. If
+// the zone loses all of them, the readers of other zones replace it: its peers learn of new
 // revisions from heartbeats. A zone without contact to others adds further
 // readers once the store's last answer is older than a watch, its timeout and a
 // heartbeat take together.
@@ -51,6 +53,10 @@
 	StandbyAfter: 3 * watchWait,
 }
 
+// candidateSilence is how long a candidate for reading the store may be silent before the next one
+// reads: two heartbeats, and half of one for their way.
+const candidateSilence = 5 * member.HeartbeatInterval / 2
+
 // A syncer keeps this balancer's directory and membership in sync with the store
 // and the peers. Only its goroutine uses it.
 type syncer struct {
@@ -331,13 +337,17 @@
 		s.logMembers(now, t)
 		s.table = t
 		s.daemon.owners.Store(member.NewTable(t.Members()))
+		s.tracker.SetContacts(s.otherCandidates())
 	}
 	o := &s.daemon.options
 	if leads := rollout.Leads(s.table, o.Name); leads != s.daemon.leads.Load() {
 		s.daemon.leads.Store(leads)
 		s.daemon.log.Info(now, "store: leading reader changed", logs.F("leads", leads))
 	}
-	reads := readerPolicy.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Position().Revision > 0)
+	reads := readerPolicy.Reads(s.table, o.Name, o.Zone, s.tracker.PlatformAge(now), s.dir.Position().Revision > 0) ||
+		readerPolicy.Replaces(s.table, o.Name, o.Zone, func(m *member.Member) bool {
+			return s.tracker.SilentFor(now, m.Incarnation) >= candidateSilence
+		})
 	if reads == s.isReader {
 		return
 	}
@@ -350,6 +360,17 @@
 	s.daemon.reads <- reads
 }
 
+// otherCandidates returns the addresses of the other balancers of the zone that may read the
+// store, if this one may.
+func (s *syncer) otherCandidates() []netip.AddrPort {
+	candidates := readerPolicy.Candidates(s.table, s.daemon.options.Zone)
+	isSelf := func(m member.Member) bool { return m.Incarnation == s.daemon.incarnation }
+	if !slices.ContainsFunc(candidates, isSelf) {
+		return nil
+	}
+	return relays(slices.DeleteFunc(candidates, isSelf))
+}
+
 func (s *syncer) logMembers(now time.Time, next *member.Table) {
 	known := make(map[uint64]member.State)
 	if s.table != nil {
--- a/member/tick.go
+++ b/member/tick.go
@@ -171,7 +171,7 @@
 // heartbeats returns the heartbeats to the observers and to a few other
 // processes.
 func (t *Tracker) heartbeats(now time.Time) []Message {
-	targets := slices.Clone(t.observers)
+	targets := slices.Concat(t.observers, t.contacts)
 	targets = append(targets, t.extraTargets(now)...)
 	slices.SortFunc(targets, netip.AddrPort.Compare)
 	targets = slices.Compact(targets)
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -109,6 +109,8 @@
 	// relay addresses that this process's heartbeats go to.
 	ringChanged bool
 	observers   []netip.AddrPort
+	// contacts are further relay addresses that heartbeats go to.
+	contacts []netip.AddrPort
 }
 
 // peerState holds what is known about one incarnation.
@@ -300,6 +302,22 @@
 	return true
 }
 
+// SetContacts sets relay addresses that heartbeats go to beside those of the observers, so that
+// these members can tell by SilentFor whether this one still runs.
+func (t *Tracker) SetContacts(relays []netip.AddrPort) {
+	t.contacts = relays
+}
+
+// SilentFor returns the time since a heartbeat last came from a member itself; zero if none
+// has come yet.
+func (t *Tracker) SilentFor(now time.Time, incarnation uint64) time.Duration {
+	p := t.members[incarnation]
+	if p == nil || p.lastHeard.IsZero() {
+		return 0
+	}
+	return now.Sub(p.lastHeard)
+}
+
 // SetGateways lets only the first n members of each zone exchange messages with
 // other zones, to save traffic between zones where it is expensive. The other
 // members learn about those zones from them.
--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -201,3 +203,35 @@
 	a.tracker.HandleResume(f.now.Add(5*time.Second), f.now)
 	require.False(t, a.tracker.HandleHeartbeat(f.now, b.self.Relay, &before).AnswersProbe)
 }
+
+// TestContactsGetHeartbeats checks that contacts get each heartbeat, beside the observers, and that
+// their receiver can tell how long the sender has been silent.
+func TestContactsGetHeartbeats(t *testing.T) {
+	now := time.Now()
+	process := func(i byte) Member {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7400)
+		return Member{
+			Name:        fmt.Sprintf("lb-%d", i),
+			Zone:        "a",
+			Incarnation: uint64(i),
+			Relay:       a,
+			Control:     a,
+			Admin:       a,
+		}
+	}
+	sender, receiver := process(1), process(2)
+	from := NewTracker(now, sender, rand.New(rand.NewPCG(1, 1)))
+	to := NewTracker(now, receiver, rand.New(rand.NewPCG(1, 2)))
+	to.AcceptUnlisted()
+	require.Zero(t, to.SilentFor(now, sender.Incarnation), "never heard")
+	from.SetContacts([]netip.AddrPort{receiver.Relay})
+	for range 3 {
+		now = now.Add(HeartbeatInterval)
+		heartbeats := from.Tick(now)
+		require.Len(t, heartbeats, 1)
+		require.Equal(t, receiver.Relay, heartbeats[0].To)
+		require.True(t, to.HandleHeartbeat(now, sender.Relay, &heartbeats[0].Heartbeat).Known)
+		require.Zero(t, to.SilentFor(now, sender.Incarnation))
+	}
+	require.Equal(t, time.Second, to.SilentFor(now.Add(time.Second), sender.Incarnation))
+}
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -33,6 +33,30 @@
 	StandbyAfter time.Duration
 }
 
+// Candidates returns the members of a zone that may read the platform, those that read it
+// first in front.
+func (p ReaderPolicy) Candidates(t *member.Table, zone string) []member.Member {
+	return t.Ranked(readerKey, zone, p.MaxReaders)
+}
+
+// Replaces reports whether a member reads the platform because too many of the candidates
+// before it are silent. They may have failed: that takes longer to be certain of than a
+// change may take to be in force.
+func (p ReaderPolicy) Replaces(t *member.Table, name, zone string, silent func(*member.Member) bool) bool {
+	reading := 0
+	candidates := p.Candidates(t, zone)
+	for i := range candidates {
+		m := &candidates[i]
+		if m.Name == name {
+			return reading < p.Readers
+		}
+		if !silent(m) {
+			reading++
+		}
+	}
+	return false
+}
+
 // Reads reports whether a member reads the platform, where age is the time
 // since the platform's last answer. The first p.Readers members of the zone's
 // rendezvous order read it, and further ones while that answer is old. A member
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,59 @@
 	require.Equal(t, members[second].Zone, members[leader(members)].Zone, "a zone that is cut off")
 	require.True(t, Leads(member.NewTable(nil), "lb-new"), "a view without members")
 }
+
+// TestReplaces checks which candidates read the platform because others before them are silent: as
+// many as there are readers, and none behind the candidates.
+func TestReplaces(t *testing.T) {
+	policy := ReaderPolicy{
+		Readers:    1,
+		MaxReaders: 3,
+	}
+	var members []member.Member
+	for i := range 8 {
+		members = append(members, member.Member{
+			Name:  fmt.Sprintf("lb-%d", i),
+			Zone:  fmt.Sprintf("zone-%d", i/6),
+			Relay: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400),
+		})
+	}
+	table := member.NewTable(members)
+	candidates := policy.Candidates(table, "zone-0")
+	require.Len(t, candidates, policy.MaxReaders)
+	for _, test := range []struct {
+		name string
+		// silent are the ranks of the silent candidates, and reads those that read.
+		silent []int
+		reads  []int
+	}{
+		{
+			name:  "all run",
+			reads: []int{0},
+		},
+		{
+			name:   "the reader is silent",
+			silent: []int{0},
+			reads:  []int{0, 1},
+		},
+		{
+			name:   "the second one is silent",
+			silent: []int{1},
+			reads:  []int{0},
+		},
+		{
+			name:   "all others are silent",
+			silent: []int{0, 1, 2},
+			reads:  []int{0, 1, 2},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			silent := func(m *member.Member) bool {
+				return slices.ContainsFunc(test.silent, func(rank int) bool { return candidates[rank].Name == m.Name })
+			}
+			for _, m := range members[:6] {
+				rank := slices.IndexFunc(candidates, func(c member.Member) bool { return c.Name == m.Name })
+				require.Equal(t, slices.Contains(test.reads, rank), policy.Replaces(table, m.Name, m.Zone, silent), m.Name)
+			}
+		})
+	}
+}
