--- a/flow/death.go
+++ b/flow/death.go
@@ -19,8 +19,8 @@
 }
 
 // Ask answers an inquiry. Unless this balancer has seen that the upstream lives, new flows avoid
-// it. Its packets that arrived before the inquiry must have been handled: one of
-// them may show progress.
+// it. Its packets that arrived before the inquiry must have been handled: one of them may show
+// progress.
 func (f *Forwarder) Ask(now time.Time, q Inquiry) Answer {
 	h := f.healthOfTicket(q.Ticket)
 	a := Answer{
@@ -46,9 +46,8 @@
 }
 
 // Confirm applies the end of an inquiry that nobody has refuted: the open flows in its scope
-// are reset at the next call of Advance. It is ignored
-// if it comes late, since the upstream may have recovered, or if the upstream has shown
-// here since the inquiry that it lives.
+// are reset at the next call of Advance. It is ignored if it comes late, since the upstream may
+// have recovered, or if the upstream has shown here since the inquiry that it lives.
 func (f *Forwarder) Confirm(now time.Time, c Confirmation) {
 	a, ok := f.asked[c.Ticket]
 	if !ok || a.id != c.ID {
--- a/flow/detector.go
+++ b/flow/detector.go
@@ -169,10 +169,9 @@
 	return merged, FoundDead
 }
 
-// ShouldProbe reports whether this balancer, which has the given incarnation, should
-// probe an upstream because another balancer reported that it refuses connections, or because
-// it seems to be silent. It
-// counts as that probe: it returns true once per probeInterval at most.
+// ShouldProbe reports whether this balancer, which has the given incarnation, should probe an
+// upstream because another balancer reported that it refuses connections, or because it seems to
+// be silent. It counts as that probe: it returns true once per probeInterval at most.
 func (d *Detector) ShouldProbe(now time.Time, incarnation uint64, t directory.Ticket) bool {
 	e := d.upstreams[t]
 	if e == nil || now.Sub(e.probedAt) < probeInterval {
@@ -277,8 +276,7 @@
 }
 
 // conclusive reports whether the zone is to be asked about an upstream. Silence is judged by
-// retransmissions, which only waiting clients send; a first packet
-// may be unanswered because its client has left. One balancer's refusals don't suffice: the
+// retransmissions, which only waiting clients send. One balancer's refusals don't suffice: the
 // cause may be on a network path that only this balancer uses.
 func (r *Report) conclusive(balancers int) bool {
 	return r.refused(balancers) || r.silent() || r.unresponsive() || r.FlowRetransmissions >= flowRetransmissions
--- a/flow/health.go
+++ b/flow/health.go
@@ -111,8 +111,9 @@
 	state State
 	// diedAt is when the upstream was last found dead.
 	diedAt time.Time
-	// open is the silence on open flows, and opening that on flows that have not opened. An upstream that holds as many flows as it can answers no first packet,
-	// so those don't show that it is dead.
+	// open is the silence on open flows, and opening that on flows that have not opened.
+	// An upstream that holds as many flows as it can answers no first packet, so the
+	// latter does not show that it is dead.
 	open    silence
 	opening silence
 	// reachedAt is when the last connection to the upstream that was accepted was
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -120,8 +120,9 @@
 	return r
 }
 
-// AmbiguousFlows returns what has changed since the last call about flows whose first packet may
-// have reached several upstreams. All balancers of the zone must learn of it by AddAmbiguous.
+// AmbiguousFlows returns what this balancer has found out since the last call about flows whose
+// first packet may have reached several upstreams. The other balancers of the zone must learn of
+// it by AddAmbiguous.
 func (f *Forwarder) AmbiguousFlows() []Opening {
 	c := f.openings.changed
 	f.openings.changed = nil
@@ -266,8 +267,8 @@
 	f.openings.changed = append(f.openings.changed, a.opening(p.flow()))
 }
 
-// openedAt returns the upstream at which an ambiguous flow has opened, or nil. The first packet
-// that the client sends after its first one answers that upstream, and carries its ticket.
+// openedAt returns the upstream at which an ambiguous flow has opened, or nil. The client's next
+// packet after the first one and its copies answers that upstream, and carries its ticket.
 func (f *Forwarder) openedAt(now time.Time, v *directory.View, p *Packet, k key) *directory.Upstream {
 	a := f.openings.find(now, p, k)
 	if a == nil {
