--- a/wire/health_test.go
+++ b/wire/health_test.go
@@ -76,6 +76,12 @@
 			Confirmations: []*Confirmation{{Id: 1}},
 			Busy:          []uint32{1, 2},
 		},
+		{
+			Lookups:       []*Flow{{Client: []byte{1, 2, 3, 4, 5, 6}}},
+			Openings:      []*Opening{{}},
+			Ambiguous:     []*Opening{{Open: true}},
+			Confirmations: []*Confirmation{{Scope: 1<<32 - 1}},
+		},
 	} {
 		data, err := AppendHealth(nil, m)
 		require.NoError(f, err)
@@ -94,6 +100,19 @@
 		for _, q := range m.GetInquiries() {
 			require.GreaterOrEqual(t, q.Decode().Silence, time.Duration(0))
 		}
+		for _, c := range m.GetConfirmations() {
+			require.LessOrEqual(t, c.Decode().Scope, flow.ScopeAll)
+		}
+		for _, v := range m.GetLookups() {
+			if id, ok := v.Decode(); ok {
+				require.True(t, id.Client.Addr().Is4() && id.Service.Addr().Is4())
+			}
+		}
+		for _, o := range append(m.GetOpenings(), m.GetAmbiguous()...) {
+			if v, ok := o.Decode(); ok {
+				require.True(t, v.Flow.Client.Addr().Is4() && v.Flow.Service.Addr().Is4())
+			}
+		}
 		for _, a := range m.GetAnswers() {
 			require.GreaterOrEqual(t, a.Decode().Age, time.Duration(0))
 		}
