--- a/directory/plan.go
+++ b/directory/plan.go
@@ -27,6 +27,9 @@
 	Idempotent bool
 	// Timeout is the longest time that a request on the route's flows may take.
 	Timeout time.Duration
+	// LatencyGoal is the time within which a request on the route's flows should be
+	// answered; zero if the plan states none.
+	LatencyGoal time.Duration
 	// Priority is the priority of the requests on the route's flows; zero is the most
 	// urgent.
 	Priority int
--- a/wire/directory.go
+++ b/wire/directory.go
@@ -196,6 +196,7 @@
 			Idempotent: r.Idempotent,
 			Timeout:    milliseconds(r.Timeout),
 			Priority:   uint32(r.Priority),
+			Goal:       milliseconds(r.LatencyGoal),
 		}
 		for _, t := range r.Targets {
 			route.Targets = append(route.Targets, &Target{
@@ -228,11 +229,12 @@
 			return nil, ErrDelta
 		}
 		route := directory.Route{
-			Name:       r.GetName(),
-			Address:    address,
-			Idempotent: r.GetIdempotent(),
-			Timeout:    duration(r.GetTimeout()),
-			Priority:   int(r.GetPriority()),
+			Name:        r.GetName(),
+			Address:     address,
+			Idempotent:  r.GetIdempotent(),
+			Timeout:     duration(r.GetTimeout()),
+			LatencyGoal: duration(r.GetGoal()),
+			Priority:    int(r.GetPriority()),
 		}
 		for _, t := range r.GetTargets() {
 			route.Targets = append(route.Targets, directory.Target{
--- a/wire/directory_test.go
+++ b/wire/directory_test.go
@@ -43,8 +43,9 @@
 			Version:     version,
 			IdleTimeout: time.Minute,
 			Routes: []directory.Route{{
-				Name:    "web",
-				Address: netip.MustParseAddrPort("198.18.0.1:443"),
+				Name:        "web",
+				Address:     netip.MustParseAddrPort("198.18.0.1:443"),
+				LatencyGoal: 300 * time.Millisecond,
 				Targets: []directory.Target{{
 					Service: "board",
 					Weight:  1,
