--- /dev/null
+++ b/spillover/share.go
@@ -0,0 +1,87 @@
+// Package spillover decides which share of a zone's new flows goes to other zones, and to
+// which ones.
+package spillover
+
+import "math"
+
+const (
+	// fullLevel is the work per capacity from which a zone gives flows away. Below it,
+	// requests hardly wait, and another zone costs time and money.
+	fullLevel = 0.8
+
+	// ramp is the excess over the level, in capacities, at which all new flows are given.
+	ramp = 2
+
+	// maxValue bounds work and capacities, so that sums and products stay finite.
+	maxValue = 1e12
+
+	// usualZones is the number of other zones up to which Share does not allocate.
+	usualZones = 8
+)
+
+// A Zone is the load of one zone.
+type Zone struct {
+	// Working is the number of requests in progress, those that wait at hosts included, so
+	// it may exceed Capacity several times. A negative number is taken as 0.
+	Working float64
+	// Capacity is in slots' worth of work. A zone whose capacity isn't a positive number
+	// is taken as unknown.
+	Capacity float64
+	// Known tells whether the load is known and the zone may be used.
+	Known bool
+}
+
+// Share returns the share of new flows that go to other zones, between 0 and 1, and for
+// each of the other zones the part of these that goes there. The parts sum up to 1 if the
+// share is above 0, else all are 0.
+func Share(own Zone, others []Zone) (give float64, weights []float64) {
+	// Share is inlined, so that the array is on the caller's stack.
+	var buffer [usualZones]float64
+	return share(buffer[:0], own, others)
+}
+
+func share(buffer []float64, own Zone, others []Zone) (give float64, weights []float64) {
+	if len(others) > cap(buffer) {
+		buffer = make([]float64, len(others))
+	}
+	weights = buffer[:len(others)]
+	clear(weights)
+	if !own.usable() {
+		return 0, weights
+	}
+	working, capacity := own.working(), own.Capacity
+	for i := range others {
+		if others[i].usable() {
+			working += others[i].working()
+			capacity += others[i].Capacity
+		}
+	}
+	level := max(fullLevel, working/capacity)
+	excess := own.working()/own.Capacity - level
+	if excess <= 0 {
+		return 0, weights
+	}
+	room := 0.0
+	for i := range others {
+		if others[i].usable() {
+			weights[i] = max(0, level*others[i].Capacity-others[i].working())
+			room += weights[i]
+		}
+	}
+	if room <= 0 {
+		return 0, weights
+	}
+	for i := range weights {
+		weights[i] /= room
+	}
+	return min(1, excess/ramp, room/own.working()), weights
+}
+
+// usable tells whether the load of a zone is a valid basis for a decision.
+func (z *Zone) usable() bool {
+	return z.Known && z.Capacity > 0 && z.Capacity <= maxValue && !math.IsNaN(z.Working)
+}
+
+func (z *Zone) working() float64 {
+	return min(max(z.Working, 0), maxValue)
+}
