feat: keep shared load right when datagrams are lost, late or split

Sums of fractions depended on the order of a map, copies of a report made it count for longer, and a lost part of a split message would have made its hosts look idle.

Change: senders and zone totals are ordered; parts are marked by ticket 0, and hosts that no part of a sequence lists keep the load of the one before once. Answers count only for hosts of the collector's groups.

--- a/load/book.go
+++ b/load/book.go
@@ -38,13 +38,14 @@
 	Known bool
 }
 
-// A Book is what a balancer knows of the load of its zone's upstreams and of other zones. It
-// is not safe for concurrent use.
+// A Book is what a balancer knows of the load of its zone's upstreams and of other zones. After
+// a pause of the process, a new book is needed: digests that waited look new. It is not safe
+// for concurrent use.
 type Book struct {
 	// partitions are the groups by the number of groups, the latest first. The collectors
 	// of the zone may disagree for a while on the number of hosts.
 	partitions [2]partition
-	zones      map[zoneKey]ZoneTotal
+	zones      zoneTotals
 	// own holds the last own reports, the latest first.
 	own [ownReports]ownReport
 }
@@ -92,7 +93,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{zones: make(map[zoneKey]ZoneTotal)}
+	return &Book{}
 }
 
 // Apply adds a digest, or a part of one. It returns false for a digest that is out of order,
@@ -100,7 +101,7 @@
 // the group's other one. Zone totals are added unless they are older than those known.
 func (b *Book) Apply(now time.Time, d *Digest) bool {
 	for _, z := range d.Zones {
-		addZone(now, b.zones, z)
+		b.zones.add(now, z)
 	}
 	if d.Groups < 1 || d.Groups > maxGroups || d.Group < 0 || d.Group >= d.Groups {
 		return false
@@ -200,8 +201,13 @@
 // hosts in a zone, summed over the zone's groups of which there is a total of the last second.
 // It returns false if there is none.
 func (b *Book) Zone(now time.Time, zone, service string) (working, capacity float64, ok bool) {
-	for k, z := range b.zones {
-		if k.zone == zone && k.service == service && now.Sub(z.At) <= zoneTotalLifetime {
+	first, _ := b.zones.find(zone, service, 0)
+	for i := first; i < len(b.zones); i++ {
+		z := &b.zones[i]
+		if z.Zone != zone || z.Service != service {
+			break
+		}
+		if !z.expired(now) {
 			working += z.Working
 			capacity += z.Capacity
 			ok = true
--- a/load/collector.go
+++ b/load/collector.go
@@ -10,25 +10,20 @@
 	"filbertworks.example/filbertworks/directory"
 )
 
-// lateReports is how many sequence numbers a report may be behind the sender's newest one and
-// be late: 2 s at 4 reports a second. One that is further behind shows that the sender has
-// restarted.
-const lateReports = 8
-
 // senderRetention is how long a silent sender's sequence is kept, so that a late report does
 // not count as the first one of a new sender.
 const senderRetention = 5 * time.Second
 
-// zoneTotalLifetime is how long a zone total counts: an excess must not go on to a zone that
-// is full or cut off.
-const zoneTotalLifetime = time.Second
+// hostRetention is how long an upstream counts as one of the collector's groups after the last
+// digest of its group: the collector of a group may change for a short time.
+const hostRetention = 10 * time.Second
 
 // Limits of what one sender may claim for one upstream, as multiples of its slots. Routers
 // spread flows evenly, so that no balancer of many holds half of a host's work.
 const (
 	// fewSenders is the number of senders below which one may hold nearly all of the work.
 	fewSenders         = 4
-	fewSendersWorking  = 4
+	fewSendersWorking  = 8
 	manySendersWorking = 0.5
 	// A sender of many may hold senderFlows flows for each slot, and senderFlowsMean times
 	// the mean of the others.
@@ -40,41 +35,39 @@
 // messages.
 const idleWorking = 1. / 32
 
+// An estimator tells how much work upstreams handle; capacity.Estimator is one.
+type estimator interface {
+	Add(now time.Time, sender uint64, t directory.Ticket, o capacity.Observation)
+	Estimate(now time.Time, hosts []*directory.Upstream) []capacity.Estimate
+}
+
 // A Collector sums the reports of balancers to digests. Its state is lost with the process. It
 // is not safe for concurrent use.
 type Collector struct {
-	origin    uint64
-	sequence  uint32
-	senders   map[uint64]*sender
-	zones     map[zoneKey]ZoneTotal
-	estimator *capacity.Estimator
+	origin   uint64
+	sequence uint32
+	// senders are ordered by ID, so that sums do not depend on the order of reports.
+	senders   []*sender
+	zones     zoneTotals
+	estimator estimator
+	// hosts holds when an upstream was last one of a group's hosts, for those of the last
+	// digests. Answers of other upstreams are ignored.
+	hosts map[directory.Ticket]time.Time
 	// startedAt is when the first report came after the start or a pause; zero before.
 	startedAt time.Time
 	// members is the number of members of the zone as last told.
 	members int
 	// order and sums are used by sum, which reuses their memory.
-	order []int
+	order []ranked
 	sums  []hostSum
+	// flows are the sums of flows without limits on single senders.
+	flows []int
 }
 
-// A sender is what a collector keeps of one balancer.
-type sender struct {
-	sequence uint32
-	at       time.Time
-	period   time.Duration
-	expires  time.Time
-	// older is the sequence of the last report if that is older than sequence; zero if not.
-	older uint32
-	// samples are ordered by ticket.
-	samples []held
-}
-
-// A held is a sample that a collector keeps.
-type held struct {
-	ticket   directory.Ticket
-	sequence uint32
-	flows    int32
-	working  float32
+// A ranked is a host's place in an order by ticket.
+type ranked struct {
+	ticket directory.Ticket
+	index  int
 }
 
 // A hostSum is the load of one upstream.
@@ -83,19 +76,13 @@
 	working float64
 }
 
-type zoneKey struct {
-	zone, service string
-	group         int
-}
-
 // NewCollector returns a collector without reports. The origin is the incarnation of the
 // process.
 func NewCollector(origin uint64) *Collector {
 	return &Collector{
 		origin:    origin,
-		senders:   make(map[uint64]*sender),
-		zones:     make(map[zoneKey]ZoneTotal),
 		estimator: capacity.NewEstimator(),
+		hosts:     make(map[directory.Ticket]time.Time),
 	}
 }
 
@@ -104,26 +91,13 @@
 	if c.startedAt.IsZero() {
 		c.startedAt = now
 	}
-	s := c.senders[r.Sender]
-	if s == nil {
-		if len(c.senders) >= maxSenders {
-			c.prune(now)
-		}
-		if len(c.senders) >= maxSenders {
-			return
-		}
-		s = &sender{sequence: r.Sequence}
-		c.senders[r.Sender] = s
-	}
-	if !s.advance(r) {
+	s := c.sender(now, r.Sender)
+	if s == nil || !s.advance(now, r) {
 		return
 	}
-	s.at = now
-	s.period = min(max(r.Period, minPeriod), maxPeriod)
-	s.expires = now.Add(r.lifetime())
 	for i := range r.Samples {
 		p := &r.Samples[i]
-		if s.add(r.Sequence, p) && p.Answers != (capacity.Observation{}) {
+		if s.add(p) && p.Answers != (capacity.Observation{}) && c.serves(p.Ticket) {
 			c.estimator.Add(now, r.Sender, p.Ticket, p.Answers)
 		}
 	}
@@ -132,7 +106,7 @@
 // AddZone adds the load of a service's hosts in a group of a zone, to be part of digests for
 // 1 s. Older ones than that known are ignored.
 func (c *Collector) AddZone(now time.Time, z ZoneTotal) {
-	addZone(now, c.zones, z)
+	c.zones.add(now, z)
 }
 
 // Digest returns the digest of a group of the collector's zone; hosts are the hosts of the
@@ -141,6 +115,7 @@
 // members have reported.
 func (c *Collector) Digest(now time.Time, group, groups int, hosts []*directory.Upstream, members int) (Digest, bool) {
 	c.members = members
+	c.serve(now, hosts)
 	balancers, ok := c.ready(now)
 	if !ok {
 		return Digest{}, false
@@ -156,28 +131,25 @@
 		Totals:    make([]Total, 0, len(hosts)),
 	}
 	estimates := c.estimator.Estimate(now, hosts)
-	for _, i := range c.order {
+	for _, o := range c.order {
+		i := o.index
 		t := Total{
-			Ticket:  hosts[i].Ticket(),
+			Ticket:  o.ticket,
 			Flows:   c.sums[i].flows,
 			Working: c.sums[i].working,
 		}
 		if n := len(d.Totals); n > 0 && d.Totals[n-1].Ticket == t.Ticket {
 			continue
 		}
-		if e := estimates[i]; e.Known {
+		if e := estimates[i]; e.Known && e.Capacity < float64(hosts[i].Slots) {
 			t.Capacity, t.Answers = e.Capacity, e.Answers
 		}
-		usual := t.Capacity == 0 || t.Capacity >= float64(hosts[i].Slots)
-		if t.Flows > 0 || t.Working >= idleWorking || !usual {
+		if t.Flows > 0 || t.Working >= idleWorking || t.Capacity > 0 {
 			d.Totals = append(d.Totals, t)
 		}
 	}
-	maps.DeleteFunc(c.zones, func(_ zoneKey, z ZoneTotal) bool { return now.Sub(z.At) > zoneTotalLifetime })
-	for _, z := range c.zones {
-		d.Zones = append(d.Zones, z)
-	}
-	slices.SortFunc(d.Zones, compareZones)
+	c.zones.prune(now)
+	d.Zones = slices.Clone(c.zones)
 	return d, true
 }
 
@@ -211,20 +183,34 @@
 		totals[n].Working += c.sums[i].working
 		totals[n].Capacity += room
 	}
-	slices.SortFunc(totals, compareZones)
+	slices.SortFunc(totals, compareZoneTotals)
 	return totals
 }
 
 // Reset discards all reports after a pause of the process: they are older than they look.
 func (c *Collector) Reset(now time.Time) {
-	clear(c.senders)
-	clear(c.zones)
+	c.senders, c.zones = nil, nil
 	c.startedAt = now
 }
 
+// each calls add for each sample of a sender that is of one of the hosts of c.order, with the
+// host's index.
+func (c *Collector) each(s *sender, add func(i int, h *held)) {
+	next := 0
+	for _, o := range c.order {
+		for next < len(s.samples) && s.samples[next].ticket < o.ticket {
+			next++
+		}
+		if next < len(s.samples) && s.samples[next].ticket == o.ticket {
+			add(o.index, &s.samples[next])
+			next++
+		}
+	}
+}
+
 // prune removes senders that have been silent for long.
 func (c *Collector) prune(now time.Time) {
-	maps.DeleteFunc(c.senders, func(_ uint64, s *sender) bool { return now.Sub(s.at) > senderRetention })
+	c.senders = slices.DeleteFunc(c.senders, func(s *sender) bool { return now.Sub(s.at) > senderRetention })
 }
 
 // ready returns the number of balancers whose reports count, and whether they are enough for
@@ -238,44 +224,81 @@
 			period = max(period, s.period)
 		}
 	}
-	return n, n > 0 && 2*n >= c.members && !c.startedAt.IsZero() && now.Sub(c.startedAt) >= period
+	return n, n > 0 && 2*n >= c.members && now.Sub(c.startedAt) >= period
 }
 
-// sum sets c.order to the indexes of hosts by ticket, and c.sums to the load of each host. Of
+// sender returns what is kept of a balancer, or nil if there are too many balancers.
+func (c *Collector) sender(now time.Time, id uint64) *sender {
+	find := func() (int, bool) {
+		return slices.BinarySearchFunc(c.senders, id, func(s *sender, id uint64) int { return cmp.Compare(s.id, id) })
+	}
+	i, found := find()
+	if found {
+		return c.senders[i]
+	}
+	if len(c.senders) >= maxSenders {
+		c.prune(now)
+		i, _ = find()
+	}
+	if len(c.senders) >= maxSenders {
+		return nil
+	}
+	s := &sender{id: id}
+	c.senders = slices.Insert(c.senders, i, s)
+	return s
+}
+
+// serve records the hosts of a group.
+func (c *Collector) serve(now time.Time, hosts []*directory.Upstream) {
+	for _, h := range hosts {
+		c.hosts[h.Ticket()] = now
+	}
+	maps.DeleteFunc(c.hosts, func(_ directory.Ticket, at time.Time) bool { return now.Sub(at) > hostRetention })
+}
+
+// serves reports whether an upstream is one of the collector's groups, as far as they are
+// known: all are until the first digest is asked for.
+func (c *Collector) serves(t directory.Ticket) bool {
+	_, ok := c.hosts[t]
+	return ok || len(c.hosts) == 0
+}
+
+// sum sets c.order to the hosts by ticket, and c.sums to the load of each host. Of
 // hosts with the same ticket, the first one in c.order has the load of all of them.
 func (c *Collector) sum(now time.Time, hosts []*directory.Upstream) {
-	c.order, c.sums = c.order[:0], slices.Grow(c.sums[:0], len(hosts))[:len(hosts)]
+	c.order = c.order[:0]
+	c.sums = slices.Grow(c.sums[:0], len(hosts))[:len(hosts)]
+	c.flows = slices.Grow(c.flows[:0], len(hosts))[:len(hosts)]
 	clear(c.sums)
-	for i := range hosts {
-		c.order = append(c.order, i)
+	clear(c.flows)
+	for i, h := range hosts {
+		c.order = append(c.order, ranked{
+			ticket: h.Ticket(),
+			index:  i,
+		})
 	}
-	slices.SortFunc(c.order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(hosts[a].Ticket(), hosts[b].Ticket()), cmp.Compare(a, b))
+	slices.SortFunc(c.order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.ticket, b.ticket), cmp.Compare(a.index, b.index))
 	})
 	senders := 0
 	for _, s := range c.senders {
 		if now.Before(s.expires) {
 			senders++
-			c.each(s, hosts, func(i int, h *held) { c.sums[i].flows += int(h.flows) })
+			c.each(s, func(i int, h *held) { c.flows[i] += int(h.flows) })
 		}
 	}
-	// Flows are summed first without limits, for the mean of the other senders.
-	flows := make([]int, len(hosts))
-	for i := range c.sums {
-		flows[i], c.sums[i].flows = c.sums[i].flows, 0
-	}
 	for _, s := range c.senders {
 		if !now.Before(s.expires) {
 			continue
 		}
-		c.each(s, hosts, func(i int, h *held) {
+		c.each(s, func(i int, h *held) {
 			slots := float64(max(hosts[i].Slots, 1))
 			w, f := float64(h.working), int(h.flows)
 			if senders < fewSenders {
 				w = min(w, slots*fewSendersWorking)
 			} else {
 				w = min(w, max(1, slots*manySendersWorking))
-				others := float64(flows[i]-f) / float64(senders-1)
+				others := float64(c.flows[i]-f) / float64(senders-1)
 				f = min(f, int(senderFlows*slots+senderFlowsMean*others))
 			}
 			c.sums[i].working += w
@@ -283,108 +306,3 @@
 		})
 	}
 }
-
-// each calls add for each sample of a sender that is of one of the hosts.
-func (c *Collector) each(s *sender, hosts []*directory.Upstream, add func(i int, h *held)) {
-	next := 0
-	for _, i := range c.order {
-		t := hosts[i].Ticket()
-		for next < len(s.samples) && s.samples[next].ticket < t {
-			next++
-		}
-		if next < len(s.samples) && s.samples[next].ticket == t {
-			add(i, &s.samples[next])
-			next++
-		}
-	}
-}
-
-// add adds a sample of the sender's current sequence. It returns false if the sample is
-// invalid, or known already.
-func (s *sender) add(sequence uint32, p *Sample) bool {
-	if p.Ticket == 0 {
-		return false
-	}
-	h := held{
-		ticket:   p.Ticket,
-		sequence: sequence,
-		flows:    int32(min(max(p.Flows, 0), maxFlows)),
-	}
-	if p.Working > 0 {
-		h.working = float32(min(p.Working, maxWorking))
-	}
-	i, found := slices.BinarySearchFunc(s.samples, p.Ticket, func(h held, t directory.Ticket) int {
-		return cmp.Compare(h.ticket, t)
-	})
-	switch {
-	case found && s.samples[i].sequence == sequence:
-		return false
-	case found:
-		s.samples[i] = h
-	case len(s.samples) >= maxSamples:
-		return false
-	default:
-		s.samples = slices.Insert(s.samples, i, h)
-	}
-	return true
-}
-
-// Limits of the values of a sample, whatever the upstream.
-const (
-	maxFlows   = 1 << 20
-	maxWorking = 1 << 16
-)
-
-// advance prepares the sender for the samples of a report. It returns false if the report is
-// late.
-func (s *sender) advance(r *Report) bool {
-	switch {
-	case r.Sequence == s.sequence:
-		s.older = 0
-		return true
-	case r.Sequence > s.sequence && r.Partial:
-		former := s.sequence
-		s.samples = slices.DeleteFunc(s.samples, func(h held) bool { return h.sequence != former })
-	case r.Sequence > s.sequence:
-		s.samples = s.samples[:0]
-	case s.sequence-r.Sequence > lateReports || s.older != 0 && r.Sequence > s.older:
-		// The sender has restarted: late reports do not come in order without a newer one
-		// in between.
-		s.samples = s.samples[:0]
-	default:
-		s.older = r.Sequence
-		return false
-	}
-	s.sequence, s.older = r.Sequence, 0
-	return true
-}
-
-// addZone adds z to zones unless it is invalid, too old or older than what is known.
-func addZone(now time.Time, zones map[zoneKey]ZoneTotal, z ZoneTotal) {
-	if z.At.After(now) {
-		z.At = now
-	}
-	if !(z.Working >= 0) || !(z.Capacity >= 0) || now.Sub(z.At) > zoneTotalLifetime {
-		return
-	}
-	k := zoneKey{
-		zone:    z.Zone,
-		service: z.Service,
-		group:   z.Group,
-	}
-	known, ok := zones[k]
-	if ok && z.At.Before(known.At) {
-		return
-	}
-	if !ok && len(zones) >= maxZoneTotals {
-		maps.DeleteFunc(zones, func(_ zoneKey, z ZoneTotal) bool { return now.Sub(z.At) > zoneTotalLifetime })
-		if len(zones) >= maxZoneTotals {
-			return
-		}
-	}
-	zones[k] = z
-}
-
-func compareZones(a, b ZoneTotal) int {
-	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Group, b.Group))
-}
--- a/load/digest.go
+++ b/load/digest.go
@@ -1,8 +1,6 @@
 package load
 
 import (
-	"time"
-
 	"filbertworks.example/filbertworks/directory"
 )
 
@@ -11,18 +9,8 @@
 	Ticket   directory.Ticket
 	Flows    int     // open flows
 	Working  float64 // requests in progress
-	Capacity float64 // slots' worth of work; 0 if unknown
-	Answers  int     // answers that Capacity rests on; 0 if it is unknown
-}
-
-// A ZoneTotal is the load of one service's hosts in one group of a zone.
-type ZoneTotal struct {
-	Zone, Service string
-	Group         int
-	Working       float64 // requests in progress
-	Capacity      float64 // slots' worth of work
-	// At is when the load was summed, on this process's monotonic clock.
-	At time.Time
+	Capacity float64 // slots' worth of work; 0 if unknown or usual
+	Answers  int     // answers that Capacity rests on; 0 if it is unknown or usual
 }
 
 // A Digest is the load of one group, with the summaries of other zones. Upstreams without
--- a/load/report.go
+++ b/load/report.go
@@ -18,7 +18,7 @@
 	// maxSamples is the number of upstreams of one sender: several groups of 128.
 	maxSamples = 512
 	// maxZoneTotals is the number of zone totals that a collector or a book keeps.
-	maxZoneTotals = 1024
+	maxZoneTotals = 4096
 	// maxGroups bounds the number of groups that a digest may claim; a zone of 3,235
 	// hosts has 26.
 	maxGroups = 256
