--- a/selection/table.go
+++ b/selection/table.go
@@ -50,6 +50,7 @@
 type Table struct {
 	capacities []float64
 	cumulative []float64 // sums of weights; a host's weight is the step at its index
+	rooms      []float64 // load expected to arrive at each host
 	fills      []fill
 	last       int // last host with a weight
 }
@@ -60,8 +61,10 @@
 // result depends only on the table, the hash and the functions.
 //
 // The function accept tells whether host i may get the flow; nil accepts all. The function
-// load returns the load of host i as the caller knows it, in the unit of Host.Load; with
-// nil, the first accepted host is taken.
+// load returns the load of host i as the caller knows it now, in the unit of Host.Load:
+// that given to Reset and what the caller has placed since. The load that is expected to
+// arrive at the host is added to it, so that two hosts differ only by what Reset did not
+// know. With nil, the first accepted host is taken.
 func (t *Table) Pick(hash uint64, accept func(i int) bool, load func(i int) float64) int {
 	if len(t.cumulative) == 0 {
 		return -1
@@ -80,7 +83,7 @@
 			chosen = i
 			continue
 		}
-		if i != chosen && validLoad(load(i))/t.capacities[i] < validLoad(load(chosen))/t.capacities[chosen] {
+		if i != chosen && t.expected(i, load(i)) < t.expected(chosen, load(chosen)) {
 			chosen = i
 		}
 		break
@@ -98,6 +101,7 @@
 func (t *Table) Reset(hosts []Host, arriving float64) {
 	t.capacities = t.capacities[:0]
 	t.cumulative = t.cumulative[:0]
+	t.rooms = t.rooms[:0]
 	t.fills = t.fills[:0]
 	t.last = 0
 	if len(hosts) == 0 {
@@ -121,11 +125,12 @@
 	}
 	sum := 0.0
 	for i, c := range t.capacities {
-		weight := c / total
+		room, weight := 0.0, c/total
 		if !math.IsInf(level, 1) {
-			room := max(0, level*c-validLoad(hosts[i].Load))
+			room = max(0, level*c-validLoad(hosts[i].Load))
 			weight = (1-leastShare)*room/arriving + leastShare*c/total
 		}
+		t.rooms = append(t.rooms, room)
 		if c > 0 {
 			t.last = i
 		}
@@ -150,6 +155,13 @@
 	return min(low, t.last)
 }
 
+// expected returns the load per capacity of host i once its share of the load that is to
+// arrive has been placed. Loads alone would be compared twice, by the weights and by the
+// choice, and the emptiest hosts would get too much.
+func (t *Table) expected(i int, load float64) float64 {
+	return (validLoad(load) + t.rooms[i]) / t.capacities[i]
+}
+
 // level returns the load per capacity at which the room of all hosts equals arriving.
 func (t *Table) level(hosts []Host, arriving float64) float64 {
 	for i, c := range t.capacities {
