feat: give a zone's excess in proportion to its work

Change: a zone gives its excess over the level as a share of its work, which never exceeds the others' room below the level.

--- a/spillover/share.go
+++ b/spillover/share.go
@@ -9,9 +9,6 @@
 	// requests hardly wait, and another zone costs time and money.
 	fullLevel = 0.8
 
-	// ramp is the excess over the level, in capacities, at which all new flows are given.
-	ramp = 2
-
 	// maxValue bounds work and capacities, so that sums and products stay finite.
 	maxValue = 1e12
 
@@ -31,9 +28,13 @@
 	Known bool
 }
 
-// Share returns the share of new flows that go to other zones, between 0 and 1, and for
+// Share returns the share of new flows that go to other zones, from 0 to below 1, and for
 // each of the other zones the part of these that goes there. The parts sum up to 1 if the
 // share is above 0, else all are 0.
+//
+// The zones are compared by a common level: the work per capacity of all known zones
+// together, and at least 0.8. The own zone gives its excess over the level, as a share of
+// its work, and zones below the level get parts in proportion to their room up to it.
 func Share(own Zone, others []Zone) (give float64, weights []float64) {
 	// Share is inlined, so that the array is on the caller's stack.
 	var buffer [usualZones]float64
@@ -74,7 +75,11 @@
 	for i := range weights {
 		weights[i] /= room
 	}
-	return min(1, excess/ramp, room/own.working()), weights
+	// This share of the flows brings the zone down to the level, as its work is in proportion
+	// to them. With a steeper rise, the share jumps between 0 and 1, since a queue grows by
+	// many capacities before a digest shows what was given. The excess of all zones is never
+	// more than the room of all, as the level is at least the mean.
+	return excess / (level + excess), weights
 }
 
 // usable tells whether the load of a zone is a valid basis for a decision.
