--- a/selection/table.go
+++ b/selection/table.go
@@ -123,14 +123,22 @@
 	if arriving > 0 && arriving <= maxValue {
 		level = t.level(hosts, arriving)
 	}
-	sum := 0.0
+	all := 0.0
 	for i, c := range t.capacities {
-		room, weight := 0.0, c/total
+		room := 0.0
 		if !math.IsInf(level, 1) {
 			room = max(0, level*c-validLoad(hosts[i].Load))
-			weight = (1-leastShare)*room/arriving + leastShare*c/total
 		}
 		t.rooms = append(t.rooms, room)
+		all += room
+	}
+	sum := 0.0
+	for i, c := range t.capacities {
+		weight := c / total
+		// An arriving load far below the others is lost by rounding, and no room is left.
+		if all > 0 {
+			weight = (1-leastShare)*t.rooms[i]/all + leastShare*weight
+		}
 		if c > 0 {
 			t.last = i
 		}
--- a/selection/table_test.go
+++ b/selection/table_test.go
@@ -94,6 +94,12 @@
 			arriving: math.Inf(1),
 			shares:   []float64{0.75, 0.25},
 		},
+		{
+			name:     "arrival is lost by rounding",
+			hosts:    []selection.Host{{Load: 1e12, Capacity: 3}, {Load: 1e12, Capacity: 3}},
+			arriving: math.SmallestNonzeroFloat64,
+			shares:   []float64{0.5, 0.5},
+		},
 		{
 			name:     "invalid capacity gets nothing",
 			hosts:    []selection.Host{{Capacity: math.Inf(1)}, {Capacity: math.NaN()}, {Capacity: -1}, {Capacity: 1}},
--- a/spillover/share.go
+++ b/spillover/share.go
@@ -12,6 +12,9 @@
 	// maxValue bounds work and capacities, so that sums and products stay finite.
 	maxValue = 1e12
 
+	// minCapacity is the least capacity that counts. It keeps the work per capacity finite.
+	minCapacity = 1e-9
+
 	// usualZones is the number of other zones up to which Share does not allocate.
 	usualZones = 8
 )
@@ -21,8 +24,8 @@
 	// Working is the number of requests in progress, those that wait at hosts included, so
 	// it may exceed Capacity several times. A negative number is taken as 0.
 	Working float64
-	// Capacity is in slots' worth of work. A zone whose capacity isn't a positive number
-	// is taken as unknown.
+	// Capacity is in slots' worth of work. A zone whose capacity is 0 or invalid, as one
+	// that has been taken out, is taken as unknown.
 	Capacity float64
 	// Known tells whether the load is known and the zone may be used.
 	Known bool
@@ -77,14 +80,14 @@
 	}
 	// This share of the flows brings the zone down to the level, as its work is in proportion
 	// to them. With a steeper rise, the share jumps between 0 and 1, since a queue grows by
-	// many capacities before a digest shows what was given. The excess of all zones is never
+	// several capacities before a digest shows what was given. The excess of all zones is never
 	// more than the room of all, as the level is at least the mean.
 	return excess / (level + excess), weights
 }
 
 // usable tells whether the load of a zone is a valid basis for a decision.
 func (z *Zone) usable() bool {
-	return z.Known && z.Capacity > 0 && z.Capacity <= maxValue && !math.IsNaN(z.Working)
+	return z.Known && z.Capacity >= minCapacity && z.Capacity <= maxValue && !math.IsNaN(z.Working)
 }
 
 func (z *Zone) working() float64 {
--- a/spillover/share_test.go
+++ b/spillover/share_test.go
@@ -115,6 +115,17 @@
 			give:    0,
 			weights: []float64{0},
 		},
+		{
+			name: "own capacity too small to divide by",
+			own: spillover.Zone{
+				Working:  500,
+				Capacity: math.SmallestNonzeroFloat64,
+				Known:    true,
+			},
+			others:  []spillover.Zone{zoneOf(0)},
+			give:    0,
+			weights: []float64{0},
+		},
 		{
 			name: "invalid zones",
 			own:  zoneOf(160),
