test: play waves against an own digest that lags 1 s

Cause: the waves were played only with an own digest that lags 250 ms.

Change: TestWaves plays a third case, in which all digests lag 1 s.

--- a/spillover/share_test.go
+++ b/spillover/share_test.go
@@ -407,13 +407,27 @@
 // TestWaves guards against flows that move in circles while the demand of four zones waves
 // by half every 15 s, out of step.
 func TestWaves(t *testing.T) {
-	for _, lag := range lags {
+	for _, c := range []struct{ own, others time.Duration }{
+		{
+			own:    250 * time.Millisecond,
+			others: 250 * time.Millisecond,
+		},
+		{
+			own:    250 * time.Millisecond,
+			others: time.Second,
+		},
+		{
+			own:    time.Second,
+			others: time.Second,
+		},
+	} {
 		for _, mean := range []float64{0.6, 0.85} {
-			t.Run(fmt.Sprintf("%v/%.2f", lag, mean), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%v/%v/%.2f", c.own, c.others, mean), func(t *testing.T) {
 				for _, p := range policies {
 					worst, jump, most, moved, circle := 1.0, 0.0, 0.0, 0.0, time.Duration(0)
 					for seed := range p.seeds() {
-						m := newModel(seed, 4, lag)
+						m := newModel(seed, 4, c.others)
+						m.ownLag = c.own
 						m.decide = p.decide
 						m.counted = 5 * time.Second
 						m.demand = func(zone int, now time.Duration) float64 {
