--- a/directory/view.go
+++ b/directory/view.go
@@ -24,7 +24,9 @@
 	fallback map[string][]*Upstream
 	byTicket map[Ticket]*Upstream
 	// byAddress holds the listed host at each address.
-	byAddress     map[netip.AddrPort]*Upstream
+	byAddress map[netip.AddrPort]*Upstream
+	// byZone holds the listed hosts of each zone, in no particular order.
+	byZone        map[string][]*Upstream
 	limits        map[string]*Service
 	zonesOut      map[string]bool
 	removedRoutes map[netip.AddrPort]time.Time
@@ -41,6 +43,7 @@
 		fallback:      make(map[string][]*Upstream),
 		byTicket:      make(map[Ticket]*Upstream, len(d.items)),
 		byAddress:     make(map[netip.AddrPort]*Upstream, len(d.items)),
+		byZone:        make(map[string][]*Upstream),
 		limits:        make(map[string]*Service),
 		zonesOut:      make(map[string]bool),
 		removedRoutes: maps.Clone(d.removedRoutes),
@@ -71,6 +74,12 @@
 	return v.byAddress[a]
 }
 
+// InZone returns the listed hosts of a zone, in no particular order. The caller must not modify
+// them.
+func (v *View) InZone(zone string) []*Upstream {
+	return v.byZone[zone]
+}
+
 // ByTicket returns the listed or departed host with a ticket, or nil.
 func (v *View) ByTicket(t Ticket) *Upstream {
 	return v.byTicket[t]
@@ -136,6 +145,7 @@
 	if u.DepartedAt.IsZero() {
 		v.upstreams++
 		v.byAddress[u.Address] = u
+		v.byZone[u.Zone] = append(v.byZone[u.Zone], u)
 	}
 	gone := !u.DepartedAt.IsZero() && !lapsed(u)
 	if gone || u.Draining || v.zonesOut[u.Zone] || v.byTicket[u.Ticket()] != u {
--- a/filbertflow/internal/cmd/controller.go
+++ b/filbertflow/internal/cmd/controller.go
@@ -13,6 +13,7 @@
 	"filbertworks.example/filbertworks/filbertflow/internal/daemon"
 	"filbertworks.example/filbertworks/filbertflow/internal/settings"
 	"filbertworks.example/filbertworks/filbertflow/internal/signals"
+	"filbertworks.example/filbertworks/flow"
 	"filbertworks.example/filbertworks/platform"
 )
 
@@ -61,6 +62,14 @@
 		LogOutput: stdout,
 		Codec:     platform.Codec{ClientPort: s.Packets.Listen.Port()},
 		Headroom:  platform.Headroom,
+		Load: daemon.LoadOptions{
+			Share: s.Load.Share,
+			Sharing: flow.Sharing{
+				Learn: s.Load.Learn,
+				Spill: s.Load.Spill,
+				Admit: s.Load.Admit,
+			},
+		},
 		NewSource: func(o daemon.SourceObserver) daemon.Source {
 			return platform.NewStore(s.Store.Address,
 				platform.WithCallObserver(o.OnCall),
--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -37,6 +37,16 @@
 	era             atomic.Uint64
 	retained        atomic.Int64
 	restores        atomic.Uint64
+	// loadReports and loadDigests count those that were received, and loadBytes the bytes that
+	// were sent for the exchange of loads.
+	loadReports     atomic.Uint64
+	loadDigests     atomic.Uint64
+	loadBytes       atomic.Uint64
+	capacityChanges atomic.Uint64
+	// waiting is the number of first packets that wait for admission, and waited how long
+	// those waited whose wait is over.
+	waiting atomic.Int64
+	waited  histogram
 	// storeAnswered is when the store last answered, in nanoseconds since the
 	// daemon's start.
 	storeAnswered atomic.Int64
@@ -85,6 +95,7 @@
 func newCounters(now time.Time) *counters {
 	c := &counters{}
 	c.latency.start = now
+	c.waited.start = now
 	return c
 }
 
@@ -163,6 +174,9 @@
 	case flow.Drop:
 		c.dropped.Add(1)
 	}
+	if d.Waited > 0 {
+		c.waited.record(d.Waited)
+	}
 	if d.StartsRequest {
 		c.requests.Add(1)
 	}
--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -97,6 +97,8 @@
 	LogLevel  logrus.Level
 	LogOutput io.Writer
 	Codec     Codec
+	// Load selects what is decided by the load that balancers share.
+	Load LoadOptions
 	// Headroom is the number of bytes that Codec.Readdress needs before a packet.
 	Headroom int
 	// NewSource creates the source of the directory's changes.
@@ -105,6 +107,13 @@
 	NewReadinessHandler func(ready func() bool) http.Handler
 }
 
+// LoadOptions select what is decided by the load that balancers share.
+type LoadOptions struct {
+	// Share has balancers exchange the load of upstreams. The others need it.
+	Share bool
+	flow.Sharing
+}
+
 // A Daemon is one running balancer. One goroutine handles clients' packets, and
 // one, the syncer, keeps the directory and the membership up to date.
 type Daemon struct {
@@ -133,7 +142,9 @@
 	// events holds the functions that the syncer's goroutine is to run.
 	events *ring.Ring[func(time.Time)]
 	// probeQueue holds the upstreams to probe.
-	probeQueue  *ring.Ring[*directory.Upstream]
+	probeQueue *ring.Ring[*directory.Upstream]
+	// rooms is what is known of the room of each zone, for the metrics.
+	rooms       atomic.Pointer[[]flow.ZoneRoom]
 	syncer      *syncer
 	peerNotices peerNotices
 	// reads wakes the store's reader; it holds whether this balancer reads the
--- /dev/null
+++ b/filbertflow/internal/daemon/loads.go
@@ -0,0 +1,441 @@
+package daemon
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/load"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/rendezvous"
+	"filbertworks.example/filbertworks/rollout"
+	"filbertworks.example/filbertworks/wire"
+)
+
+const (
+	// busyReportInterval and idleReportInterval are the times between two reports of a balancer
+	// while its zone is busy, and otherwise.
+	busyReportInterval = 200 * time.Millisecond
+	idleReportInterval = 500 * time.Millisecond
+	// collectorsPerGroup is the number of balancers that sum the reports on a group of
+	// upstreams. They take turns with their digests, so that losing one halves their rate.
+	collectorsPerGroup = 2
+	// busyUtilization is the number of requests in progress per slot of the zone's upstreams
+	// above which the zone is busy.
+	busyUtilization = 0.1
+	// capacityChange is by which factor an upstream's capacity changes before that is logged.
+	capacityChange = 1.5
+)
+
+// A loadExchange shares the load of upstreams with other balancers. Only the syncer's goroutine
+// uses it.
+type loadExchange struct {
+	daemon *Daemon
+	syncer *syncer
+	// reportedAt is when the last report was requested of the packet handler.
+	reportedAt time.Time
+	busy       bool
+	// table and view are those that groups, hosts and targets were worked out from.
+	table *member.Table
+	view  *directory.View
+	// hosts are the own zone's upstreams by group.
+	hosts [][]*directory.Upstream
+	// collecting holds the groups whose reports this balancer sums.
+	collecting map[int]*groupCollector
+	// targets are the collectors of the groups of any zone that are known so far.
+	targets map[groupID][]member.Member
+	// capacities are those that were logged last, by upstream.
+	capacities map[directory.Ticket]float64
+}
+
+// groupID names a group of a zone's upstreams.
+type groupID struct {
+	zone  string
+	group int
+}
+
+// groupCollector sums the reports on one group of upstreams.
+type groupCollector struct {
+	collector *load.Collector
+	dueAt     time.Time
+}
+
+func newLoadExchange(s *syncer) *loadExchange {
+	return &loadExchange{
+		daemon:     s.daemon,
+		syncer:     s,
+		collecting: make(map[int]*groupCollector),
+		targets:    make(map[groupID][]member.Member),
+		capacities: make(map[directory.Ticket]float64),
+	}
+}
+
+// tick makes the reports and digests that are due.
+func (e *loadExchange) tick(now time.Time) {
+	v := e.daemon.view.Load()
+	if v == nil || !e.daemon.options.Load.Share {
+		return
+	}
+	e.update(now, v)
+	if now.Sub(e.reportedAt) >= e.interval() {
+		e.reportedAt = now
+		interval := e.interval()
+		e.daemon.queueNotice(func(t *packetHandler) { t.reportLoad(interval) })
+	}
+	for group := range e.hosts {
+		if c := e.collecting[group]; c != nil && !now.Before(c.dueAt) {
+			c.dueAt = now.Add(collectorsPerGroup * e.interval())
+			e.sendDigest(now, group, c.collector)
+		}
+	}
+}
+
+// interval returns the time between two reports.
+func (e *loadExchange) interval() time.Duration {
+	if e.busy {
+		return busyReportInterval
+	}
+	return idleReportInterval
+}
+
+// update determines which groups of the own zone's upstreams this balancer collects, after a
+// change of the directory or the membership.
+func (e *loadExchange) update(now time.Time, v *directory.View) {
+	table := e.syncer.tracker.Table()
+	if v == e.view && table == e.table {
+		return
+	}
+	if table != e.table {
+		clear(e.targets)
+	}
+	e.view, e.table = v, table
+	zone := e.daemon.options.Zone
+	upstreams := v.InZone(zone)
+	e.hosts = make([][]*directory.Upstream, load.Groups(len(upstreams)))
+	for _, u := range upstreams {
+		group := load.GroupOf(u.Ticket(), len(e.hosts))
+		e.hosts[group] = append(e.hosts[group], u)
+	}
+	for group := range e.collecting {
+		if group >= len(e.hosts) {
+			delete(e.collecting, group)
+		}
+	}
+	for group := range e.hosts {
+		e.updateGroup(now, groupID{
+			zone:  zone,
+			group: group,
+		})
+	}
+}
+
+// updateGroup determines whether this balancer collects a group of the own zone's upstreams.
+func (e *loadExchange) updateGroup(now time.Time, id groupID) {
+	rank := slices.IndexFunc(e.collectors(id), e.isSelf)
+	if rank < 0 {
+		delete(e.collecting, id.group)
+		return
+	}
+	if e.collecting[id.group] == nil {
+		e.collecting[id.group] = &groupCollector{
+			collector: load.NewCollector(e.daemon.incarnation),
+			dueAt:     now.Add(time.Duration(rank) * e.interval()),
+		}
+	}
+}
+
+func (e *loadExchange) isSelf(m member.Member) bool {
+	return m.Incarnation == e.daemon.incarnation
+}
+
+// collectors returns the balancers that sum the reports on a group.
+func (e *loadExchange) collectors(id groupID) []member.Member {
+	c, ok := e.targets[id]
+	if !ok {
+		c = e.table.Ranked(rendezvous.Mix(uint64(id.group)+1), id.zone, collectorsPerGroup)
+		e.targets[id] = c
+	}
+	return c
+}
+
+// sendReport sends this balancer's report to the collectors of the upstreams.
+func (e *loadExchange) sendReport(now time.Time, r *load.Report) {
+	if e.view == nil {
+		return
+	}
+	parts := make(map[groupID][]load.Sample)
+	for _, s := range r.Samples {
+		if u := e.view.ByTicket(s.Ticket); u != nil {
+			id := groupID{
+				zone:  u.Zone,
+				group: load.GroupOf(s.Ticket, load.Groups(len(e.view.InZone(u.Zone)))),
+			}
+			parts[id] = append(parts[id], s)
+		}
+	}
+	for group := range e.hosts {
+		// An empty report tells that this balancer sends nothing to the group.
+		id := groupID{
+			zone:  e.daemon.options.Zone,
+			group: group,
+		}
+		parts[id] = slices.Clip(parts[id])
+	}
+	for id, samples := range parts {
+		part := *r
+		part.Sender, part.Samples = e.daemon.incarnation, samples
+		e.sendPart(now, id, &part)
+	}
+}
+
+// sendPart sends the report on one group.
+func (e *loadExchange) sendPart(now time.Time, id groupID, r *load.Report) {
+	var datagrams [][]byte
+	for _, m := range e.collectors(id) {
+		if e.isSelf(m) {
+			e.addReport(now, id.group, r)
+			continue
+		}
+		if datagrams == nil {
+			datagrams = e.encoded(wire.AppendLoadReport(nil, r, maxDeltaSize))
+		}
+		e.send([]netip.AddrPort{m.Relay}, datagrams)
+	}
+}
+
+// addReport adds a report on a group that this balancer collects.
+func (e *loadExchange) addReport(now time.Time, group int, r *load.Report) {
+	if c := e.collecting[group]; c != nil {
+		c.collector.AddReport(now, r)
+	}
+}
+
+// handleReport adds a peer's report to the groups that this balancer collects.
+func (e *loadExchange) handleReport(now time.Time, r *load.Report) {
+	if len(e.hosts) == 1 {
+		e.addReport(now, 0, r)
+		return
+	}
+	parts := make(map[int][]load.Sample)
+	for _, s := range r.Samples {
+		group := load.GroupOf(s.Ticket, len(e.hosts))
+		parts[group] = append(parts[group], s)
+	}
+	for group := range e.collecting {
+		part := *r
+		part.Samples = parts[group]
+		e.addReport(now, group, &part)
+	}
+}
+
+// sendDigest sends the digest of a group to the zone, and the group's summary to other zones.
+func (e *loadExchange) sendDigest(now time.Time, group int, c *load.Collector) {
+	zone, hosts := e.daemon.options.Zone, e.hosts[group]
+	d, ok := c.Digest(now, group, len(e.hosts), hosts, len(e.syncer.zonePeers())+1)
+	if !ok {
+		return
+	}
+	e.logCapacities(now, hosts, &d)
+	e.applyDigest(now, &d)
+	summary := load.Digest{
+		Origin:   e.daemon.incarnation,
+		Sequence: d.Sequence,
+		Group:    group,
+		Zones:    c.Own(now, zone, group, hosts),
+	}
+	e.sendSummary(now, group, &summary)
+}
+
+// sendSummary sends the load of a group's hosts to the collectors of other zones.
+func (e *loadExchange) sendSummary(now time.Time, group int, summary *load.Digest) {
+	if len(summary.Zones) == 0 {
+		return
+	}
+	var zones []string
+	for _, m := range e.table.Members() {
+		if m.State == member.Alive && m.Zone != e.daemon.options.Zone && !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	datagrams := e.encoded(wire.AppendLoadDigest(nil, now, summary, maxDeltaSize))
+	for _, zone := range zones {
+		groups := load.Groups(len(e.view.InZone(zone)))
+		e.send(relays(e.collectors(groupID{
+			zone:  zone,
+			group: group % groups,
+		})), datagrams)
+	}
+}
+
+// applyDigest hands a digest to the packet handler, and passes it on to the peers that follow in
+// the relay tree of its collector.
+func (e *loadExchange) applyDigest(now time.Time, d *load.Digest) {
+	e.busy = utilization(e.hosts, d) >= busyUtilization
+	if c := e.collecting[d.Group]; c != nil && d.Origin != e.daemon.incarnation {
+		// The collectors take turns.
+		c.dueAt = now.Add(e.interval())
+	}
+	self := &member.Member{
+		Zone:        e.daemon.options.Zone,
+		Incarnation: e.daemon.incarnation,
+	}
+	if peers := rollout.RelayTargets(e.syncer.tracker.Members(), self, d.Origin, false); len(peers) > 0 {
+		e.send(peers, e.encoded(wire.AppendLoadDigest(nil, now, d, maxDeltaSize)))
+	}
+	balancers := len(e.syncer.zonePeers()) + 1
+	e.daemon.queueNotice(func(t *packetHandler) { t.forwarder.ApplyDigest(time.Now(), d, balancers) })
+}
+
+// utilization returns the number of requests in progress per slot of a digest's group.
+func utilization(groups [][]*directory.Upstream, d *load.Digest) float64 {
+	if d.Group >= len(groups) {
+		return 0
+	}
+	var working, slots float64
+	for i := range d.Totals {
+		working += d.Totals[i].Working
+	}
+	for _, u := range groups[d.Group] {
+		slots += float64(u.Slots)
+	}
+	return working / max(slots, 1)
+}
+
+// handleDatagram handles a report, a digest or another zone's summary.
+func (e *loadExchange) handleDatagram(now time.Time, data []byte) {
+	if !e.daemon.options.Load.Share {
+		return
+	}
+	if wire.IsLoadReport(data) {
+		r, err := wire.ParseLoadReport(data)
+		if err != nil {
+			e.daemon.counters.malformed.Add(1)
+			return
+		}
+		e.daemon.counters.loadReports.Add(1)
+		e.handleReport(now, r)
+		return
+	}
+	d, err := wire.ParseLoadDigest(now, data)
+	if err != nil {
+		e.daemon.counters.malformed.Add(1)
+		return
+	}
+	if d.Groups == 0 {
+		for _, z := range d.Zones {
+			e.addZone(now, z)
+		}
+		return
+	}
+	e.daemon.counters.loadDigests.Add(1)
+	e.applyDigest(now, d)
+}
+
+// addZone adds another zone's summary to the digests of this balancer's groups.
+func (e *loadExchange) addZone(now time.Time, z load.ZoneTotal) {
+	for group, c := range e.collecting {
+		if group == z.Group%len(e.hosts) {
+			c.collector.AddZone(now, z)
+		}
+	}
+}
+
+// handleResume forgets the reports that were received before a pause.
+func (e *loadExchange) handleResume(now time.Time) {
+	for _, c := range e.collecting {
+		c.collector.Reset(now)
+	}
+}
+
+// logCapacities logs the upstreams whose capacity has changed by capacityChange.
+func (e *loadExchange) logCapacities(now time.Time, hosts []*directory.Upstream, d *load.Digest) {
+	learned := make(map[directory.Ticket]*load.Total, len(d.Totals))
+	for i := range d.Totals {
+		learned[d.Totals[i].Ticket] = &d.Totals[i]
+	}
+	known := make(map[directory.Ticket]float64, len(hosts))
+	for _, u := range hosts {
+		t := u.Ticket()
+		was, ok := e.capacities[t]
+		if !ok {
+			was = float64(u.Slots)
+		}
+		total := learned[t]
+		if total == nil || total.Capacity <= 0 {
+			continue
+		}
+		if total.Capacity*capacityChange > was && was*capacityChange > total.Capacity {
+			known[t] = was
+			continue
+		}
+		known[t] = total.Capacity
+		e.daemon.counters.capacityChanges.Add(1)
+		e.daemon.log.Info(now, "upstream: capacity changed", logs.F("upstream", u.ID), logs.F("service", u.Service),
+			logs.F("slots", u.Slots), logs.F("capacity", round(total.Capacity)), logs.F("before", round(was)),
+			logs.F("answers", total.Answers), logs.F("working", round(total.Working)))
+	}
+	e.capacities = known
+}
+
+// round rounds a number for logs.
+func round(x float64) float64 {
+	const digits = 100
+	return float64(int(x*digits+0.5)) / digits
+}
+
+// encoded returns datagrams, or none after counting an error.
+func (e *loadExchange) encoded(datagrams [][]byte, err error) [][]byte {
+	if err != nil {
+		e.daemon.counters.malformed.Add(1)
+		return nil
+	}
+	return datagrams
+}
+
+// send sends datagrams to peers.
+func (e *loadExchange) send(to []netip.AddrPort, datagrams [][]byte) {
+	for _, data := range datagrams {
+		for _, a := range to {
+			e.daemon.sendPeer(a, data)
+			e.daemon.counters.loadBytes.Add(uint64(len(data)))
+		}
+	}
+}
+
+// reportLoad makes the report that is due.
+func (t *packetHandler) reportLoad(interval time.Duration) {
+	now := time.Now()
+	r := t.forwarder.LoadReport(now, interval)
+	d := t.daemon
+	d.post(func(now time.Time) { d.syncer.loads.sendReport(now, &r) })
+	t.recordRooms(now)
+}
+
+// recordRooms records the room of each zone for the metrics, and logs zones that begin or end
+// to get the own zone's new flows.
+func (t *packetHandler) recordRooms(now time.Time) {
+	d := t.daemon
+	rooms := t.forwarder.Rooms(now, t.view())
+	giving := make(map[string]bool)
+	for i := range rooms {
+		r := &rooms[i]
+		if r.Zone == d.options.Zone || r.Share == 0 {
+			continue
+		}
+		giving[r.Service+" "+r.Zone] = true
+		if !t.giving[r.Service+" "+r.Zone] {
+			d.log.Info(now, "zone: gives new flows to another zone", logs.F("service", r.Service), logs.F("to_zone", r.Zone),
+				logs.F("share", round(r.Share)), logs.F("working", round(r.Working)), logs.F("capacity", round(r.Capacity)))
+		}
+	}
+	for k := range t.giving {
+		if !giving[k] {
+			d.log.Info(now, "zone: gives no new flows any more", logs.F("service_zone", k))
+		}
+	}
+	t.giving = giving
+	d.counters.waiting.Store(int64(t.forwarder.Waiting()))
+	d.rooms.Store(&rooms)
+}
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -99,6 +99,7 @@
 	// merging is whether the pull in progress is one of them.
 	merging bool
 	clock   *suspensionClock
+	loads   *loadExchange
 }
 
 func newSyncer(now time.Time, d *Daemon) *syncer {
@@ -118,6 +119,7 @@
 		isReader: true,
 		clock:    newSuspensionClock(now),
 	}
+	s.loads = newLoadExchange(s)
 	s.tracker.AcceptUnlisted()
 	s.tracker.SetGateways(gatewaysPerZone)
 	s.setSeeds(now, o.Seeds)
@@ -303,16 +305,19 @@
 func (s *syncer) tick(ctx context.Context, now time.Time) {
 	if s.daemon.checkStall(now, true) {
 		s.detector.HandleResume(now)
+		s.loads.handleResume(now)
 	}
 	if pause := s.clock.SuspendedFor(now); pause > 0 {
 		s.daemon.log.Warn(now, "daemon: VM was suspended", logs.F("for_ms", pause.Milliseconds()))
 		s.tracker.HandleResume(now, now.Add(-pause))
+		s.loads.handleResume(now)
 	}
 	for _, m := range s.tracker.Tick(now) {
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
 	}
 	s.checkInquiries(now)
 	s.shareAmbiguous(now)
+	s.loads.tick(now)
 	s.updateOutage(now)
 	s.updateRoles(now)
 	s.daemon.counters.setStoreAge(now, s.tracker.PlatformAge(now))
@@ -404,6 +409,9 @@
 	case wire.IsHealth(data):
 		s.handleHealth(now, from, data)
 		return
+	case wire.IsLoadReport(data) || wire.IsLoadDigest(data):
+		s.loads.handleDatagram(now, data)
+		return
 	}
 	var h member.Heartbeat
 	if err := wire.ParseHeartbeat(data, &h); err != nil {
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -78,13 +78,19 @@
 	held map[flow.ID][]byte
 	// wakeScheduled tells that a timer will wake the packet handler.
 	wakeScheduled bool
+	// giving holds the services and zones that the own zone gives new flows to.
+	giving map[string]bool
 }
 
 func newPacketHandler(d *Daemon) (*packetHandler, error) {
 	reader, err := newPacketReader(d.packets)
+	options := []flow.Option{flow.WithInquiries(), flow.WithLookups()}
+	if d.options.Load.Share {
+		options = append(options, flow.WithSharing(d.options.Load.Sharing))
+	}
 	return &packetHandler{
 		daemon:    d,
-		forwarder: flow.New(time.Now(), d.options.Zone, d, flow.WithInquiries(), flow.WithLookups()),
+		forwarder: flow.New(time.Now(), d.options.Zone, d, options...),
 		reader:    reader,
 		buffer:    make([]byte, maxDatagramSize),
 		held:      make(map[flow.ID][]byte),
@@ -310,6 +316,12 @@
 		fields = append(fields, logs.F("upstream", decision.Upstream.ID), logs.F("upstream_zone", decision.Upstream.Zone),
 			logs.F("flows", decision.Load.Flows), logs.F("working", decision.Load.ActiveRequests))
 	}
+	if decision.ZoneLoad > 0 {
+		fields = append(fields, logs.F("zone_working", round(decision.ZoneLoad)))
+	}
+	if decision.Waited > 0 {
+		fields = append(fields, logs.F("waited_ms", decision.Waited.Milliseconds()))
+	}
 	if decision.Candidates > 0 {
 		fields = append(fields, logs.F("service", decision.Service), logs.F("candidates", decision.Candidates))
 	}
--- a/filbertflow/internal/settings/settings.go
+++ b/filbertflow/internal/settings/settings.go
@@ -53,6 +53,19 @@
 		// Address is the TCP address of the platform's store.
 		Address netip.AddrPort `toml:"address"`
 	} `toml:"store"`
+	// Load holds the decisions that are made by the load that balancers share. All are
+	// true by default.
+	Load struct {
+		// Share has the balancer exchange the load of upstreams with others, and place
+		// new flows by it. The other settings have no effect without it.
+		Share bool `toml:"share"`
+		// Learn has it measure answers, to find out how much each upstream takes.
+		Learn bool `toml:"learn"`
+		// Spill lets new flows go to other zones while the own one has less room.
+		Spill bool `toml:"spill"`
+		// Admit lets new flows wait, or rejects them, while no zone has room.
+		Admit bool `toml:"admit"`
+	} `toml:"load"`
 	Leave struct {
 		// Grace is the time from SIGTERM until the process is killed.
 		Grace Duration `toml:"grace"`
@@ -90,6 +103,7 @@
 	s := &Settings{}
 	s.Leave.Grace = Duration(DefaultGrace)
 	s.Log.Rate = DefaultLogRate
+	s.Load.Share, s.Load.Learn, s.Load.Spill, s.Load.Admit = true, true, true, true
 	s.Log.Level = logrus.InfoLevel.String()
 	if err := toml.Unmarshal(data, s); err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
--- a/flow/death.go
+++ b/flow/death.go
@@ -141,7 +141,7 @@
 	for _, d := range f.confirmedDeaths {
 		t := d.ticket
 		if d.scope == ScopeWaiting {
-			f.abandon(t, flowRetransmissions)
+			f.abandon(now, t, flowRetransmissions)
 			continue
 		}
 		h := f.healthOfTicket(t)
@@ -154,7 +154,7 @@
 			f.recordStateChange(u, h, 0)
 			f.stateChanges[len(f.stateChanges)-1].Shared = true
 		}
-		f.abandon(t, 0)
+		f.abandon(now, t, 0)
 	}
 	f.confirmedDeaths = nil
 }
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -1,6 +1,10 @@
 package flow
 
-import "filbertworks.example/filbertworks/directory"
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+)
 
 // An Action is what the balancer does with a packet.
 type Action uint8
@@ -71,17 +75,24 @@
 	// ReasonLookup holds a retransmitted first packet of a flow that this balancer does
 	// not know, until another one tells where the flow's first packet went.
 	ReasonLookup
+	// ReasonSpilled forwards the first packet of a flow to another zone, since the own one
+	// has less room.
+	ReasonSpilled
+	// ReasonWaiting holds a first packet until an upstream has room.
+	ReasonWaiting
+	// ReasonNoRoom rejects a new flow that no upstream has room for in time.
+	ReasonNoRoom
 )
 
 // reasonNames holds the names of the reasons, indexed by Reason.
 var reasonNames = [...]string{
 	"placed", "copy", "moved", "ticket", "remembered", "unknown upstream",
 	"not ready", "no route", "no upstream", "dead upstream", "silent upstream",
-	"replaced upstream", "delayed", "lookup",
+	"replaced upstream", "delayed", "lookup", "spilled", "waiting", "no room",
 }
 
 // NumReasons is the number of reasons.
-const NumReasons = int(ReasonLookup) + 1
+const NumReasons = int(ReasonNoRoom) + 1
 
 // String returns r's name.
 func (r Reason) String() string {
@@ -108,6 +119,11 @@
 	Candidates int
 	// Load is the upstream's load as seen by this balancer.
 	Load Load
+	// ZoneLoad is the number of requests in progress at the upstream as all balancers of the
+	// zone see it; zero if that is unknown.
+	ZoneLoad float64
+	// Waited is how long a first packet waited for admission.
+	Waited time.Duration
 }
 
 // A Load is the load of an upstream as seen by one balancer.
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -22,14 +22,16 @@
 // A Forwarder makes the decisions of one balancer on packets, and tracks the flows and
 // the health of upstreams for that. It is not safe for concurrent use.
 type Forwarder struct {
-	zone         string
-	owners       Owners
-	idleTimeout  time.Duration
-	asksZone     bool
-	flows        *flowTable
-	health       map[directory.Ticket]*health
-	attempts     *attempts
-	openings     openings
+	zone        string
+	owners      Owners
+	idleTimeout time.Duration
+	asksZone    bool
+	flows       *flowTable
+	health      map[directory.Ticket]*health
+	attempts    *attempts
+	openings    openings
+	// sharing is nil unless new flows are placed by the load that other balancers see, too.
+	sharing      *sharing
 	stateChanges []StateChange
 	resets       []Packet
 	reports      []Report
@@ -45,6 +47,8 @@
 	// requestProbedAt is when a late request last led to a probe.
 	pendingOpenings []pendingAnswer
 	pendingRequests []pendingAnswer
+	// activeRequests are the requests that were started within maxRequestTime, in order.
+	activeRequests  []pendingAnswer
 	toProbe         []*directory.Upstream
 	requestProbedAt time.Time
 	// ignoreUntil is until when packets are ignored as evidence of silence.
@@ -96,7 +100,9 @@
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
 	f.applyDeaths(now, v)
 	f.checkPending(now)
+	f.expireRequests(now)
 	f.checkLookups(now, v)
+	f.checkWaiting(now, v)
 }
 
 // StateChanges returns the state changes of upstreams since the last call.
@@ -145,9 +151,18 @@
 	if v.Plan == nil {
 		return Decision{Reason: ReasonNotReady}
 	}
+	if f.sharing.holdCopy(p, k) {
+		return Decision{
+			Action: Hold,
+			Reason: ReasonWaiting,
+		}
+	}
 	if p.Copy > 0 {
 		return f.openElsewhere(now, v, p, k)
 	}
+	if d, ok := f.admit(now, v, p, k); ok {
+		return d
+	}
 	d := f.place(now, v, p, k, nil)
 	if d.Action == Forward {
 		f.addFlow(now, k, d.Upstream, p)
@@ -293,7 +308,7 @@
 func (f *Forwarder) observe(now time.Time, s *flowState, p *Packet) {
 	h := f.healthOf(s.upstream)
 	if p.Flags.Has(FlagReset) {
-		f.closeFlow(s)
+		f.closeFlow(now, s)
 		return
 	}
 	progress := s.opening || p.Flags.Has(FlagAcknowledge) && int32(p.Acknowledged-s.acknowledged) > 0
@@ -312,14 +327,15 @@
 		f.recordRetransmission(now, h, s)
 	}
 	if p.Flags.Has(FlagFinish) {
-		f.closeFlow(s)
+		f.closeFlow(now, s)
 	}
 }
 
 // recordContent records a packet with new content.
 func (f *Forwarder) recordContent(now time.Time, h *health, s *flowState, p *Packet) {
 	if p.Length > 0 {
-		f.setRequestActive(h, s, true)
+		f.startRequest(now, h, s, true)
+		f.setRequestActive(now, h, s, true)
 	}
 	if !s.unansweredSince.IsZero() && s.nextSequence-s.unansweredSequence > maxInFlight {
 		// The client would not send this before the upstream has acknowledged the oldest
@@ -334,10 +350,11 @@
 
 // recordProgress records that a packet acknowledges an answer of the upstream.
 func (f *Forwarder) recordProgress(now time.Time, h *health, s *flowState, p *Packet) {
+	f.measureAnswer(now, s, p)
 	s.answered = !s.opening
 	s.opening = false
 	s.acknowledged = p.Acknowledged
-	f.setRequestActive(h, s, false)
+	f.setRequestActive(now, h, s, false)
 	f.recordAnswer(now, h, s)
 }
 
@@ -377,7 +394,7 @@
 
 // abandon resets the open flows of a dead upstream that have at least a number of
 // retransmissions, ordered by key.
-func (f *Forwarder) abandon(t directory.Ticket, retransmissions int) {
+func (f *Forwarder) abandon(now time.Time, t directory.Ticket, retransmissions int) {
 	var lost []key
 	f.flows.forEach(func(k key, s *flowState) {
 		if !s.closed && !s.opening && s.upstream.Ticket() == t && s.retransmissions >= retransmissions {
@@ -387,7 +404,7 @@
 	slices.SortFunc(lost, func(a, b key) int { return bytes.Compare(a[:], b[:]) })
 	for _, k := range lost {
 		s := f.flows.find(k)
-		f.closeFlow(s)
+		f.closeFlow(now, s)
 		s.abandoned = true
 		f.resets = append(f.resets, Packet{
 			Client:       k.client(),
@@ -411,10 +428,11 @@
 
 // setRequestActive sets whether a flow has a request in progress, and updates its
 // upstream's load.
-func (f *Forwarder) setRequestActive(h *health, s *flowState, active bool) {
+func (f *Forwarder) setRequestActive(now time.Time, h *health, s *flowState, active bool) {
 	if s.requestActive == active || s.closed {
 		return
 	}
+	h.addWorking(now)
 	s.requestActive = active
 	s.startsRequest = active
 	if active {
@@ -439,7 +457,7 @@
 		acknowledged:  p.Acknowledged,
 	}
 	s.expectAnswer(now, p)
-	f.putFlow(k, s)
+	f.putFlow(now, k, s)
 	f.awaitAnswer(now, s)
 }
 
@@ -451,34 +469,35 @@
 		nextSequence: p.Sequence + uint32(p.Length),
 		acknowledged: p.Acknowledged,
 	}
-	f.putFlow(k, s)
+	f.putFlow(now, k, s)
 	if p.Length > 0 {
 		s.expectAnswer(now, p)
-		f.setRequestActive(f.healthOf(u), s, true)
+		f.startRequest(now, f.healthOf(u), s, false)
+		f.setRequestActive(now, f.healthOf(u), s, true)
 		f.awaitAnswer(now, s)
 	}
 	if p.Flags.Has(FlagFinish) || p.Flags.Has(FlagReset) {
-		f.closeFlow(s)
+		f.closeFlow(now, s)
 	}
 	return s
 }
 
 // putFlow stores a flow and closes the one that was stored under its key, if any.
-func (f *Forwarder) putFlow(k key, s *flowState) {
+func (f *Forwarder) putFlow(now time.Time, k key, s *flowState) {
 	if old := f.flows.find(k); old != nil {
-		f.closeFlow(old)
+		f.closeFlow(now, old)
 	}
 	f.healthOf(s.upstream).load.Flows++
 	f.flows.put(k, s)
 }
 
 // closeFlow closes a flow and removes it from its upstream's load.
-func (f *Forwarder) closeFlow(s *flowState) {
+func (f *Forwarder) closeFlow(now time.Time, s *flowState) {
 	if s.closed {
 		return
 	}
 	h := f.healthOf(s.upstream)
-	f.setRequestActive(h, s, false)
+	f.setRequestActive(now, h, s, false)
 	h.load.Flows--
 	s.closed = true
 }
@@ -492,7 +511,7 @@
 		return
 	}
 	for _, s := range forgotten {
-		f.closeFlow(s)
+		f.closeFlow(now, s)
 	}
 	f.openings.expire(now, f.idleTimeout)
 	for t, a := range f.asked {
--- a/flow/health.go
+++ b/flow/health.go
@@ -107,8 +107,15 @@
 
 // health is what a balancer has seen of one upstream.
 type health struct {
-	load  Load
-	state State
+	load Load
+	// working is the sum of the times of requests in progress since the last report, as of
+	// workingAt.
+	working   time.Duration
+	workingAt time.Time
+	// reported is the mean number of requests in progress in the last two reports, the latest
+	// first.
+	reported [2]float64
+	state    State
 	// diedAt is when the upstream was last found dead.
 	diedAt time.Time
 	// open is the silence on open flows, and opening that on flows that have not opened.
@@ -144,6 +151,27 @@
 	filledAt time.Time
 }
 
+// addWorking adds the time of the requests in progress up to now. It is called before their
+// number changes.
+func (h *health) addWorking(now time.Time) {
+	if !h.workingAt.IsZero() {
+		h.working += time.Duration(h.load.ActiveRequests) * now.Sub(h.workingAt)
+	}
+	h.workingAt = now
+}
+
+// takeWorking returns the mean number of requests in progress over the period that ends now,
+// and starts the next period.
+func (h *health) takeWorking(now time.Time, period time.Duration) float64 {
+	h.addWorking(now)
+	sum := h.working
+	h.working = 0
+	if period <= 0 {
+		return float64(h.load.ActiveRequests)
+	}
+	return sum.Seconds() / period.Seconds()
+}
+
 // silence is what shows that an upstream is silent.
 type silence struct {
 	// epoch is incremented when the silence is cleared; a flow counts once per epoch.
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -130,8 +130,10 @@
 }
 
 // Opening answers a lookup of another balancer. It returns false if the flow is unknown here.
+// A first packet that waits for admission here is dropped, since the other balancer has a copy.
 func (f *Forwarder) Opening(id ID) (Opening, bool) {
 	k := id.key()
+	f.withdraw(k, id.Sequence)
 	if a := f.openings.ambiguous[k]; a != nil && a.sequence == id.Sequence {
 		return a.opening(id), true
 	}
@@ -162,6 +164,7 @@
 // reached several upstreams.
 func (f *Forwarder) AddAmbiguous(now time.Time, o Opening) {
 	k := o.Flow.key()
+	f.withdraw(k, o.Flow.Sequence)
 	if a := f.openings.ambiguous[k]; a != nil && a.sequence == o.Flow.Sequence && a.open {
 		return
 	}
@@ -245,6 +248,7 @@
 	}
 	clear(f.openings.held)
 	f.openings.waiting = nil
+	f.forgetLoad()
 }
 
 func (f *Forwarder) release(h *heldPacket, d Decision) {
--- a/flow/place.go
+++ b/flow/place.go
@@ -39,6 +39,9 @@
 		}
 	}
 	service := selectService(r, k)
+	if d, ok := f.placeShared(now, v, p, k, r, service, excluded); ok {
+		return d
+	}
 	hosts := v.Eligible(service)
 	if len(hosts) == 0 {
 		hosts = v.Fallback(service)
@@ -77,7 +80,7 @@
 		h := f.healthOf(u)
 		if h.checkOpenings(now, f.lastAnswered) {
 			f.recordStateChange(u, h, h.opening.duration(now))
-			f.abandon(u.Ticket(), 0)
+			f.abandon(now, u.Ticket(), 0)
 		}
 	}
 }
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -70,6 +70,9 @@
 	if w := f.openings.waiting; len(w) > 0 && (next.IsZero() || w[0].deadline.Before(next)) {
 		next = w[0].deadline
 	}
+	if a := f.sharing.nextAdmission(); !a.IsZero() && (next.IsZero() || a.Before(next)) {
+		next = a
+	}
 	return next
 }
 
--- /dev/null
+++ b/flow/sharing.go
@@ -0,0 +1,373 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertworks.example/filbertworks/admission"
+	"filbertworks.example/filbertworks/capacity"
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/load"
+)
+
+// Sharing selects the decisions that a forwarder makes by the load that all balancers of its
+// zone see. They apply to routes with a latency goal only.
+type Sharing struct {
+	// Learn has the forwarder measure answers, so that the zone finds out how much each
+	// upstream takes.
+	Learn bool
+	// Spill lets new flows go to other zones while the own one has too little room.
+	Spill bool
+	// Admit lets new flows wait, or rejects them, while no zone has room.
+	Admit bool
+}
+
+// WithSharing has the forwarder report the load that it sees, and place new flows by the load
+// of the whole zone while that is known.
+func WithSharing(s Sharing) Option {
+	return func(f *Forwarder) {
+		f.sharing = newSharing(s)
+	}
+}
+
+// sharing is what a forwarder knows of the load that other balancers see.
+type sharing struct {
+	options Sharing
+	book    *load.Book
+	learner *capacity.Learner
+	// sequence counts the reports, and reportedAt is when the last one was made.
+	sequence   uint32
+	reportedAt time.Time
+	// digests counts the digests that were applied, and balancers is the number of balancers
+	// of the own zone.
+	digests   uint64
+	balancers int
+	services  map[string]*serviceLoad
+	// waiting holds the first packets that wait in a service's queue.
+	waiting map[key]*waitingPacket
+}
+
+// waitingPacket is a first packet that waits for admission.
+type waitingPacket struct {
+	packet  Packet
+	service *serviceLoad
+	since   time.Time
+}
+
+func newSharing(options Sharing) *sharing {
+	return &sharing{
+		options:  options,
+		book:     load.NewBook(),
+		learner:  capacity.NewLearner(),
+		services: make(map[string]*serviceLoad),
+		waiting:  make(map[key]*waitingPacket),
+	}
+}
+
+// LoadReport returns the load that this balancer has seen since its last report, ordered by
+// ticket. The next report is due after interval. The sender is left for the caller to set.
+func (f *Forwarder) LoadReport(now time.Time, interval time.Duration) load.Report {
+	s := f.sharing
+	s.sequence++
+	var elapsed time.Duration
+	if !s.reportedAt.IsZero() {
+		elapsed = now.Sub(s.reportedAt)
+	}
+	s.reportedAt = now
+	r := load.Report{
+		Sequence: s.sequence,
+		Period:   max(elapsed, interval),
+	}
+	for t, h := range f.health {
+		h.reported[1] = h.reported[0]
+		h.reported[0] = h.takeWorking(now, elapsed)
+		sample := load.Sample{
+			Ticket:  t,
+			Flows:   h.load.Flows,
+			Working: h.reported[0],
+			Answers: s.learner.Take(t),
+		}
+		if sample.Flows > 0 || sample.Working > 0 || sample.Answers != (capacity.Observation{}) {
+			r.Samples = append(r.Samples, sample)
+		}
+	}
+	slices.SortFunc(r.Samples, func(a, b load.Sample) int { return cmp.Compare(a.Ticket, b.Ticket) })
+	s.book.Reported(now, &r)
+	return r
+}
+
+// ApplyDigest applies a digest of the load of the own zone's upstreams. The zone has a number of
+// balancers, this one included.
+func (f *Forwarder) ApplyDigest(now time.Time, d *load.Digest, balancers int) {
+	if !f.sharing.book.Apply(now, d) {
+		return
+	}
+	f.sharing.digests++
+	f.sharing.balancers = balancers
+}
+
+// ZoneRoom is what a forwarder knows of the room of one zone for one service.
+type ZoneRoom struct {
+	Service string
+	Zone    string
+	// Working is the number of requests in progress, and Capacity the number of requests
+	// that the upstreams take at once.
+	Working  float64
+	Capacity float64
+	// Known reports whether the zone's load is known.
+	Known bool
+	// Share is the share of this balancer's new flows that there is room for there.
+	Share float64
+}
+
+// Rooms returns what is known of the room of all zones, by service.
+func (f *Forwarder) Rooms(now time.Time, v *directory.View) []ZoneRoom {
+	if f.sharing == nil || !f.sharing.book.Fresh(now) {
+		return nil
+	}
+	var rooms []ZoneRoom
+	for _, l := range f.sharing.services {
+		l.refresh(now, v, f)
+		rooms = append(rooms, l.rooms()...)
+	}
+	slices.SortFunc(rooms, func(a, b ZoneRoom) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	return rooms
+}
+
+// Waiting returns the number of first packets that wait for admission.
+func (f *Forwarder) Waiting() int {
+	if f.sharing == nil {
+		return 0
+	}
+	return len(f.sharing.waiting)
+}
+
+// workingAt returns the number of requests in progress at an upstream, as far as it is known.
+func (f *Forwarder) workingAt(now time.Time, t directory.Ticket, h *health) float64 {
+	return f.sharing.book.Upstream(now, t).Working + float64(h.load.ActiveRequests)
+}
+
+// startRequest records that a request, or more content of one, goes to the flow's upstream. The
+// time of the answer is measured if the request began here.
+func (f *Forwarder) startRequest(now time.Time, h *health, s *flowState, began bool) {
+	s.requestAt = now
+	if s.requestActive {
+		return
+	}
+	f.activeRequests = append(f.activeRequests, pendingAnswer{
+		flow:     s,
+		sentAt:   now,
+		deadline: now.Add(maxRequestTime),
+	})
+	if s.requestMeasured = began && f.sharing != nil && f.sharing.options.Learn; s.requestMeasured {
+		s.requestWorking = f.workingAt(now, s.upstream.Ticket(), h)
+	}
+}
+
+// maxRequestTime is how long a request counts as in progress. A client that gives up, or whose
+// flow the host has reset, tells the balancers nothing.
+const maxRequestTime = 2 * time.Second
+
+// expireRequests ends the requests that have been in progress for maxRequestTime.
+func (f *Forwarder) expireRequests(now time.Time) {
+	for len(f.activeRequests) > 0 && !now.Before(f.activeRequests[0].deadline) {
+		e := f.activeRequests[0]
+		f.activeRequests = f.activeRequests[1:]
+		switch s := e.flow; {
+		case !s.requestActive:
+		case s.requestAt.After(e.sentAt):
+			e.sentAt, e.deadline = s.requestAt, now.Add(maxRequestTime)
+			f.activeRequests = append(f.activeRequests, e)
+		default:
+			f.setRequestActive(now, f.healthOf(s.upstream), s, false)
+		}
+	}
+}
+
+// measureAnswer records the time of an answer. Those to requests that were retransmitted, or
+// that another balancer forwarded, are not measured.
+func (f *Forwarder) measureAnswer(now time.Time, s *flowState, p *Packet) {
+	if !s.requestMeasured {
+		return
+	}
+	elapsed := now.Sub(s.requestAt)
+	s.requestMeasured = false
+	if s.opening || !s.requestActive || s.retransmissions > 0 || now.Before(f.ignoreUntil) {
+		return
+	}
+	f.sharing.learner.Observe(now, &capacity.Answer{
+		Ticket:  s.upstream.Ticket(),
+		Service: s.upstream.Service,
+		Route:   p.Service,
+		Time:    elapsed,
+		Working: s.requestWorking,
+		Slots:   s.upstream.Slots,
+	})
+}
+
+// Times that bound the wait for admission.
+const (
+	// maxAdmissionWait is how long a first packet waits at most: less than the 200 ms until the
+	// client sends a copy, which may reach another balancer.
+	maxAdmissionWait = 150 * time.Millisecond
+	// defaultAnswerTime is taken for the usual answer time of a route that is not known yet.
+	defaultAnswerTime = 50 * time.Millisecond
+)
+
+// admit offers the first packet of a new flow to the admission queue of its service. It
+// returns false if the flow may be placed now.
+func (f *Forwarder) admit(now time.Time, v *directory.View, p *Packet, k key) (Decision, bool) {
+	r := v.Route(p.Service)
+	if f.sharing == nil || r == nil || r.LatencyGoal == 0 || p.Delayed {
+		return Decision{}, false
+	}
+	l := f.serviceLoad(now, v, selectService(r, k))
+	if l == nil {
+		return Decision{}, false
+	}
+	l.arrive(r.Priority)
+	if !f.sharing.options.Admit {
+		return Decision{}, false
+	}
+	switch l.queue.Offer(now, admission.Request[key]{
+		ID:       k,
+		Priority: r.Priority,
+		Caller:   p.Client.Addr(),
+		Size:     p.Length + firstPacketSize,
+		MaxWait:  f.maxWait(r),
+	}) {
+	case admission.Wait:
+		f.sharing.waiting[k] = &waitingPacket{
+			packet:  *p,
+			service: l,
+			since:   now,
+		}
+		return Decision{
+			Action:  Hold,
+			Reason:  ReasonWaiting,
+			Service: l.name,
+		}, true
+	case admission.Reject:
+		return Decision{
+			Action:  Reject,
+			Reason:  ReasonNoRoom,
+			Service: l.name,
+		}, true
+	default:
+		return Decision{}, false
+	}
+}
+
+// firstPacketSize is what a first packet without content counts against the bound on the bytes
+// that wait.
+const firstPacketSize = 64
+
+// maxWait returns how long a first packet of a route may wait: half of what the latency goal
+// leaves beside the usual answer time, since a client that is refused needs the rest for its
+// next attempt.
+func (f *Forwarder) maxWait(r *directory.Route) time.Duration {
+	usual, ok := f.sharing.learner.Usual(r.Address)
+	if !ok {
+		usual = defaultAnswerTime
+	}
+	return min(max((r.LatencyGoal-usual)/2, 0), maxAdmissionWait)
+}
+
+// holdCopy keeps a copy of a first packet that waits in place of that one, and reports whether
+// there is one.
+func (s *sharing) holdCopy(p *Packet, k key) bool {
+	w := s.waitingOf(k, p.Sequence)
+	if w != nil {
+		w.packet = *p
+	}
+	return w != nil
+}
+
+// waitingOf returns the waiting first packet of a flow, or nil.
+func (s *sharing) waitingOf(k key, sequence uint32) *waitingPacket {
+	if s == nil {
+		return nil
+	}
+	w := s.waiting[k]
+	if w == nil || w.packet.Sequence != sequence {
+		return nil
+	}
+	return w
+}
+
+// withdraw drops a waiting first packet, since another balancer decides on a copy of it.
+func (f *Forwarder) withdraw(k key, sequence uint32) {
+	w := f.sharing.waitingOf(k, sequence)
+	if w == nil {
+		return
+	}
+	w.service.queue.Remove(k)
+	delete(f.sharing.waiting, k)
+	f.release(&heldPacket{packet: w.packet}, Decision{Reason: ReasonDelayed})
+}
+
+// forgetLoad drops all waiting first packets, and forgets the load that other balancers have
+// told of: digests that waited while the process did not run look new.
+func (f *Forwarder) forgetLoad() {
+	if f.sharing == nil {
+		return
+	}
+	for k, w := range f.sharing.waiting {
+		f.withdraw(k, w.packet.Sequence)
+	}
+	for _, l := range f.sharing.services {
+		l.queue.Clear()
+	}
+	f.sharing.book = load.NewBook()
+}
+
+// checkWaiting places or rejects the first packets whose wait is over.
+func (f *Forwarder) checkWaiting(now time.Time, v *directory.View) {
+	if f.sharing == nil || len(f.sharing.waiting) == 0 {
+		return
+	}
+	for _, l := range f.sharing.services {
+		l.refresh(now, v, f)
+		for _, d := range l.queue.Release(now) {
+			f.endWait(now, v, d)
+		}
+	}
+}
+
+// endWait carries out the admission queue's decision on a waiting first packet.
+func (f *Forwarder) endWait(now time.Time, v *directory.View, r admission.Released[key]) {
+	w := f.sharing.waiting[r.ID]
+	if w == nil {
+		return
+	}
+	delete(f.sharing.waiting, r.ID)
+	d := Decision{
+		Action:  Reject,
+		Reason:  ReasonNoRoom,
+		Service: w.service.name,
+	}
+	if r.Verdict == admission.Admit {
+		if d = f.place(now, v, &w.packet, r.ID, nil); d.Action == Forward {
+			f.addFlow(now, r.ID, d.Upstream, &w.packet)
+		}
+	}
+	d.Waited = now.Sub(w.since)
+	f.release(&heldPacket{packet: w.packet}, d)
+}
+
+// nextAdmission returns when the next waiting first packet is due; zero if none waits.
+func (s *sharing) nextAdmission() time.Time {
+	var next time.Time
+	if s == nil || len(s.waiting) == 0 {
+		return next
+	}
+	for _, l := range s.services {
+		if t := l.queue.NextTimer(); !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	return next
+}
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -31,7 +31,7 @@
 	}
 	h.markDead(now)
 	f.recordStateChange(u, h, h.open.duration(now))
-	f.abandon(u.Ticket(), 0)
+	f.abandon(now, u.Ticket(), 0)
 }
 
 // judgeUnproven judges the upstreams that have waited for a proof of this balancer's own
--- a/flow/table.go
+++ b/flow/table.go
@@ -16,6 +16,12 @@
 	closed bool
 	// requestActive is set from a request until the client acknowledges more content.
 	requestActive bool
+	// requestAt is when the latest content of the request in progress came, and requestWorking
+	// the number of requests in progress at the upstream when the request began. The time of
+	// its answer is measured if requestMeasured is set.
+	requestAt       time.Time
+	requestWorking  float64
+	requestMeasured bool
 	// startsRequest is set while a packet that starts a request is decided on.
 	startsRequest bool
 	// answered is set once the client has acknowledged content of the upstream.
--- a/load/book.go
+++ b/load/book.go
@@ -197,23 +197,32 @@
 	}
 }
 
-// Zone returns the requests in progress and the capacity (slots' worth of work) of a service's
-// hosts in a zone, summed over the zone's groups of which there is a total of the last second.
-// It returns false if there is none.
-func (b *Book) Zone(now time.Time, zone, service string) (working, capacity float64, ok bool) {
+// Zone returns the load of a service's hosts in a zone, summed over the zone's groups of which
+// there is a total of the last second. At is that of the oldest total. It returns false if there
+// is none.
+func (b *Book) Zone(now time.Time, zone, service string) (ZoneTotal, bool) {
+	sum, ok := ZoneTotal{
+		Zone:    zone,
+		Service: service,
+	}, false
 	first, _ := b.zones.find(zone, service, 0)
 	for i := first; i < len(b.zones); i++ {
 		z := &b.zones[i]
 		if z.Zone != zone || z.Service != service {
 			break
 		}
-		if !z.expired(now) {
-			working += z.Working
-			capacity += z.Capacity
-			ok = true
+		if z.expired(now) {
+			continue
+		}
+		if !ok || z.At.Before(sum.At) {
+			sum.At = z.At
 		}
+		sum.Working += z.Working
+		sum.Capacity += z.Capacity
+		sum.Free += z.Free
+		ok = true
 	}
-	return working, capacity, ok
+	return sum, ok
 }
 
 // ownAt returns the samples that a digest that comes now includes.
--- a/load/book_test.go
+++ b/load/book_test.go
@@ -636,10 +636,10 @@
 				d.Zones = []ZoneTotal{z}
 				b.Apply(later(start, z.At), d)
 			}
-			working, capacity, ok := b.Zone(at(test.ms), "b", "board")
+			z, ok := b.Zone(at(test.ms), "b", "board")
 			require.Equal(t, test.ok, ok)
-			require.Zero(t, working-test.working)
-			require.Zero(t, capacity-test.capacity)
+			require.Zero(t, z.Working-test.working)
+			require.Zero(t, z.Capacity-test.capacity)
 		})
 	}
 }
--- a/load/collector.go
+++ b/load/collector.go
@@ -179,6 +179,8 @@
 		room := estimates[i].Capacity
 		if h.Cold(now) {
 			room = min(room, c.sums[i].working)
+		} else {
+			totals[n].Free += max(SpareFactor*room-c.sums[i].working, 0)
 		}
 		totals[n].Working += c.sums[i].working
 		totals[n].Capacity += room
--- a/load/collector_test.go
+++ b/load/collector_test.go
@@ -498,6 +498,7 @@
 			Group:    3,
 			Working:  1.5,
 			Capacity: 8,
+			Free:     SpareFactor*8 - 1.5,
 			At:       at(250),
 		},
 		{
@@ -506,6 +507,7 @@
 			Group:    3,
 			Working:  4.5,
 			Capacity: 8 + 2 + 1.5,
+			Free:     SpareFactor*(8+2) - 2*1.5,
 			At:       at(250),
 		},
 	}, c.Own(at(250), "a", 3, hosts))
--- a/load/load_bench_test.go
+++ b/load/load_bench_test.go
@@ -59,7 +59,7 @@
 	book.Apply(start, d)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, _, ok := book.Zone(start, "b", "docs"); !ok {
+		if _, ok := book.Zone(start, "b", "docs"); !ok {
 			b.Fatal("unknown")
 		}
 	}
--- a/load/zone.go
+++ b/load/zone.go
@@ -10,12 +10,20 @@
 // is full or cut off.
 const zoneTotalLifetime = time.Second
 
+// SpareFactor is the number of requests in progress per slot up to which a host takes more of
+// them: a request then waits for half the time of another one on average.
+const SpareFactor = 1.5
+
 // A ZoneTotal is the load of one service's hosts in one group of a zone.
 type ZoneTotal struct {
 	Zone, Service string
 	Group         int
 	Working       float64 // requests in progress
 	Capacity      float64 // slots' worth of work
+	// Free is the number of requests that can be added at the hosts which have fewer in
+	// progress than SpareFactor times their capacity. It may be positive while Working
+	// exceeds Capacity, as other hosts have more work than they take.
+	Free float64
 	// At is when the load was summed, on this process's monotonic clock.
 	At time.Time
 }
@@ -28,7 +36,7 @@
 	if t.At.After(now) {
 		t.At = now
 	}
-	if !(t.Working >= 0) || !(t.Capacity >= 0) || t.expired(now) {
+	if !(t.Working >= 0) || !(t.Capacity >= 0) || !(t.Free >= 0) || t.expired(now) {
 		return
 	}
 	i, found := z.find(t.Zone, t.Service, t.Group)
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -223,6 +223,7 @@
 			Group:    uint32(max(z.Group, 0)),
 			Working:  sixteenths(z.Working),
 			Capacity: sixteenths(z.Capacity),
+			Free:     sixteenths(z.Free),
 			Age:      milliseconds(now.Sub(z.At)),
 		})
 	}
@@ -276,6 +277,7 @@
 			Group:    int(min(z.GetGroup(), maxLoadNumber)),
 			Working:  fromSixteenths(z.GetWorking()),
 			Capacity: fromSixteenths(z.GetCapacity()),
+			Free:     fromSixteenths(z.GetFree()),
 			At:       now.Add(-min(duration(z.GetAge()), maxLoadAge)),
 		})
 	}
