fix: keep copies of a first packet at a living host

Cause: a balancer suspects a host when the first packets of two flows are repeated without progress in between. New flows avoid it then, and so did the copies of first packets, although the answers may have been lost. The second copy moved in any case, from the second host to a third. Probes that the host accepted meanwhile counted only in inquiries.

Change: a copy leaves a host that may take new flows only on evidence beyond unanswered first packets, later than the host's last life: an open flow's repeats, a probe that failed, an inquiry that nobody has refuted, or a death. The second copy (600 ms) moves, too, if the host has shown no life since the first packet, or if it opens no flow while three send second copies in vain (a full host accepts probes). A first packet that is unanswered after 50 ms is reason for a probe also if the host showed progress within these 50 ms, and once more after 500 ms unless the host has shown life by then.

Ruled out: that the second copy always stays at a living host. Clients of a full host would give up after 1.4 s each time; now the first two in a row do at each balancer.

--- a/flow/death.go
+++ b/flow/death.go
@@ -38,6 +38,7 @@
 	a.Silent = h.open.flows > 0 && now.Sub(h.open.retransmittedAt) < maxRetransmitInterval
 	a.Unreached = h.unreachedAt.After(life) && now.Sub(h.unreachedAt) < unreachedLifetime
 	h.backOff(now)
+	h.askedAt = now
 	f.asked[q.Ticket] = askedDeath{
 		id:      q.ID,
 		askedAt: now,
@@ -106,10 +107,11 @@
 	f.ignoreUntil = now.Add(resumeGracePeriod)
 	clear(f.asked)
 	f.confirmedDeaths = nil
-	f.pendingOpenings, f.pendingRequests = nil, nil
+	f.pendingOpenings, f.lateOpenings, f.pendingRequests = nil, nil, nil
 	f.dropHeld()
 	for _, h := range f.health {
 		h.clearEvidence()
+		h.askedAt, h.lateFlows = time.Time{}, 0
 	}
 }
 
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -41,9 +41,11 @@
 	// path has proved to work.
 	unproven []*directory.Upstream
 	// pendingOpenings and pendingRequests are the packets whose answers are not due
-	// yet, ordered by deadline. toProbe holds the upstreams to probe, and
+	// yet, and lateOpenings the first packets that were not answered in time and may need
+	// another probe, ordered by deadline. toProbe holds the upstreams to probe, and
 	// requestProbedAt is when a late request last led to a probe.
 	pendingOpenings []pendingAnswer
+	lateOpenings    []pendingAnswer
 	pendingRequests []pendingAnswer
 	toProbe         []*directory.Upstream
 	requestProbedAt time.Time
@@ -156,14 +158,17 @@
 }
 
 // openCopy decides on a retransmitted first packet. It goes to the same upstream
-// unless that is silent or may not take new flows any more, or this is at least the
-// moveAfterCopies-th retransmission.
+// unless that may not take new flows any more or seems to have failed.
 func (f *Forwarder) openCopy(now time.Time, v *directory.View, p *Packet, k key, s *flowState) Decision {
 	u := s.upstream
 	h := f.healthOf(u)
+	before := s.retransmissions
 	f.recordRetransmission(now, h, s)
 	s.retransmissions = max(s.retransmissions, p.Copy)
-	if s.retransmissions < moveAfterCopies && !now.Before(h.avoidUntil) && placeable(v, u) {
+	if before < moveAfterCopies && s.retransmissions >= moveAfterCopies && !now.Before(f.ignoreUntil) {
+		h.lateFlows++
+	}
+	if placeable(v, u) && !h.failed(now) && (s.retransmissions < moveAfterCopies || h.opensFlows(s.firstSentAt)) {
 		return f.forwardCopy(s)
 	}
 	d := f.place(now, v, p, k, u)
@@ -194,8 +199,9 @@
 	}
 }
 
-// moveAfterCopies is which retransmission of a first packet goes to another upstream:
-// the first one makes up for a lost packet, the second one for a failed upstream.
+// moveAfterCopies is which retransmission of a first packet goes to another upstream if
+// the first one has not shown since that it lives: the first retransmission makes up for a
+// lost packet, the second one for a failed upstream.
 const moveAfterCopies = 2
 
 // placeable reports whether new flows may go to u.
@@ -299,6 +305,7 @@
 	progress := s.opening || p.Flags.Has(FlagAcknowledge) && int32(p.Acknowledged-s.acknowledged) > 0
 	if progress {
 		if s.opening {
+			h.lateFlows = 0
 			f.attempts.remove(p, s.upstream.Ticket())
 		}
 		f.recordProgress(now, h, s, p)
@@ -434,6 +441,7 @@
 	s := &flowState{
 		upstream:      u,
 		opening:       true,
+		firstSentAt:   now,
 		firstSequence: p.Sequence,
 		nextSequence:  p.Sequence,
 		acknowledged:  p.Acknowledged,
--- a/flow/health.go
+++ b/flow/health.go
@@ -46,6 +46,11 @@
 	// deadOpeningAge is how long the last of these first packets must have been
 	// unanswered: longer than a balancer may go unscheduled on its share of a core.
 	deadOpeningAge = 250 * time.Millisecond
+	// fullFlows is the number of flows with two unanswered copies of their first packets,
+	// while the upstream opens no flow, from which on it is taken for full. It may serve
+	// its open flows then, and accept probes. The answers of two flows are lost in a row
+	// now and then.
+	fullFlows = 3
 	// flowRetransmissions is the number of retransmissions after which a single flow is
 	// reset, or the zone asked about its upstream, if that has shown no progress since the
 	// first transmission: four transmissions were lost and 1.4 s have passed. Another
@@ -120,6 +125,12 @@
 	// started, and unreachedAt when the last one was that was refused or not answered.
 	reachedAt   time.Time
 	unreachedAt time.Time
+	// askedAt is when the zone was last asked about the upstream, of which this balancer
+	// had seen nothing; zero if another one has refuted that.
+	askedAt time.Time
+	// lateFlows is the number of flows with moveAfterCopies unanswered copies of their
+	// first packets since the upstream last opened a flow.
+	lateFlows int
 	// lastProgress is when the upstream last showed progress here, and
 	// lastProgressElsewhere when it last did according to another balancer's refutation.
 	lastProgress          time.Time
@@ -213,6 +224,31 @@
 	return latest(h.lastProgress, h.reachedAt)
 }
 
+// failed reports whether new flows avoid the upstream for more than unanswered first packets,
+// whose answers may have been lost, and the upstream has shown no life since.
+func (h *health) failed(now time.Time) bool {
+	if !now.Before(h.avoidUntil) {
+		return false
+	}
+	life := latest(h.lastLife(), h.lastProgressElsewhere)
+	unreached := h.unreachedAt.After(life) && now.Sub(h.unreachedAt) < unreachedLifetime
+	return unreached || h.open.retransmittedAt.After(life) || h.diedAt.After(life) || h.askedAt.After(life)
+}
+
+// opensFlows reports whether the upstream lives and seems to open flows, although it has left
+// a first packet unanswered that was sent to it at a time.
+func (h *health) opensFlows(sentAt time.Time) bool {
+	return h.lateFlows < fullFlows && h.livedAfter(sentAt)
+}
+
+// livedAfter reports whether the upstream has shown that it lives after it got a packet that
+// was sent at a time. Progress that is seen within lateOpeningAfter may acknowledge what it has
+// sent before.
+func (h *health) livedAfter(sentAt time.Time) bool {
+	progress := latest(h.lastProgress, h.lastProgressElsewhere)
+	return h.reachedAt.After(sentAt) || !progress.Before(sentAt.Add(lateOpeningAfter))
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -344,6 +380,7 @@
 // then against open ones.
 func (h *health) markAlive(at time.Time) {
 	h.lastProgressElsewhere = at
+	h.askedAt, h.diedAt = time.Time{}, time.Time{}
 	if h.state == Dead || !h.open.retransmittedAt.After(at) {
 		h.open.clear()
 	}
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -15,6 +15,9 @@
 	lookupTimeout = 30 * time.Millisecond
 	// maxLookups is the maximum number of first packets that wait.
 	maxLookups = 1024
+	// initialRetransmitInterval is the time until a client first retransmits a packet. The
+	// interval doubles with each retransmission.
+	initialRetransmitInterval = 200 * time.Millisecond
 	// maxFlowLength is the number of content bytes after which a packet is not taken for
 	// one of an ambiguous flow: another flow may use the same addresses and ports by then.
 	maxFlowLength = 1 << 24
@@ -206,12 +209,18 @@
 func (f *Forwarder) openAt(now time.Time, v *directory.View, p *Packet, k key, u *directory.Upstream, open bool) Decision {
 	f.addFlow(now, k, u, p)
 	s := f.flows.find(k)
+	s.firstSentAt = now.Add(-copyAge(p.Copy))
 	if open {
 		return f.forwardCopy(s)
 	}
 	return f.openCopy(now, v, p, k, s)
 }
 
+// copyAge returns how long after a first packet its n-th copy is sent.
+func copyAge(n int) time.Duration {
+	return (1<<min(n, moveAfterCopies) - 1) * initialRetransmitInterval
+}
+
 // openUnseen places a flow whose first packet may have been placed by a balancer that is
 // gone, or that runs behind.
 func (f *Forwarder) openUnseen(now time.Time, v *directory.View, p *Packet, k key) Decision {
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -62,7 +62,7 @@
 // is to be called; zero if there is none.
 func (f *Forwarder) NextTimer() time.Time {
 	var next time.Time
-	for _, waiting := range [][]pendingAnswer{f.pendingOpenings, f.pendingRequests} {
+	for _, waiting := range [][]pendingAnswer{f.pendingOpenings, f.lateOpenings, f.pendingRequests} {
 		if len(waiting) > 0 && (next.IsZero() || waiting[0].deadline.Before(next)) {
 			next = waiting[0].deadline
 		}
@@ -76,8 +76,17 @@
 // checkPending checks the packets whose answers were due by now.
 func (f *Forwarder) checkPending(now time.Time) {
 	for len(f.pendingOpenings) > 0 && !now.Before(f.pendingOpenings[0].deadline) {
-		f.requestProbe(now, &f.pendingOpenings[0])
+		p := f.pendingOpenings[0]
 		f.pendingOpenings = f.pendingOpenings[1:]
+		f.checkLateOpening(now, &p)
+		if p.flow.opening && !p.flow.closed {
+			p.deadline = p.sentAt.Add(probeInterval)
+			f.lateOpenings = append(f.lateOpenings, p)
+		}
+	}
+	for len(f.lateOpenings) > 0 && !now.Before(f.lateOpenings[0].deadline) {
+		f.checkLateOpening(now, &f.lateOpenings[0])
+		f.lateOpenings = f.lateOpenings[1:]
 	}
 	for len(f.pendingRequests) > 0 && !now.Before(f.pendingRequests[0].deadline) {
 		f.checkRequest(now, &f.pendingRequests[0])
@@ -85,6 +94,17 @@
 	}
 }
 
+// checkLateOpening requests a probe of an upstream that has left a first packet unanswered and
+// has shown no life since. It is called again after probeInterval, as the upstream may have
+// been probed just before the packet: the result is known when the client sends the second
+// copy, which goes to another upstream without it.
+func (f *Forwarder) checkLateOpening(now time.Time, e *pendingAnswer) {
+	h := f.healthOf(e.flow.upstream)
+	if e.flow.opening && !e.flow.closed && !h.livedAfter(e.sentAt) {
+		f.probe(now, e.flow.upstream, h)
+	}
+}
+
 // checkRequest reports a request that is still unanswered as late, and requests a
 // probe of its upstream.
 func (f *Forwarder) checkRequest(now time.Time, e *pendingAnswer) {
@@ -104,16 +124,24 @@
 	}
 }
 
-// requestProbe requests a probe of a packet's upstream, unless the upstream has shown
-// progress since the packet was sent or has just been probed. It reports whether it
+// requestProbe requests a probe of a request's upstream, unless the upstream has shown
+// progress since the request was sent or has just been probed. It reports whether it
 // did.
 func (f *Forwarder) requestProbe(now time.Time, e *pendingAnswer) bool {
 	h := f.healthOf(e.flow.upstream)
-	unanswered := !e.flow.opening || h.openings > 0
-	if e.flow.closed || !unanswered || h.lastProgress.After(e.sentAt) || now.Sub(h.probedAt) < probeInterval {
+	if e.flow.closed || h.lastProgress.After(e.sentAt) {
+		return false
+	}
+	return f.probe(now, e.flow.upstream, h)
+}
+
+// probe requests a probe of an upstream, unless it has just been probed, and reports whether
+// it did.
+func (f *Forwarder) probe(now time.Time, u *directory.Upstream, h *health) bool {
+	if now.Sub(h.probedAt) < probeInterval {
 		return false
 	}
 	h.probedAt = now
-	f.toProbe = append(f.toProbe, e.flow.upstream)
+	f.toProbe = append(f.toProbe, u)
 	return true
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -11,6 +11,9 @@
 	upstream *directory.Upstream
 	// opening is set until a packet of the client shows that the upstream answered.
 	opening bool
+	// firstSentAt is when the first packet was sent to the upstream, by this balancer or
+	// by another one; zero if this balancer has seen neither it nor a copy.
+	firstSentAt time.Time
 	// closed is set once the client has finished or reset the flow, or the balancer has
 	// abandoned, replaced or forgotten it.
 	closed bool
