--- a/admission/class.go
+++ b/admission/class.go
@@ -26,27 +26,20 @@
 	classLifetime = 10 * time.Second
 )
 
-// Damping of shares. What hosts report is 250 to 500 ms old. Steps are ratios, since a
-// change of a share by a ratio changes the admitted load by at most that ratio, whatever
-// the overload.
-const (
-	shareInterval = 250 * time.Millisecond
-	// shareGain is the part of the way to the new share, as a logarithm, that one interval
-	// takes.
-	shareGain = 0.3
-	// maxFall and maxRise bound the change in one interval.
-	maxFall = 0.6
-	maxRise = 1.25
-	// fullShare is taken for 1, so that the way back to it ends.
-	fullShare = 0.97
-)
-
 // A class holds the state of one priority.
 type class[K comparable] struct {
 	priority int
 	// share is the damped share in force.
-	share  float64
-	tokens float64
+	share float64
+	// top is the share before the last fall.
+	top float64
+	// falls and rises count the changes of the share in the same direction, rises only those
+	// above top.
+	falls, rises int
+	tokens       float64
+	// refused is the number of recent refusals of first attempts, and returned that of their
+	// returns to this balancer, both discounted as arrivals.
+	refused, returned float64
 	// arrivals is the number of recent first attempts, discounted to the time at.
 	arrivals  float64
 	at        time.Time
@@ -74,10 +67,24 @@
 
 // arrive counts the arrival of a first attempt.
 func (c *class[K]) arrive(now time.Time) {
-	c.arrivals = c.recent(now) + 1
-	if now.After(c.at) {
+	if elapsed := now.Sub(c.at); elapsed > 0 {
+		discount := math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
+		c.arrivals *= discount
+		c.refused *= discount
+		c.returned *= discount
 		c.at = now
 	}
+	c.arrivals++
+}
+
+// earning returns what one arrival earns. Refused clients return, most of them at other
+// balancers, where they look like new ones: if all return twice, one of
+// 1 + (1-share) + (1-share)^2 arrivals is a new request. Returns that this balancer has
+// recognized earn nothing; the more it recognizes, the closer the others come to the share.
+func (c *class[K]) earning() float64 {
+	missing := 1 - c.share
+	recognized := min(c.returned/max(c.refused, 1), 1)
+	return c.share / (1 + (1-recognized)*missing*(1+missing))
 }
 
 // earn adds tokens.
@@ -93,7 +100,7 @@
 		from = c.paidAt
 	}
 	if now.After(from) {
-		c.earn(c.share * (c.recent(from) - c.recent(now)))
+		c.earn(c.earning() * (c.recent(from) - c.recent(now)))
 		c.paidAt = now
 	}
 }
@@ -104,7 +111,7 @@
 	if c.paidAt.After(from) {
 		from = c.paidAt
 	}
-	missing := (1 - c.tokens) / (c.share * c.recent(from))
+	missing := (1 - c.tokens) / (c.earning() * c.recent(from))
 	if missing >= 1 {
 		return time.Time{}, false
 	}
@@ -143,16 +150,34 @@
 	return c.arrivals * math.Exp(-elapsed.Seconds()/rateWindow.Seconds())
 }
 
-// setShare moves the share towards a target after the time elapsed since the last change.
-func (c *class[K]) setShare(now time.Time, target float64, elapsed time.Duration) {
-	intervals := elapsed.Seconds() / shareInterval.Seconds()
-	before := c.share
-	ratio := math.Pow(target/c.share, 1-math.Pow(1-shareGain, intervals))
-	c.share *= min(max(ratio, math.Pow(maxFall, intervals)), math.Pow(maxRise, intervals))
-	if c.share > fullShare && target >= fullShare {
-		c.share = 1
+// fall lowers the share towards a target below it, further for each fall that follows another.
+// The argument step is the least ratio of a first fall from a share below 1.
+func (c *class[K]) fall(target, step float64) {
+	limit := onsetFall
+	if c.share < 1 {
+		limit = math.Pow(step, float64(c.falls+1))
 	}
-	if c.share == 1 && before < 1 {
+	c.top = c.share
+	c.falls++
+	c.rises = 0
+	c.share *= max(math.Pow(target/c.share, fallGain), limit)
+}
+
+// rise raises the share towards a target above it: quickly up to near the share from which it
+// fell, then slowly, then faster with each rise.
+func (c *class[K]) rise(now time.Time, target float64) {
+	c.falls = 0
+	step := quickRise
+	if c.share*quickRise > c.top {
+		c.rises++
+		if target == 1 {
+			c.rises++
+		}
+		step = min(1+riseStep*float64(c.rises), maxRise)
+	}
+	c.share = min(c.share*step, target)
+	if c.share >= fullShare {
+		c.share = 1
 		c.startDrain(now)
 	}
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -21,6 +21,36 @@
 	returnedPart = 4
 )
 
+// Damping of shares. Hosts fill in a tenth of a second, while shares follow them by 250 to
+// 500 ms, so that shares taken as they are would swing between their ends. Instead, a fall is
+// given time to show before the next change, and rises start small. They are ratios, since a
+// change of a share by a ratio changes the admitted load by the same ratio, whatever the
+// overload.
+const (
+	// fallInterval is the time from a fall to the next change: the lag of the shares, and the
+	// time in which hosts get through what they have.
+	fallInterval = 700 * time.Millisecond
+	// fallGain is the part of the way to a lower share, as a logarithm, that a fall takes. A
+	// fall from 1 is to onsetFall at the most, the n-th fall in a row to firstFall to the power
+	// of n, which comes near to onsetFall for less urgent priorities while the share of the most
+	// urgent one should fall: hosts refuse urgent requests by then. Falls to 0.4 took work from urgent requests that hosts had room for.
+	fallGain  = 0.5
+	onsetFall = 0.7
+	firstFall = 0.85
+	// riseInterval is the least time between two rises.
+	riseInterval = 200 * time.Millisecond
+	// quickRise is a rise up to near the share before the last fall. Beyond that, each rise is
+	// larger than the one before by riseStep, up to maxRise.
+	quickRise = 1.1
+	riseStep  = 0.01
+	maxRise   = 1.3
+	// fullShare is taken for 1.
+	fullShare = 0.97
+	// lowShare is the share that all less urgent priorities must have come down to before
+	// one falls.
+	lowShare = 1.2 * leastShare
+)
+
 // A Request is one first packet that asks for admission.
 type Request[K comparable] struct {
 	ID K
@@ -73,6 +103,8 @@
 	shares Shares
 	// sharesAt is the time of the last SetShares.
 	sharesAt time.Time
+	// holdUntil is the time until which shares in force don't change.
+	holdUntil time.Time
 	// short reports whether a share in force is below 1.
 	short bool
 	// classes are sorted by priority.
@@ -112,6 +144,7 @@
 	q.decided = q.decided[:0]
 	q.shares = Shares{}
 	q.sharesAt = time.Time{}
+	q.holdUntil = time.Time{}
 	q.short = false
 	q.sketch.reset(time.Time{})
 	q.returns = returns{}
@@ -167,20 +200,24 @@
 		deadline: now.Add(r.MaxWait),
 	}
 	w.attempt = q.returns.take(now, w.key)
-	if w.attempt == attemptFirst {
+	switch w.attempt {
+	case attemptFirst:
 		// Returns earn nothing: they are the same demand once more.
 		c.pay(now)
 		c.arrive(now)
 		if c.share < 1 {
-			c.earn(c.share)
+			c.earn(c.earning())
 		}
+	case attemptReturned:
+		c.returned++
+	case attemptAgain:
 	}
 	v := q.decide(now, c, &w, r.MaxWait)
 	switch v {
 	case Admit:
 		q.sketch.add(w.key)
 	case Reject:
-		q.returns.add(now, w.key, w.attempt)
+		q.refuse(now, c, &w)
 	case Wait:
 		c.waiting = append(c.waiting, w)
 		q.waiting[w.id] = c.priority
@@ -240,7 +277,7 @@
 	return true
 }
 
-// SetSeed sets the seed by which callers are hashed, and forgets their admissions. The seed
+// SetSeed sets the seed by which callers are hashed; call it before the first Offer. The seed
 // should be random for each process, so that nobody can choose addresses that collide with
 // another caller's.
 func (q *Queue[K]) SetSeed(seed uint64) {
@@ -249,22 +286,26 @@
 }
 
 // SetShares sets how much of each priority may go. It should be called about four times a
-// second; shares that are older than 2 s lapse, and all may go. Changes are damped: within
-// 250 ms a share in force falls to no less than 0.6 of its value and rises to no more than
-// 1.25 of it.
+// second; shares that are older than 2 s lapse, and all may go. Changes are damped: falls are
+// 700 ms apart and go from 1 to no less than 0.7, then to no less than 0.85 of the share (0.7
+// for less urgent priorities while the most urgent one should fall), the square of that for
+// the second in a row and so on; the least urgent priority falls first, the most urgent one
+// rises first. A rise takes a tenth at most up to near the former share, then a hundredth,
+// two hundredths and so on.
 func (q *Queue[K]) SetShares(now time.Time, shares Shares) {
 	q.expireShares(now)
-	elapsed := shareInterval
-	if !q.sharesAt.IsZero() {
-		elapsed = min(max(now.Sub(q.sharesAt), 0), sharesLifetime)
-	}
 	q.shares = shares
 	q.sharesAt = now
 	q.classes = slices.DeleteFunc(q.classes, func(c *class[K]) bool {
 		return len(c.waiting) == 0 && now.Sub(c.at) > classLifetime
 	})
-	for _, c := range q.classes {
-		c.setShare(now, shares.Of(c.priority), elapsed)
+	q.endBurst(now)
+	switch {
+	case now.Before(q.holdUntil):
+	case q.fall():
+		q.holdUntil = now.Add(fallInterval)
+	case q.rise(now):
+		q.holdUntil = now.Add(riseInterval)
 	}
 	q.updateShort()
 }
@@ -371,6 +412,18 @@
 	}
 }
 
+// endBurst takes back falls that answered a burst: hosts have room again at the first look
+// after a first fall from 1.
+func (q *Queue[K]) endBurst(now time.Time) {
+	for _, c := range q.classes {
+		if c.share < 1 && c.top == 1 && c.falls == 1 && q.shares.Of(c.priority) == 1 {
+			c.falls = 0
+			c.share = 1
+			c.startDrain(now)
+		}
+	}
+}
+
 // expectedWait returns how long a request of a caller with count admissions would wait at
 // the current rate.
 func (q *Queue[K]) expectedWait(now time.Time, c *class[K], count uint32) time.Duration {
@@ -380,7 +433,7 @@
 			missing++
 		}
 	}
-	seconds := missing / (c.share * c.rate(now))
+	seconds := missing / (c.earning() * c.rate(now))
 	if !(seconds < math.MaxInt32) {
 		return math.MaxInt64
 	}
@@ -413,6 +466,31 @@
 	}
 }
 
+// fall lowers the shares that are above what they should be, and reports whether there were
+// any.
+func (q *Queue[K]) fall() bool {
+	fell := false
+	urgent := 1.0
+	if len(q.classes) > 0 {
+		urgent = q.shares.Of(q.classes[0].priority)
+	}
+	for i, c := range slices.Backward(q.classes) {
+		before := c.share
+		if target := q.shares.Of(c.priority); target < before {
+			step := firstFall
+			if i > 0 {
+				step = onsetFall + (firstFall-onsetFall)*urgent
+			}
+			c.fall(target, step)
+			fell = true
+		}
+		if before > lowShare {
+			break
+		}
+	}
+	return fell
+}
+
 // find returns the class of a priority, or nil.
 func (q *Queue[K]) find(priority int) *class[K] {
 	for _, c := range q.classes {
@@ -448,6 +526,14 @@
 	return true
 }
 
+// refuse remembers a refused request for the time when its client comes back.
+func (q *Queue[K]) refuse(now time.Time, c *class[K], w *waiter[K]) {
+	if w.attempt == attemptFirst {
+		c.refused++
+	}
+	q.returns.add(now, w.key, w.attempt)
+}
+
 // replaceCopy takes the size of a copy of a waiting request. If that exceeds the limits, the
 // request is rejected.
 func (q *Queue[K]) replaceCopy(priority int, r *Request[K]) Verdict {
@@ -463,11 +549,28 @@
 	return Wait
 }
 
+// rise raises the share of the most urgent priority that is below what it should be, and
+// reports whether there was any.
+func (q *Queue[K]) rise(now time.Time) bool {
+	for _, c := range q.classes {
+		if c.share == 1 {
+			continue
+		}
+		target := q.shares.Of(c.priority)
+		if target <= c.share {
+			return false
+		}
+		c.rise(now, target)
+		return true
+	}
+	return false
+}
+
 // settle takes a request off the queue and records the decision for Release.
 func (q *Queue[K]) settle(now time.Time, c *class[K], i int, v Verdict) {
 	w := q.take(c, i)
 	if v == Reject {
-		q.returns.add(now, w.key, w.attempt)
+		q.refuse(now, c, &w)
 	} else if q.short {
 		q.sketch.add(w.key)
 	}
