--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -17,12 +17,12 @@
 	referenceRank = 0.4
 	// slowErrors is the number of standard errors up to which a deviation counts for
 	// nothing. Thresholds at 0.8 of the slots are then above four standard errors.
-	slowErrors = 3.5
+	slowErrors = 3.2
 	// fastErrors is the number of standard errors by which a slow host may be slower than
 	// its recent answers. It is small, since a slow host gets few answers to recover by.
-	fastErrors = 0.5
+	fastErrors = 1
 	// minRecentAnswers is the number of answers of a window that may show a recovery.
-	minRecentAnswers = 4
+	minRecentAnswers = 5
 	// minKnownAnswers is the number of answers of an estimate.
 	minKnownAnswers = 6
 	// priorSpread is the standard deviation of the logarithm of one answer's ratio while
@@ -37,11 +37,20 @@
 	// minLoadedHosts is the number of hosts with loaded answers that give a reference of
 	// their own.
 	minLoadedHosts = 3
+	// burst is the standard deviation of the logarithm of a host's mean over 1 s that queues
+	// add where all answers of a service are loaded: Answer.Working is up to 500 ms old, so
+	// it misses bursts of requests.
+	burst = 0.2
+	// shareEvidence is the evidence for a share of quick answers, in natural units, up to
+	// which it counts for nothing.
+	shareEvidence = 9
 	// quickRank is like referenceRank, of the shares of quick answers: where half of the
 	// hosts are twice as fast as the others, they have more of them.
 	quickRank = 0.6
 	// minQuickShare bounds the share from which the error of a share is derived.
 	minQuickShare = 0.05
+	// maxFailing bounds the share of answers that are taken for failures among the others.
+	maxFailing = 0.8
 	// minCapacity is the least share of the slots that a host's capacity is.
 	minCapacity = 1.0 / 16
 	// kneeShare is the share of the slots that light answers start with.
@@ -83,9 +92,12 @@
 	// slow is the logarithm of the ratio of its answer times to the usual, and failing the
 	// share of requests that fail at once.
 	slow, failing float64
-	// loaded is like slow, of loaded answers; loadedAt is when they were last enough.
+	// loaded is like slow, of loaded answers at loadedAt, when they were last slow while
+	// light ones were not.
 	loaded   float64
 	loadedAt time.Time
+	// trimmed reports whether the most adverse reports were left out.
+	trimmed bool
 	// knee is the least capacity, as a share of the slots, that light answers show.
 	knee    float64
 	answers int
@@ -111,11 +123,14 @@
 // A reference is what the hosts of a service have in common in one window.
 type reference struct {
 	logs [both]float64
-	// spread is the standard deviation of one answer, and errors the variance of the
-	// reference itself.
-	spread   [numKinds]float64
+	// spread is the standard deviation of one answer.
+	spread [numKinds]float64
+	// variance is that of the reference itself, and of bursts of requests.
 	variance [numKinds]float64
-	quick    float64
+	// quick is the share of quick answers, and loaded that of loaded ones.
+	quick, loaded float64
+	// trimmed reports whether the most adverse reports were left out.
+	trimmed bool
 }
 
 // An Estimator joins the observations of all balancers to an estimate of each upstream. A
@@ -208,40 +223,36 @@
 	var refs [len(windows)]reference
 	// The reference is trimmed on both sides; the hosts' own means only at the top, since
 	// the least mean without one balancer is what all others agree on.
+	found := make([]uint64, 0, minSenders)
 	for _, i := range members {
-		e.measure(now, hosts[i], e.stats[i][:], &refs, true)
+		found = e.record(now, hosts[i].Ticket()).addSenders(now, found)
+	}
+	trim := len(found) == minSenders
+	for _, i := range members {
+		e.measure(now, hosts[i], e.stats[i][:], &refs, trim, true)
 	}
 	for w := range refs {
 		refs[w] = e.reference(w, members)
 	}
 	for _, i := range members {
-		e.measure(now, hosts[i], e.stats[i][:], &refs, false)
+		e.measure(now, hosts[i], e.stats[i][:], &refs, trim, false)
 	}
 	for w := range refs {
+		change := serviceChange(&refs, w)
 		for kind := range numKinds {
 			e.spread(&refs[w], w, kind, members)
+			refs[w].spread[kind] = math.Hypot(refs[w].spread[kind], change)
 		}
+		refs[w].trimmed = trim
 	}
 	return refs
 }
 
 // measure computes the stats of one host in all windows.
-func (e *Estimator) measure(now time.Time, u *directory.Upstream, s []stats, refs *[len(windows)]reference, low bool) {
+func (e *Estimator) measure(now time.Time, u *directory.Upstream, s []stats, refs *[len(windows)]reference, trim, low bool) {
 	r := e.record(now, u.Ticket())
-	trim := r.senders(now) >= minSenders
-	average := func(tallies []tally, value func(t *tally) (float64, float64)) mean {
-		if !trim {
-			return plainMean(tallies, value)
-		}
-		return trimmedMean(tallies, low, value)
-	}
 	e.tallies = r.visit(now, e.tallies, func(w int, tallies []tally) {
-		for kind := range numKinds {
-			s[w].kinds[kind] = average(tallies, func(t *tally) (float64, float64) {
-				return t.value(kind, &refs[w].logs)
-			})
-		}
-		s[w].quick = average(tallies, (*tally).quickValue)
+		s[w], e.values = measure(tallies, &refs[w].logs, trim, low, e.values)
 	})
 }
 
@@ -267,6 +278,15 @@
 		}
 	}
 	ref.quick = quantile(e.values, quickRank)
+	var answers [both]float64
+	for _, i := range members {
+		for kind := range answers {
+			answers[kind] += e.stats[i][w].kinds[kind].answers
+		}
+	}
+	if answers[loaded] > 0 {
+		ref.loaded = answers[loaded] / (answers[light] + answers[loaded])
+	}
 	return ref
 }
 
@@ -291,7 +311,7 @@
 	ref.spread[kind] = max(minSpread, math.Sqrt(variance))
 	if total > 0 {
 		// The variance of a median is pi/2 times that of a mean.
-		ref.variance[kind] = math.Pi / 2 * variance / total
+		ref.variance[kind] = math.Pi/2*variance/total + ref.loaded*burst*burst/windows[w].Seconds()
 	}
 }
 
@@ -327,6 +347,10 @@
 
 // learn updates the state from the means of all windows, if they rest on enough answers.
 func (r *record) learn(now time.Time, s []stats, refs *[len(windows)]reference) {
+	if refs[0].trimmed && !r.state.trimmed {
+		// One balancer alone may have made the estimate.
+		r.state = state{trimmed: true}
+	}
 	all := s[len(s)-1].kinds
 	if all[both].answers < minKnownAnswers {
 		return
@@ -334,19 +358,34 @@
 	r.state.known = true
 	r.state.answers = int(all[both].answers)
 	r.state.at = r.entries[len(r.entries)-1].at
-	r.state.slow = slowness(s, refs, both)
 	r.state.failing = failing(s, refs)
-	if all[loaded].answers >= minKnownAnswers {
-		r.state.loaded = slowness(s, refs, loaded)
-		r.state.loadedAt = now
-	}
-	// Light answers of the last 4 s show what a host takes well at least.
-	const recent = 3
+	withoutFailures(s, refs, r.state.failing)
+	r.state.slow = slowness(s, refs[:], both)
+	r.learnKnee(now, s, refs)
+}
+
+// learnKnee updates what is known of loaded answers.
+func (r *record) learnKnee(now time.Time, s []stats, refs *[len(windows)]reference) {
 	r.state.knee = 0
 	if m := s[recent].kinds[light]; m.answers >= minKnownAnswers {
 		slow := max(0, m.value+standardError(m, &refs[recent], light))
 		r.state.knee = kneeShare * math.Exp(-slow)
 	}
+	// Bursts of requests would make shorter windows find knees.
+	slow := slowness(s[recent-1:], refs[recent-1:], loaded)
+	lightSlow := 0.0
+	for w := range s {
+		if m := s[w].kinds[light]; m.answers > 0 {
+			lightSlow = max(lightSlow, least(m.value, slowErrors*standardError(m, &refs[w], light)))
+		}
+	}
+	switch {
+	case lightSlow > max(slow, r.state.loaded)/2:
+		// The host was slow at all loads, so this says nothing about a knee.
+		r.state.loaded = 0
+	case s[recent].kinds[loaded].answers >= minKnownAnswers:
+		r.state.loaded, r.state.loadedAt = slow, now
+	}
 }
 
 // record returns the record of an upstream.
@@ -382,23 +421,44 @@
 		if m.answers == 0 {
 			continue
 		}
-		p := max(usual, minQuickShare)
-		share = narrow(share, (m.value-usual)/(1-usual), math.Sqrt(p*(1-p)/m.answers)/(1-usual), m.answers)
+		if m.value > usual {
+			share = max(share, least(m.value-usual, m.value-leastShare(m))/(1-usual))
+		}
+		if m.answers >= minRecentAnswers {
+			p := max(m.value, minQuickShare)
+			share = min(share, max(0, m.value+fastErrors*math.Sqrt(p*(1-p)/m.answers)-usual)/(1-usual))
+		}
 	}
 	return min(share, 1)
 }
 
-// narrow moves an estimate from a longer window into the range that the mean of a shorter
-// one allows. A mean counts only as far as it exceeds slowErrors standard errors: from
-// nothing there to nearly all of it where it exceeds them by far.
-func narrow(estimate, value, err, answers float64) float64 {
-	if noise := slowErrors * err; value > noise {
-		estimate = max(estimate, value-noise*noise/value)
+// leastShare returns the least share that a mean of zeros and ones shows: the one at which
+// so high a mean has the probability exp(-shareEvidence), by Chernoff's bound. A normal
+// distribution would find chance in few answers of short work too rare.
+func leastShare(m mean) float64 {
+	low, high := 0.0, m.value
+	for range 12 {
+		p := (low + high) / 2
+		divergence := m.value * math.Log(m.value/p)
+		if m.value < 1 {
+			divergence += (1 - m.value) * math.Log((1-m.value)/(1-p))
+		}
+		if m.answers*divergence > shareEvidence {
+			low = p
+		} else {
+			high = p
+		}
 	}
-	if answers >= minRecentAnswers {
-		estimate = min(estimate, max(0, value+fastErrors*err))
+	return low
+}
+
+// least returns how much of a value counts: nothing up to the noise, and nearly all of it
+// where it exceeds the noise by far.
+func least(value, noise float64) float64 {
+	if value <= noise {
+		return 0
 	}
-	return estimate
+	return value - noise*noise/value
 }
 
 // quantile returns the value of a rank between 0 and 1, weighted by answers; zero if there
@@ -422,12 +482,37 @@
 	return values[len(values)-1].value
 }
 
-// slowness returns the logarithm of the ratio of a host's answer times to the usual.
-func slowness(s []stats, refs *[len(windows)]reference, kind int) float64 {
+// serviceChange returns how far the reference of a window is from those of the windows
+// around it. While a whole service changes, hosts differ by how many of their recent answers
+// were before the change.
+func serviceChange(refs *[len(windows)]reference, w int) float64 {
+	if w > recent {
+		return 0
+	}
+	change := 0.0
+	for _, ref := range refs[1 : recent+1] {
+		for kind := range both {
+			if ref.logs[kind] != 0 && refs[w].logs[kind] != 0 {
+				change = max(change, math.Abs(ref.logs[kind]-refs[w].logs[kind]))
+			}
+		}
+	}
+	return change
+}
+
+// slowness returns the logarithm of the ratio of a host's answer times to the usual. Each
+// window moves the estimate of the longer ones into the range that its own mean allows.
+func slowness(s []stats, refs []reference, kind int) float64 {
 	slow := 0.0
 	for w := len(s) - 1; w >= 0; w-- {
-		if m := s[w].kinds[kind]; m.answers > 0 {
-			slow = narrow(slow, m.value, standardError(m, &refs[w], kind), m.answers)
+		m := s[w].kinds[kind]
+		if m.answers == 0 {
+			continue
+		}
+		err := standardError(m, &refs[w], kind)
+		slow = max(slow, least(m.value, slowErrors*err))
+		if m.answers >= minRecentAnswers {
+			slow = min(slow, max(0, m.value+fastErrors*err))
 		}
 	}
 	return slow
@@ -437,3 +522,20 @@
 func standardError(m mean, ref *reference, kind int) float64 {
 	return math.Sqrt(ref.spread[kind]*ref.spread[kind]/m.answers + ref.variance[kind])
 }
+
+// withoutFailures takes the answers that failed at once out of the means, of which they
+// are the share failing: a host that is slow and refuses requests must not look usual.
+func withoutFailures(s []stats, refs *[len(windows)]reference, failing float64) {
+	failing = min(failing, maxFailing)
+	for w := range s {
+		for kind := range s[w].kinds {
+			m := &s[w].kinds[kind]
+			if m.answers == 0 {
+				continue
+			}
+			quick := minLogRatio - refs[w].logs[min(kind, loaded)]
+			m.value = (m.value - failing*min(quick, 0)) / (1 - failing)
+			m.answers *= 1 - failing
+		}
+	}
+}
--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -31,9 +31,11 @@
 	// maxQueue bounds the factor by which a queue is expected to lengthen an answer: hosts
 	// refuse what exceeds their queue.
 	maxQueue = 4
-	// maxLogRatio is the logarithm of the largest ratio that one answer may have, and its
-	// negative that of the smallest.
+	// maxLogRatio is the logarithm of the largest ratio that one answer may have, and
+	// minLogRatio that of the smallest: quick answers are counted, and must not make a
+	// host look fast beyond that.
 	maxLogRatio = 4 * math.Ln2
+	minLogRatio = -math.Ln2
 	// forgetAfter is how long upstreams and routes are kept without an answer.
 	forgetAfter = time.Minute
 )
@@ -207,7 +209,7 @@
 		c = &s.loaded
 	}
 	c.answers++
-	c.logs += min(max(log, -maxLogRatio), maxLogRatio)
+	c.logs += min(max(log, minLogRatio), maxLogRatio)
 	if quick {
 		s.quick++
 	}
--- a/capacity/record.go
+++ b/capacity/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -14,22 +15,28 @@
 	maxEntries = 512
 	// maxAnswers bounds the answers of one observation, so that sums stay exact.
 	maxAnswers = 10000
-	// minSenders is the number of balancers that must have reported on an upstream before
-	// the most adverse report is left out.
+	// minSenders is the number of balancers that must have reported on a service before the
+	// most adverse report on each host is left out.
 	minSenders = 3
 )
 
-// windows are the periods over which answers are averaged, from the shortest: each holds
-// twice as many answers as the one before.
+// windows are the periods over which answers are averaged, from the shortest. Those below
+// a second are close together, so that one of them begins soon after a host has changed.
 var windows = [...]time.Duration{
+	history / 64,
 	history / 32,
+	history * 3 / 64,
 	history / 16,
+	history * 3 / 32,
 	history / 8,
 	history / 4,
 	history / 2,
 	history,
 }
 
+// recent is the index of the window in which light answers show what a host takes well.
+const recent = 6
+
 // Kinds of answers. Answers of kind both are compared each with those of its own cell.
 const (
 	light = iota
@@ -70,7 +77,7 @@
 	n := min(c.Answers, maxAnswers)
 	return sum{
 		answers: n,
-		logs:    float64(n) * min(max(math.Log(c.Ratio), -maxLogRatio), maxLogRatio),
+		logs:    float64(n) * min(max(math.Log(c.Ratio), minLogRatio), maxLogRatio),
 	}
 }
 
@@ -81,20 +88,21 @@
 	quick  int
 }
 
-// value returns the answers of a kind and the sum of their logarithms over the references.
-func (t *tally) value(kind int, refs *[both]float64) (answers, logs float64) {
-	for k, c := range t.cells {
-		if kind == k || kind == both {
-			answers += float64(c.answers)
-			logs += c.logs - float64(c.answers)*refs[k]
+// value returns the mean of a kind of answers over the references.
+func (t *tally) value(kind int, refs *[both]float64) mean {
+	if kind != both {
+		c := t.cells[kind]
+		return mean{
+			answers: float64(c.answers),
+			value:   c.logs/float64(c.answers) - refs[kind],
 		}
 	}
-	return answers, logs
-}
-
-// quickValue returns the number of answers and that of quick ones.
-func (t *tally) quickValue() (answers, quick float64) {
-	return float64(t.cells[light].answers + t.cells[loaded].answers), float64(t.quick)
+	l, h := t.cells[light], t.cells[loaded]
+	n := float64(l.answers + h.answers)
+	return mean{
+		answers: n,
+		value:   (l.logs - float64(l.answers)*refs[light] + h.logs - float64(h.answers)*refs[loaded]) / n,
+	}
 }
 
 // A mean is the mean of a number of values.
@@ -146,23 +154,14 @@
 	return tallies
 }
 
-// senders returns the number of balancers in the history, up to minSenders.
-func (r *record) senders(now time.Time) int {
-	var found [minSenders]uint64
-	n := 0
-search:
-	for i := len(r.entries) - 1; i >= 0 && now.Sub(r.entries[i].at) <= history; i-- {
-		for _, s := range found[:n] {
-			if s == r.entries[i].sender {
-				continue search
-			}
-		}
-		found[n] = r.entries[i].sender
-		if n++; n == minSenders {
-			break
+// addSenders adds the balancers in the history to those found, up to minSenders.
+func (r *record) addSenders(now time.Time, found []uint64) []uint64 {
+	for i := len(r.entries) - 1; i >= 0 && now.Sub(r.entries[i].at) <= history && len(found) < minSenders; i-- {
+		if !slices.Contains(found, r.entries[i].sender) {
+			found = append(found, r.entries[i].sender)
 		}
 	}
-	return n
+	return found
 }
 
 // addTally adds an entry to the tally of its sender.
@@ -183,64 +182,103 @@
 	return tallies
 }
 
-// trimmedMean returns the mean over the tallies without that of the balancer that raises
-// it most and, if low is set, without that which lowers it most. No balancer counts for
-// more answers than all others together.
-func trimmedMean(tallies []tally, low bool, value func(t *tally) (answers, sum float64)) mean {
-	var total, largest float64
+// measure returns the stats of one window, in which scratch is reused. If trim is set, the
+// balancer that raises a mean most is left out, and if low is set, the one that lowers it
+// most, too.
+func measure(tallies []tally, refs *[both]float64, trim, low bool, scratch []mean) (s stats, _ []mean) {
+	var answers [both]int
+	quick := 0
 	for i := range tallies {
-		n, _ := value(&tallies[i])
-		total += n
-		largest = max(largest, n)
-	}
-	limit := max(1, min(largest, total-largest))
-	// The first pass finds the mean, the second the extremes around it.
-	m, _, _ := boundedMean(tallies, limit, 0, value)
-	_, high, lowest := boundedMean(tallies, limit, m.value, value)
-	n, s := m.answers-high.answers, m.answers*m.value-high.answers*high.value
-	if low {
-		n, s = n-lowest.answers, s-lowest.answers*lowest.value
+		answers[light] += tallies[i].cells[light].answers
+		answers[loaded] += tallies[i].cells[loaded].answers
+		quick += tallies[i].quick
+	}
+	for kind := range numKinds {
+		switch {
+		case kind != both && answers[kind] == 0:
+			continue
+		case kind == both && answers[loaded] == 0:
+			s.kinds[both] = s.kinds[light]
+			continue
+		}
+		scratch = scratch[:0]
+		for i := range tallies {
+			if m := tallies[i].value(kind, refs); m.answers > 0 {
+				scratch = append(scratch, m)
+			}
+		}
+		s.kinds[kind] = trimmedMean(scratch, trim, low)
+	}
+	if quick == 0 {
+		s.quick.answers = s.kinds[both].answers
+		return s, scratch
+	}
+	scratch = scratch[:0]
+	for i := range tallies {
+		n := float64(tallies[i].cells[light].answers + tallies[i].cells[loaded].answers)
+		scratch = append(scratch, mean{
+			answers: n,
+			value:   float64(tallies[i].quick) / n,
+		})
+	}
+	s.quick = trimmedMean(scratch, trim, low)
+	return s, scratch
+}
+
+// trimmedMean returns the mean of values, each from one balancer. If trim is set, no
+// balancer counts for more answers than all others together, and the one that raises the
+// mean most is left out; if low is set, the one that lowers it most, too.
+func trimmedMean(values []mean, trim, low bool) mean {
+	var total, largest float64
+	for _, v := range values {
+		total += v.answers
+		largest = max(largest, v.answers)
+	}
+	limit := largest
+	if trim {
+		limit = max(1, min(largest, total-largest))
+	}
+	var answers, sum float64
+	for _, v := range values {
+		n := min(v.answers, limit)
+		answers += n
+		sum += n * v.value
+	}
+	if answers == 0 {
+		return mean{}
 	}
-	if n < 0.5 {
+	if trim {
+		answers, sum = trimmed(values, limit, answers, sum, low)
+	}
+	if answers < 0.5 {
 		return mean{}
 	}
 	return mean{
-		answers: n,
-		value:   s / n,
+		answers: answers,
+		value:   sum / answers,
 	}
 }
 
-// boundedMean returns the mean over the tallies, each of which counts for limit answers
-// at most, and the tallies that differ most from center.
-func boundedMean(tallies []tally, limit, center float64, value func(t *tally) (answers, sum float64)) (m, high, low mean) {
-	sum, highest, lowest := 0.0, math.Inf(-1), math.Inf(1)
-	for i := range tallies {
-		n, s := value(&tallies[i])
-		if n == 0 {
-			continue
-		}
-		t := mean{
-			answers: min(n, limit),
-			value:   s / n,
+// trimmed returns the answers and the sum of values without the extreme ones.
+func trimmed(values []mean, limit, answers, sum float64, low bool) (float64, float64) {
+	center := sum / answers
+	var high, lowest mean
+	most, least := math.Inf(-1), math.Inf(1)
+	for _, v := range values {
+		n := min(v.answers, limit)
+		d := n * (v.value - center)
+		if d > most {
+			most, high = d, mean{answers: n, value: v.value}
 		}
-		m.answers += t.answers
-		sum += t.answers * t.value
-		d := t.answers * (t.value - center)
-		if d > highest {
-			high, highest = t, d
-		}
-		if d < lowest {
-			low, lowest = t, d
+		if d < least {
+			least, lowest = d, mean{answers: n, value: v.value}
 		}
 	}
-	if m.answers > 0 {
-		m.value = sum / m.answers
+	answers -= high.answers
+	sum -= high.answers * high.value
+	if low {
+		answers -= lowest.answers
+		sum -= lowest.answers * lowest.value
 	}
-	return m, high, low
-}
-
-// plainMean returns the mean over all tallies.
-func plainMean(tallies []tally, value func(t *tally) (answers, sum float64)) mean {
-	m, _, _ := boundedMean(tallies, math.Inf(1), 0, value)
-	return m
+	return answers, sum
 }
