feat: admit new flows by the rates of their work, and bound what an empty host gets

Change: new flows get the room that requests on open flows leave of the learned capacity, the most urgent first (admission.Fit); shares that follow the hosts' work are damped apart from the queue (admission.Damper). A host gets at most twice its share by capacity, a cold one half of that.

--- a/admission/class.go
+++ b/admission/class.go
@@ -29,14 +29,9 @@
 // A class holds the state of one priority.
 type class[K comparable] struct {
 	priority int
-	// share is the damped share in force.
-	share float64
-	// top is the share before the last fall.
-	top float64
-	// falls and rises count the changes of the share in the same direction, rises only those
-	// above top.
-	falls, rises int
-	tokens       float64
+	// share is the share in force.
+	share  float64
+	tokens float64
 	// refused is the number of recent refusals of first attempts, and returned that of their
 	// returns to this balancer, both discounted as arrivals.
 	refused, returned float64
@@ -150,36 +145,15 @@
 	return c.arrivals * math.Exp(-elapsed.Seconds()/rateWindow.Seconds())
 }
 
-// fall lowers the share towards a target below it, further for each fall that follows another.
-// The argument step is the least ratio of a first fall from a share below 1.
-func (c *class[K]) fall(target, step float64) {
-	limit := onsetFall
-	if c.share < 1 {
-		limit = math.Pow(step, float64(c.falls+1))
+// setShare sets the share. What waits goes once all may go.
+func (c *class[K]) setShare(now time.Time, share float64) {
+	if share >= fullShare {
+		share = 1
 	}
-	c.top = c.share
-	c.falls++
-	c.rises = 0
-	c.share *= max(math.Pow(target/c.share, fallGain), limit)
-}
-
-// rise raises the share towards a target above it: quickly up to near the share from which it
-// fell, then slowly, then faster with each rise.
-func (c *class[K]) rise(now time.Time, target float64) {
-	c.falls = 0
-	step := quickRise
-	if c.share*quickRise > c.top {
-		c.rises++
-		if target == 1 {
-			c.rises++
-		}
-		step = min(1+riseStep*float64(c.rises), maxRise)
-	}
-	c.share = min(c.share*step, target)
-	if c.share >= fullShare {
-		c.share = 1
+	if share == 1 && c.share < 1 {
 		c.startDrain(now)
 	}
+	c.share = share
 }
 
 // startDrain spreads what waits over drainTime.
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -74,6 +74,7 @@
 	start   time.Time
 	streams []stream
 	queues  []*admission.Queue[int]
+	dampers []admission.Damper
 	clients []client
 	// due holds the clients that come back, by time.
 	due      map[int64][]int
@@ -107,6 +108,7 @@
 		})
 		q.SetSeed(seed)
 		m.queues = append(m.queues, q)
+		m.dampers = append(m.dampers, admission.Damper{})
 	}
 	return m
 }
@@ -256,8 +258,8 @@
 		priorities = append(priorities, s.priority)
 	}
 	seen := m.observed[max(len(m.observed)-1-m.lag, 0)]
-	for _, q := range m.queues {
-		q.SetShares(m.now, admission.SharesFor(seen, modelLimit, priorities))
+	for i, q := range m.queues {
+		q.SetShares(m.now, m.dampers[i].Damp(m.now, admission.SharesFor(seen, modelLimit, priorities), priorities))
 	}
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -21,35 +21,8 @@
 	returnedPart = 4
 )
 
-// Damping of shares. Hosts fill in a tenth of a second, while shares follow them by 250 to
-// 500 ms, so that shares taken as they are would swing between their ends. Instead, a fall is
-// given time to show before the next change, and rises start small. They are ratios, since a
-// change of a share by a ratio changes the admitted load by the same ratio, whatever the
-// overload.
-const (
-	// fallInterval is the time from a fall to the next change: the lag of the shares, and the
-	// time in which hosts get through what they have.
-	fallInterval = 700 * time.Millisecond
-	// fallGain is the part of the way to a lower share, as a logarithm, that a fall takes. A
-	// fall from 1 is to onsetFall at the most, the n-th fall in a row to firstFall to the power
-	// of n, which comes near to onsetFall for less urgent priorities while the share of the most
-	// urgent one should fall: hosts refuse urgent requests by then. Falls to 0.4 took work from urgent requests that hosts had room for.
-	fallGain  = 0.5
-	onsetFall = 0.7
-	firstFall = 0.85
-	// riseInterval is the least time between two rises.
-	riseInterval = 200 * time.Millisecond
-	// quickRise is a rise up to near the share before the last fall. Beyond that, each rise is
-	// larger than the one before by riseStep, up to maxRise.
-	quickRise = 1.1
-	riseStep  = 0.01
-	maxRise   = 1.3
-	// fullShare is taken for 1.
-	fullShare = 0.97
-	// lowShare is the share that all less urgent priorities must have come down to before
-	// one falls.
-	lowShare = 1.2 * leastShare
-)
+// fullShare is taken for 1.
+const fullShare = 0.97
 
 // A Request is one first packet that asks for admission.
 type Request[K comparable] struct {
@@ -103,8 +76,6 @@
 	shares Shares
 	// sharesAt is the time of the last SetShares.
 	sharesAt time.Time
-	// holdUntil is the time until which shares in force don't change.
-	holdUntil time.Time
 	// short reports whether a share in force is below 1.
 	short bool
 	// classes are sorted by priority.
@@ -144,7 +115,6 @@
 	q.decided = q.decided[:0]
 	q.shares = Shares{}
 	q.sharesAt = time.Time{}
-	q.holdUntil = time.Time{}
 	q.short = false
 	q.sketch.reset(time.Time{})
 	q.returns = returns{}
@@ -286,12 +256,8 @@
 }
 
 // SetShares sets how much of each priority may go. It should be called about four times a
-// second; shares that are older than 2 s lapse, and all may go. Changes are damped: falls are
-// 700 ms apart and go from 1 to no less than 0.7, then to no less than 0.85 of the share (0.7
-// for less urgent priorities while the most urgent one should fall), the square of that for
-// the second in a row and so on; the least urgent priority falls first, the most urgent one
-// rises first. A rise takes a tenth at most up to near the former share, then a hundredth,
-// two hundredths and so on.
+// second or more often; shares that are older than 2 s lapse, and all may go. They are in force at
+// once: a Damper smooths those that come from SharesFor.
 func (q *Queue[K]) SetShares(now time.Time, shares Shares) {
 	q.expireShares(now)
 	q.shares = shares
@@ -299,13 +265,8 @@
 	q.classes = slices.DeleteFunc(q.classes, func(c *class[K]) bool {
 		return len(c.waiting) == 0 && now.Sub(c.at) > classLifetime
 	})
-	q.endBurst(now)
-	switch {
-	case now.Before(q.holdUntil):
-	case q.fall():
-		q.holdUntil = now.Add(fallInterval)
-	case q.rise(now):
-		q.holdUntil = now.Add(riseInterval)
+	for _, c := range q.classes {
+		c.setShare(now, shares.Of(c.priority))
 	}
 	q.updateShort()
 }
@@ -412,18 +373,6 @@
 	}
 }
 
-// endBurst takes back falls that answered a burst: hosts have room again at the first look
-// after a first fall from 1.
-func (q *Queue[K]) endBurst(now time.Time) {
-	for _, c := range q.classes {
-		if c.share < 1 && c.top == 1 && c.falls == 1 && q.shares.Of(c.priority) == 1 {
-			c.falls = 0
-			c.share = 1
-			c.startDrain(now)
-		}
-	}
-}
-
 // expectedWait returns how long a request of a caller with count admissions would wait at
 // the current rate.
 func (q *Queue[K]) expectedWait(now time.Time, c *class[K], count uint32) time.Duration {
@@ -466,31 +415,6 @@
 	}
 }
 
-// fall lowers the shares that are above what they should be, and reports whether there were
-// any.
-func (q *Queue[K]) fall() bool {
-	fell := false
-	urgent := 1.0
-	if len(q.classes) > 0 {
-		urgent = q.shares.Of(q.classes[0].priority)
-	}
-	for i, c := range slices.Backward(q.classes) {
-		before := c.share
-		if target := q.shares.Of(c.priority); target < before {
-			step := firstFall
-			if i > 0 {
-				step = onsetFall + (firstFall-onsetFall)*urgent
-			}
-			c.fall(target, step)
-			fell = true
-		}
-		if before > lowShare {
-			break
-		}
-	}
-	return fell
-}
-
 // find returns the class of a priority, or nil.
 func (q *Queue[K]) find(priority int) *class[K] {
 	for _, c := range q.classes {
@@ -549,23 +473,6 @@
 	return Wait
 }
 
-// rise raises the share of the most urgent priority that is below what it should be, and
-// reports whether there was any.
-func (q *Queue[K]) rise(now time.Time) bool {
-	for _, c := range q.classes {
-		if c.share == 1 {
-			continue
-		}
-		target := q.shares.Of(c.priority)
-		if target <= c.share {
-			return false
-		}
-		c.rise(now, target)
-		return true
-	}
-	return false
-}
-
 // settle takes a request off the queue and records the decision for Release.
 func (q *Queue[K]) settle(now time.Time, c *class[K], i int, v Verdict) {
 	w := q.take(c, i)
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -341,7 +341,7 @@
 // recordContent records a packet with new content.
 func (f *Forwarder) recordContent(now time.Time, h *health, s *flowState, p *Packet) {
 	if p.Length > 0 {
-		f.startRequest(now, h, s, true)
+		f.startRequest(now, h, s, p, true)
 		f.setRequestActive(now, h, s, true)
 	}
 	if !s.unansweredSince.IsZero() && s.nextSequence-s.unansweredSequence > maxInFlight {
@@ -480,7 +480,7 @@
 	f.putFlow(now, k, s)
 	if p.Length > 0 {
 		s.expectAnswer(now, p)
-		f.startRequest(now, f.healthOf(u), s, false)
+		f.startRequest(now, f.healthOf(u), s, p, false)
 		f.setRequestActive(now, f.healthOf(u), s, true)
 		f.awaitAnswer(now, s)
 	}
--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -20,6 +20,9 @@
 	// digestHorizon is the time whose new flows are spread by one digest: its age, and the time
 	// until the next one.
 	digestHorizon = 500 * time.Millisecond
+	// coldCapacity is the capacity of a host that has just started relative to that of a warm
+	// one.
+	coldCapacity = 0.5
 	// maxQueueFactor bounds how many requests in progress per slot are taken for in time: hosts
 	// queue a few requests per slot and refuse further ones.
 	maxQueueFactor = 4
@@ -41,9 +44,13 @@
 	// others of it.
 	give    float64
 	weights []float64
-	// classes are the priorities of the service's recent new flows.
+	// routes are the service's routes with a latency goal.
+	routes []*directory.Route
+	// classes are the priorities of the service's recent new flows, the most urgent first.
 	classes []priorityClass
-	queue   *admission.Queue[key]
+	// damper damps the shares that follow the work at the own zone's hosts.
+	damper admission.Damper
+	queue  *admission.Queue[key]
 	// placed counts the new flows since countedAt, and rate is their moving average per
 	// second.
 	placed    int
@@ -54,8 +61,10 @@
 // A priorityClass is the new flows of one priority.
 type priorityClass struct {
 	priority int
-	// arrived counts recent new flows; it halves each classHalfLife.
+	// arrived counts recent new flows, and open recent requests on open flows to hosts of the
+	// own zone. Both halve each classHalfLife.
 	arrived float64
+	open    float64
 	// own is the share of the new flows that go to the own zone, and others are those that go
 	// to the other zones. The rest has no room.
 	own    float64
@@ -88,8 +97,6 @@
 	told  load.ZoneTotal
 	given int
 	hosts []*directory.Upstream
-	// capacities are what the hosts take, in slots.
-	capacities []float64
 	// perFlow is the mean number of requests in progress per open flow.
 	perFlow float64
 	table   selection.Table
@@ -129,9 +136,12 @@
 		return
 	}
 	l.count(now)
+	if l.view != v {
+		l.findRoutes(v)
+	}
 	l.view, l.digests, l.refreshedAt = v, s.digests, now
 	l.splitByZone(v, f.zone)
-	l.own.refreshOwn(now, f, l.rate, f.queueFactor(v, l.name))
+	l.own.refreshOwn(now, f, l.rate, f.queueFactor(l))
 	zones := make([]spillover.Zone, len(l.others))
 	for i := range l.others {
 		o := &l.others[i]
@@ -142,7 +152,7 @@
 	if s.options.Spill {
 		l.give, l.weights = spillover.Share(l.own.load, zones)
 	}
-	l.assignShares(f, v)
+	l.assignShares(now, f)
 	var shares admission.Shares
 	for i := range l.classes {
 		c := &l.classes[i]
@@ -201,13 +211,14 @@
 		decay := math.Exp2(-elapsed.Seconds() / classHalfLife.Seconds())
 		for i := range l.classes {
 			l.classes[i].arrived *= decay
+			l.classes[i].open *= decay
 		}
 	}
 	l.placed, l.countedAt = 0, now
 }
 
-// arrive counts a new flow of a priority.
-func (l *serviceLoad) arrive(priority int) {
+// class returns the class of a priority, which is created if there is none.
+func (l *serviceLoad) class(priority int) *priorityClass {
 	i := slices.IndexFunc(l.classes, func(c priorityClass) bool { return c.priority == priority })
 	if i < 0 {
 		l.classes = append(l.classes, priorityClass{
@@ -216,7 +227,7 @@
 		})
 		i = len(l.classes) - 1
 	}
-	l.classes[i].arrived++
+	return &l.classes[i]
 }
 
 // priorities returns the priorities that make up the service's recent new flows.
@@ -236,16 +247,31 @@
 
 // assignShares works out which share of each priority's new flows goes to which zone. What the
 // own zone has no room for goes to the others, as far as these have.
-func (l *serviceLoad) assignShares(f *Forwarder, v *directory.View) {
-	priorities, factor := l.priorities(), f.queueFactor(v, l.name)
-	l.own.shares = admission.SharesFor(l.own.limited, l.own.load.Capacity*factor, priorities)
+func (l *serviceLoad) assignShares(now time.Time, f *Forwarder) {
+	for _, r := range l.routes {
+		if n := f.sharing.openRequests[r.Address]; n > 0 {
+			l.class(r.Priority).open += float64(n)
+			delete(f.sharing.openRequests, r.Address)
+		}
+	}
 	slices.SortFunc(l.classes, func(a, b priorityClass) int { return a.priority - b.priority })
-	// perSecond is the rate of a class by its decaying count.
-	perSecond := math.Ln2 / classHalfLife.Seconds()
-	slots := float64(max(f.sharing.balancers, 1)) * f.usualTime(v, l.name).Seconds()
+	// slots is the work, in slots, of one flow or request in a class's decaying count.
+	slots := float64(max(f.sharing.balancers, 1)) * f.usualTime(l).Seconds() * math.Ln2 / classHalfLife.Seconds()
+	demands := make([]admission.Demand, 0, len(l.classes))
+	for i := range l.classes {
+		c := &l.classes[i]
+		demands = append(demands, admission.Demand{
+			Priority: c.priority,
+			Open:     c.open * slots,
+			New:      (1 - l.give) * c.arrived * slots,
+		})
+	}
+	priorities := l.priorities()
+	full := admission.SharesFor(l.own.limited, l.own.load.Capacity*f.queueFactor(l), priorities)
+	l.own.shares = admission.Fit(l.own.load.Capacity, demands).Min(l.damper.Damp(now, full, priorities))
 	for i := range l.classes {
 		c := &l.classes[i]
-		l.assignClass(c, c.arrived*perSecond*slots, f.sharing.options.Spill)
+		l.assignClass(c, c.arrived*slots, f.sharing.options.Spill)
 	}
 }
 
@@ -281,42 +307,44 @@
 	}
 }
 
-// usualTime returns the usual answer time of a service's routes, the longest one if they differ.
-func (f *Forwarder) usualTime(v *directory.View, service string) time.Duration {
-	longest := time.Duration(0)
-	f.eachGoal(v, service, func(_ *directory.Route, usual time.Duration) { longest = max(longest, usual) })
-	if longest == 0 {
-		return defaultAnswerTime
-	}
-	return longest
-}
-
-// eachGoal calls use for the routes to a service that have a latency goal and a known usual answer
-// time.
-func (f *Forwarder) eachGoal(v *directory.View, service string, use func(r *directory.Route, usual time.Duration)) {
+// findRoutes finds the service's routes with a latency goal.
+func (l *serviceLoad) findRoutes(v *directory.View) {
+	l.routes = l.routes[:0]
 	if v.Plan == nil {
 		return
 	}
 	for i := range v.Plan.Routes {
 		r := &v.Plan.Routes[i]
-		serves := slices.ContainsFunc(r.Targets, func(t directory.Target) bool { return t.Service == service })
-		if !serves || r.LatencyGoal == 0 {
-			continue
+		if r.LatencyGoal > 0 && slices.ContainsFunc(r.Targets, func(t directory.Target) bool { return t.Service == l.name }) {
+			l.routes = append(l.routes, r)
 		}
+	}
+}
+
+// usualTime returns the usual answer time of a service's routes, the longest one if they differ.
+func (f *Forwarder) usualTime(l *serviceLoad) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range l.routes {
 		if usual, ok := f.sharing.learner.Usual(r.Address); ok {
-			use(r, usual)
+			longest = max(longest, usual)
 		}
 	}
+	if longest == 0 {
+		return defaultAnswerTime
+	}
+	return longest
 }
 
 // queueFactor returns how many requests in progress per slot a service's hosts answer within the
 // shortest latency goal of its routes: requests wait for half of the goal at most, as the times
 // of single ones differ.
-func (f *Forwarder) queueFactor(v *directory.View, service string) float64 {
+func (f *Forwarder) queueFactor(l *serviceLoad) float64 {
 	factor := float64(maxQueueFactor)
-	f.eachGoal(v, service, func(r *directory.Route, usual time.Duration) {
-		factor = min(factor, r.LatencyGoal.Seconds()/2/usual.Seconds())
-	})
+	for _, r := range l.routes {
+		if usual, ok := f.sharing.learner.Usual(r.Address); ok {
+			factor = min(factor, r.LatencyGoal.Seconds()/2/usual.Seconds())
+		}
+	}
 	return max(factor, 1)
 }
 
@@ -359,7 +387,7 @@
 
 func (z *zoneHosts) reset(zone string) {
 	z.zone = zone
-	z.hosts, z.capacities, z.scratch = z.hosts[:0], z.capacities[:0], z.scratch[:0]
+	z.hosts, z.scratch = z.hosts[:0], z.scratch[:0]
 	z.load = spillover.Zone{}
 }
 
@@ -388,7 +416,9 @@
 			z.free += max(load.SpareFactor*c-working, 0)
 			z.limited += min(working, factor*c)
 		}
-		z.capacities = append(z.capacities, c)
+		if u.Cold(now) {
+			c *= coldCapacity
+		}
 		z.scratch = append(z.scratch, selection.Host{
 			Load:     hostFlows + workingWeight*working,
 			Capacity: c,
@@ -434,7 +464,6 @@
 	}
 	for _, u := range z.hosts {
 		c := float64(max(u.Slots, 1))
-		z.capacities = append(z.capacities, c)
 		z.scratch = append(z.scratch, selection.Host{
 			Load:     f.weightedLoad(u),
 			Capacity: c,
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -44,6 +45,9 @@
 	digests   uint64
 	balancers int
 	services  map[string]*serviceLoad
+	// openRequests counts the requests on open flows to hosts of the own zone, by route, since
+	// the route's service was last refreshed.
+	openRequests map[netip.AddrPort]int
 	// waiting holds the first packets that wait in a service's queue.
 	waiting map[key]*waitingPacket
 }
@@ -61,7 +65,9 @@
 		book:     load.NewBook(),
 		learner:  capacity.NewLearner(),
 		services: make(map[string]*serviceLoad),
-		waiting:  make(map[key]*waitingPacket),
+
+		openRequests: make(map[netip.AddrPort]int),
+		waiting:      make(map[key]*waitingPacket),
 	}
 }
 
@@ -152,7 +158,7 @@
 
 // startRequest records that a request, or more content of one, goes to the flow's upstream. The
 // time of the answer is measured if the request began here.
-func (f *Forwarder) startRequest(now time.Time, h *health, s *flowState, began bool) {
+func (f *Forwarder) startRequest(now time.Time, h *health, s *flowState, p *Packet, began bool) {
 	s.requestAt = now
 	if s.requestActive {
 		return
@@ -162,6 +168,9 @@
 		sentAt:   now,
 		deadline: now.Add(maxRequestTime),
 	})
+	if f.sharing != nil && s.answered && s.upstream.Zone == f.zone {
+		f.sharing.openRequests[p.Service]++
+	}
 	if s.requestMeasured = began && f.sharing != nil && f.sharing.options.Learn; s.requestMeasured {
 		s.requestWorking = f.workingAt(now, s.upstream.Ticket(), h)
 	}
@@ -228,7 +237,7 @@
 	if l == nil {
 		return Decision{}, false
 	}
-	l.arrive(r.Priority)
+	l.class(r.Priority).arrived++
 	if !f.sharing.options.Admit {
 		return Decision{}, false
 	}
--- a/selection/table.go
+++ b/selection/table.go
@@ -17,6 +17,15 @@
 	// without room still gets enough work to show when it has recovered.
 	leastShare = 0.05
 
+	// mostShare bounds a host's share of the new flows that go by room, relative to its share
+	// by capacity. A host that has just come is empty, and what fills it to the level of the
+	// others within a digest is more than it can work on: flows bring their first requests at
+	// once.
+	mostShare = 2
+
+	// boundSteps is the number of bisections that find the level of bounded rooms.
+	boundSteps = 24
+
 	// maxValue bounds loads and capacities, so that sums and products stay finite.
 	maxValue = 1e12
 
@@ -51,6 +60,7 @@
 	capacities []float64
 	cumulative []float64 // sums of weights; a host's weight is the step at its index
 	rooms      []float64 // load expected to arrive at each host
+	bounded    []float64 // rooms, each bounded by mostShare
 	fills      []fill
 	last       int // last host with a weight
 }
@@ -94,7 +104,8 @@
 // Reset computes the weights of a list of hosts and reuses the table's memory. The argument
 // arriving is the load expected from all balancers until they know of it by a later digest,
 // in the unit of Host.Load. The weight of a host is its room below the level at which the
-// room of all hosts equals arriving, except for a share of 0.05 that is spread by capacity.
+// room of all hosts equals arriving, except for a share of 0.05 that is spread by capacity. The
+// share of a host by its room is at most twice that by its capacity.
 //
 // Hosts without capacity get nothing, unless no host has any: then all count alike. Without
 // a positive number in arriving, hosts are weighted by capacity alone.
@@ -123,28 +134,67 @@
 	if arriving > 0 && arriving <= maxValue {
 		level = t.level(hosts, arriving)
 	}
-	all := 0.0
-	for i, c := range t.capacities {
-		room := 0.0
-		if !math.IsInf(level, 1) {
-			room = max(0, level*c-validLoad(hosts[i].Load))
-		}
-		t.rooms = append(t.rooms, room)
-		all += room
+	t.rooms = t.fillTo(t.rooms[:0], hosts, level, math.Inf(1))
+	t.bounded = append(t.bounded[:0], t.rooms...)
+	if most := mostShare * arriving / total; slices.ContainsFunc(t.fills, func(f fill) bool { return level-f.level > most }) {
+		t.fillBounded(hosts, level, arriving, most)
 	}
-	sum := 0.0
+	all := sum(t.bounded)
+	weights := 0.0
 	for i, c := range t.capacities {
 		weight := c / total
 		// An arriving load far below the others is lost by rounding, and no room is left.
 		if all > 0 {
-			weight = (1-leastShare)*t.rooms[i]/all + leastShare*weight
+			weight = (1-leastShare)*t.bounded[i]/all + leastShare*weight
 		}
 		if c > 0 {
 			t.last = i
 		}
-		sum += weight
-		t.cumulative = append(t.cumulative, sum)
+		weights += weight
+		t.cumulative = append(t.cumulative, weights)
+	}
+}
+
+// fillTo appends the rooms of the hosts below a level to buffer, each most per capacity at the most.
+func (t *Table) fillTo(buffer []float64, hosts []Host, level, most float64) []float64 {
+	for i, c := range t.capacities {
+		room := 0.0
+		if !math.IsInf(level, 1) {
+			room = min(max(0, level*c-validLoad(hosts[i].Load)), most*c)
+		}
+		buffer = append(buffer, room)
+	}
+	return buffer
+}
+
+// sum returns the sum of values.
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// fillBounded raises the level until the bounded rooms have place for what arrives.
+func (t *Table) fillBounded(hosts []Host, level, arriving, most float64) {
+	high := level
+	for i := range t.fills {
+		if l := t.fills[i]; l.load < maxValue {
+			high = max(high, l.level)
+		}
+	}
+	high += most
+	for range boundSteps {
+		middle := (level + high) / 2
+		t.bounded = t.fillTo(t.bounded[:0], hosts, middle, most)
+		if sum(t.bounded) < arriving {
+			level = middle
+		} else {
+			high = middle
+		}
 	}
+	t.bounded = t.fillTo(t.bounded[:0], hosts, high, most)
 }
 
 // draw returns the host at the given point of the cumulative weights.
--- a/selection/table_test.go
+++ b/selection/table_test.go
@@ -378,3 +378,26 @@
 		})
 	}
 }
+
+// TestEmptyHost guards against a host that has just started and gets most of the new flows, since
+// it is empty: its share is at most twice that by its capacity.
+func TestEmptyHost(t *testing.T) {
+	hosts := make([]selection.Host, 40)
+	for i := range hosts {
+		hosts[i] = selection.Host{
+			Load:     20,
+			Capacity: 2,
+		}
+	}
+	hosts[7].Load = 0
+	table := &selection.Table{}
+	table.Reset(hosts, 10)
+	const draws = 100_000
+	picked := 0
+	for i := range uint64(draws) {
+		if table.Pick(rendezvous.Mix(i+1), nil, nil) == 7 {
+			picked++
+		}
+	}
+	require.InDelta(t, 2.0/40, float64(picked)/draws, 0.005)
+}
