--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -15,6 +15,9 @@
 	// ratios, of the host that others are compared with. It is a little less than a median,
 	// so that the faster half is the reference where the other half is slow.
 	referenceRank = 0.4
+	// changeRank is the rank by which a change of the whole service is seen. A third of the
+	// hosts that turn slow at once does not move it.
+	changeRank = 0.6
 	// slowErrors is the number of standard errors up to which a deviation counts for
 	// nothing. Equal hosts were found slow 4 times in 1000 minutes of upstreams with 3.4.
 	slowErrors = 3.8
@@ -38,6 +41,8 @@
 	// add where all answers of a service are loaded: Answer.Working is up to 500 ms old, so
 	// it misses bursts of requests.
 	burst = 0.25
+	// quickErrors is like fastErrors, for shares of quick answers.
+	quickErrors = 2
 	// shareEvidence is the evidence for a share of quick answers, in natural units, up to
 	// which it counts for nothing.
 	shareEvidence = 12
@@ -120,6 +125,8 @@
 // A reference is what the hosts of a service have in common in one window.
 type reference struct {
 	logs [both]float64
+	// changing is like logs, at changeRank.
+	changing [both]float64
 	// spread is the standard deviation of one answer.
 	spread [numKinds]float64
 	// variance is that of the reference itself, and of bursts of requests.
@@ -269,12 +276,13 @@
 		}
 		hosts[kind] = len(e.values)
 		ref.logs[kind] = quantile(e.values, referenceRank)
+		ref.changing[kind] = quantile(e.values, changeRank)
 	}
 	switch {
 	case 2*hosts[loaded] < hosts[light]:
-		ref.logs[loaded] = ref.logs[light]
+		ref.logs[loaded], ref.changing[loaded] = ref.logs[light], ref.changing[light]
 	case 2*hosts[light] < hosts[loaded]:
-		ref.logs[light] = ref.logs[loaded]
+		ref.logs[light], ref.changing[light] = ref.logs[loaded], ref.changing[loaded]
 	}
 	e.values = e.values[:0]
 	for _, i := range members {
@@ -434,7 +442,7 @@
 		}
 		if m.answers >= minRecentAnswers {
 			p := max(m.value, minQuickShare)
-			share = min(share, max(0, m.value+fastErrors*math.Sqrt(p*(1-p)/m.answers)-usual)/(1-usual))
+			share = min(share, max(0, m.value+quickErrors*math.Sqrt(p*(1-p)/m.answers)-usual)/(1-usual))
 		}
 	}
 	return min(share, 1)
@@ -487,15 +495,15 @@
 	return values[len(values)-1].value
 }
 
-// serviceChange returns how far the reference of a window is from those of the windows
-// around it. While a whole service changes, hosts differ by how many of their recent answers
+// serviceChange returns how far the answers of a service in one window are from those in
+// the windows around it. While a whole service changes, hosts differ by how many of their recent answers
 // were before the change.
 func serviceChange(refs *[len(windows)]reference, w int) float64 {
 	change := 0.0
 	for _, ref := range refs[max(w-3, 1):min(w+4, len(refs))] {
 		for kind := range both {
-			if ref.logs[kind] != 0 && refs[w].logs[kind] != 0 {
-				change = max(change, math.Abs(ref.logs[kind]-refs[w].logs[kind]))
+			if ref.changing[kind] != 0 && refs[w].changing[kind] != 0 {
+				change = max(change, math.Abs(ref.changing[kind]-refs[w].changing[kind]))
 			}
 		}
 	}
