fix: widen the error of capacity while a service changes or is loaded

Cause: hosts differ by how many of their recent answers were before a change of the whole service, and by bursts of requests that Answer.Working is too old to show.

Change: the change counts 1.2 times, bursts 0.3 at 1 s; slow hosts are found from 3.7 standard errors on.

--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -18,9 +18,12 @@
 	// changeRank is the rank by which a change of the whole service is seen. A third of the
 	// hosts that turn slow at once does not move it.
 	changeRank = 0.6
+	// changeErrors is the spread of answers while a service changes, as a multiple of the
+	// change: answers of one host that were all before or after it count as usual.
+	changeErrors = 1.2
 	// slowErrors is the number of standard errors up to which a deviation counts for
 	// nothing. Equal hosts were found slow 4 times in 1000 minutes of upstreams with 3.4.
-	slowErrors = 3.8
+	slowErrors = 3.7
 	// fastErrors is the number of standard errors by which a slow host may be slower than
 	// its recent answers. It is small, since a slow host gets few answers to recover by.
 	fastErrors = 1
@@ -40,7 +43,7 @@
 	// burst is the standard deviation of the logarithm of a host's mean over 1 s that queues
 	// add where all answers of a service are loaded: Answer.Working is up to 500 ms old, so
 	// it misses bursts of requests.
-	burst = 0.25
+	burst = 0.3
 	// quickErrors is like fastErrors, for shares of quick answers.
 	quickErrors = 2
 	// shareEvidence is the evidence for a share of quick answers, in natural units, up to
@@ -245,7 +248,7 @@
 		change := serviceChange(&refs, w)
 		for kind := range numKinds {
 			e.spread(&refs[w], w, kind, members)
-			refs[w].spread[kind] = math.Hypot(refs[w].spread[kind], change)
+			refs[w].spread[kind] = math.Hypot(refs[w].spread[kind], changeErrors*change)
 		}
 		refs[w].trimmed = trim
 	}
