--- a/flow/sharing_test.go
+++ b/flow/sharing_test.go
@@ -66,8 +66,9 @@
 	z.forwarder.ApplyDigest(z.now, d, 2)
 }
 
-// room returns the row of zone b.
-func (z *sharedZone) room(working, capacity float64) load.ZoneTotal {
+// room returns the row of zone b, whose hosts have 16 slots.
+func (z *sharedZone) room(working float64) load.ZoneTotal {
+	const capacity = 16
 	return load.ZoneTotal{
 		Zone:     "b",
 		Service:  "board",
@@ -78,10 +79,10 @@
 	}
 }
 
-// all returns the same number of requests in progress for each host of zone a.
-func (z *sharedZone) all(hosts int, working float64) map[string]float64 {
+// all returns the same number of requests in progress for each of the 4 hosts of zone a.
+func (z *sharedZone) all(working float64) map[string]float64 {
 	m := make(map[string]float64)
-	for i := range hosts {
+	for i := range 4 {
 		m[fmt.Sprintf("a%d", i)] = working
 	}
 	return m
@@ -127,14 +128,14 @@
 		{
 			name: "the last digest is too old",
 			prepare: func(z *sharedZone) {
-				z.tell(z.all(4, 50), z.room(0, 16))
+				z.tell(z.all(50), z.room(0))
 				z.advance(3 * time.Second)
 			},
 		},
 		{
 			name: "after a pause",
 			prepare: func(z *sharedZone) {
-				z.tell(z.all(4, 50), z.room(0, 16))
+				z.tell(z.all(50), z.room(0))
 				z.forwarder.HandleResume(z.now)
 			},
 		},
@@ -142,7 +143,7 @@
 			name: "no latency goal",
 			prepare: func(z *sharedZone) {
 				z.setGoals(0)
-				z.tell(z.all(4, 50), z.room(0, 16))
+				z.tell(z.all(50), z.room(0))
 			},
 		},
 	} {
@@ -179,43 +180,43 @@
 		{
 			name:    "own zone has room",
 			sharing: on,
-			prepare: func(z *sharedZone) { z.tell(z.all(4, 2), z.room(0, 16)) },
+			prepare: func(z *sharedZone) { z.tell(z.all(2), z.room(0)) },
 		},
 		{
 			name:    "own zone is full: as much as the other has room for",
 			sharing: on,
-			prepare: func(z *sharedZone) { z.tell(z.all(4, 16), z.room(0, 16)) },
+			prepare: func(z *sharedZone) { z.tell(z.all(16), z.room(0)) },
 			min:     12,
 			max:     24,
 		},
 		{
 			name:    "switched off",
-			prepare: func(z *sharedZone) { z.tell(z.all(4, 16), z.room(0, 16)) },
+			prepare: func(z *sharedZone) { z.tell(z.all(16), z.room(0)) },
 		},
 		{
 			name:    "the other zone is full, too",
 			sharing: on,
-			prepare: func(z *sharedZone) { z.tell(z.all(4, 16), z.room(64, 16)) },
+			prepare: func(z *sharedZone) { z.tell(z.all(16), z.room(64)) },
 		},
 		{
 			name:    "the other zone is not known",
 			sharing: on,
-			prepare: func(z *sharedZone) { z.tell(z.all(4, 16)) },
+			prepare: func(z *sharedZone) { z.tell(z.all(16)) },
 		},
 		{
 			name:    "the other zone has been cut off for a second",
 			sharing: on,
 			prepare: func(z *sharedZone) {
-				z.tell(z.all(4, 16), z.room(0, 16))
+				z.tell(z.all(16), z.room(0))
 				z.advance(1100 * time.Millisecond)
-				z.tell(z.all(4, 16))
+				z.tell(z.all(16))
 			},
 		},
 		{
 			name:    "the other zone is taken out",
 			sharing: on,
 			prepare: func(z *sharedZone) {
-				z.tell(z.all(4, 16), z.room(0, 16))
+				z.tell(z.all(16), z.room(0))
 				z.zoneOut("b")
 			},
 		},
@@ -246,11 +247,11 @@
 func TestBurstBeforeDigest(t *testing.T) {
 	z := newSharedZone(t, 4, Sharing{Spill: true})
 	for range 3 {
-		z.tell(z.all(4, 1), z.room(0, 16))
+		z.tell(z.all(1), z.room(0))
 		z.forwarder.LoadReport(z.now, 200*time.Millisecond)
 		z.advance(200 * time.Millisecond)
 	}
-	z.tell(z.all(4, 1), z.room(0, 16))
+	z.tell(z.all(1), z.room(0))
 	for range 24 {
 		z.client(boardAddress).establish().request()
 	}
--- a/load/collector.go
+++ b/load/collector.go
@@ -62,6 +62,11 @@
 	sums  []hostSum
 	// flows are the sums of flows without limits on single senders.
 	flows []int
+	// estimates are those of estimatedAt and of estimatedHosts hosts. They take longer than the
+	// sums, and a digest and the zone totals need them at one time.
+	estimates      []capacity.Estimate
+	estimatedAt    time.Time
+	estimatedHosts int
 }
 
 // A ranked is a host's place in an order by ticket.
@@ -86,6 +91,15 @@
 	}
 }
 
+// estimate returns the capacities of the hosts.
+func (c *Collector) estimate(now time.Time, hosts []*directory.Upstream) []capacity.Estimate {
+	if !c.estimatedAt.Equal(now) || c.estimatedHosts != len(hosts) {
+		c.estimates = c.estimator.Estimate(now, hosts)
+		c.estimatedAt, c.estimatedHosts = now, len(hosts)
+	}
+	return c.estimates
+}
+
 // AddReport adds a balancer's report, or a part of one. Late and repeated reports are ignored.
 func (c *Collector) AddReport(now time.Time, r *Report) {
 	if c.startedAt.IsZero() {
@@ -130,7 +144,7 @@
 		Balancers: balancers,
 		Totals:    make([]Total, 0, len(hosts)),
 	}
-	estimates := c.estimator.Estimate(now, hosts)
+	estimates := c.estimate(now, hosts)
 	for _, o := range c.order {
 		i := o.index
 		t := Total{
@@ -160,7 +174,7 @@
 		return nil
 	}
 	c.sum(now, hosts)
-	estimates := c.estimator.Estimate(now, hosts)
+	estimates := c.estimate(now, hosts)
 	var totals []ZoneTotal
 	for i, h := range hosts {
 		if h.Draining || !h.DepartedAt.IsZero() {
