fix: limit new flows by work only where it is known, and spill over from full slots on

Change: work is summed by the usual time of each route, unknown routes count nothing, and rates count only while the hosts have as many requests as they take. A zone gives flows away from full slots on (0.8 of them before); cold hosts count half.

--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -23,6 +23,9 @@
 	// coldCapacity is the capacity of a host that has just started relative to that of a warm
 	// one.
 	coldCapacity = 0.5
+	// rateMargin is the work by rates, relative to the capacity, that hosts are taken to bear:
+	// usual answer times include the clients' round trip, and rates are one balancer's.
+	rateMargin = 1.25
 	// maxQueueFactor bounds how many requests in progress per slot are taken for in time: hosts
 	// queue a few requests per slot and refuse further ones.
 	maxQueueFactor = 4
@@ -61,10 +64,12 @@
 // A priorityClass is the new flows of one priority.
 type priorityClass struct {
 	priority int
-	// arrived counts recent new flows, and open recent requests on open flows to hosts of the
-	// own zone. Both halve each classHalfLife.
-	arrived float64
-	open    float64
+	// arrived counts recent new flows. work is the time that the hosts take for their first
+	// requests, and openWork that for recent requests on open flows to hosts of the own zone,
+	// in seconds, as far as the usual answer times are known. All halve each classHalfLife.
+	arrived  float64
+	work     float64
+	openWork float64
 	// own is the share of the new flows that go to the own zone, and others are those that go
 	// to the other zones. The rest has no room.
 	own    float64
@@ -210,8 +215,10 @@
 		l.rate += weight * (float64(l.placed)/elapsed.Seconds() - l.rate)
 		decay := math.Exp2(-elapsed.Seconds() / classHalfLife.Seconds())
 		for i := range l.classes {
-			l.classes[i].arrived *= decay
-			l.classes[i].open *= decay
+			c := &l.classes[i]
+			c.arrived *= decay
+			c.work *= decay
+			c.openWork *= decay
 		}
 	}
 	l.placed, l.countedAt = 0, now
@@ -250,28 +257,33 @@
 func (l *serviceLoad) assignShares(now time.Time, f *Forwarder) {
 	for _, r := range l.routes {
 		if n := f.sharing.openRequests[r.Address]; n > 0 {
-			l.class(r.Priority).open += float64(n)
+			usual, _ := f.sharing.learner.Usual(r.Address)
+			l.class(r.Priority).openWork += float64(n) * usual.Seconds()
 			delete(f.sharing.openRequests, r.Address)
 		}
 	}
 	slices.SortFunc(l.classes, func(a, b priorityClass) int { return a.priority - b.priority })
-	// slots is the work, in slots, of one flow or request in a class's decaying count.
-	slots := float64(max(f.sharing.balancers, 1)) * f.usualTime(l).Seconds() * math.Ln2 / classHalfLife.Seconds()
+	// zoneRate turns a decaying count of this balancer into the zone's rate per second.
+	zoneRate := float64(max(f.sharing.balancers, 1)) * math.Ln2 / classHalfLife.Seconds()
 	demands := make([]admission.Demand, 0, len(l.classes))
 	for i := range l.classes {
 		c := &l.classes[i]
 		demands = append(demands, admission.Demand{
 			Priority: c.priority,
-			Open:     c.open * slots,
-			New:      (1 - l.give) * c.arrived * slots,
+			Open:     c.openWork * zoneRate,
+			New:      (1 - l.give) * c.work * zoneRate,
 		})
 	}
 	priorities := l.priorities()
 	full := admission.SharesFor(l.own.limited, l.own.load.Capacity*f.queueFactor(l), priorities)
-	l.own.shares = admission.Fit(l.own.load.Capacity, demands).Min(l.damper.Damp(now, full, priorities))
+	l.own.shares = l.damper.Damp(now, full, priorities)
+	if l.own.load.Working >= l.own.load.Capacity {
+		// Rates are this balancer's, extrapolated: they count only while the hosts are busy.
+		l.own.shares = l.own.shares.Min(admission.Fit(rateMargin*l.own.load.Capacity, demands))
+	}
 	for i := range l.classes {
 		c := &l.classes[i]
-		l.assignClass(c, c.arrived*slots, f.sharing.options.Spill)
+		l.assignClass(c, c.arrived*zoneRate*f.usualTime(l).Seconds(), f.sharing.options.Spill)
 	}
 }
 
@@ -411,14 +423,14 @@
 		working := e.Working + float64(h.load.ActiveRequests)
 		hostFlows := e.Flows + float64(h.load.Flows)
 		z.load.Working += min(working, maxQueueFactor*c)
-		if !u.Cold(now) && !h.avoided(now) {
+		if u.Cold(now) {
+			c *= coldCapacity
+		}
+		if !h.avoided(now) {
 			z.load.Capacity += c
 			z.free += max(load.SpareFactor*c-working, 0)
 			z.limited += min(working, factor*c)
 		}
-		if u.Cold(now) {
-			c *= coldCapacity
-		}
 		z.scratch = append(z.scratch, selection.Host{
 			Load:     hostFlows + workingWeight*working,
 			Capacity: c,
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -237,7 +237,11 @@
 	if l == nil {
 		return Decision{}, false
 	}
-	l.class(r.Priority).arrived++
+	c := l.class(r.Priority)
+	c.arrived++
+	if usual, ok := f.sharing.learner.Usual(r.Address); ok {
+		c.work += usual.Seconds()
+	}
 	if !f.sharing.options.Admit {
 		return Decision{}, false
 	}
--- a/spillover/share.go
+++ b/spillover/share.go
@@ -5,9 +5,11 @@
 import "math"
 
 const (
-	// fullLevel is the work per capacity from which a zone gives flows away. Below it,
-	// requests hardly wait, and another zone costs time and money.
-	fullLevel = 0.8
+	// fullLevel is the work per capacity from which a zone gives flows away. Below it, most
+	// requests find a free slot, and another zone costs time and money; flows between zones
+	// are lost, too, when their zones are cut off from each other. Work is measured with the
+	// clients' round trip, so that slots are somewhat freer than it says.
+	fullLevel = 1
 
 	// maxValue bounds work and capacities, so that sums and products stay finite.
 	maxValue = 1e12
@@ -36,7 +38,7 @@
 // share is above 0, else all are 0.
 //
 // The zones are compared by a common level: the work per capacity of all known zones
-// together, and at least 0.8. The own zone gives its excess over the level, as a share of
+// together, and at least 1. The own zone gives its excess over the level, as a share of
 // its work, and zones below the level get parts in proportion to their room up to it.
 func Share(own Zone, others []Zone) (give float64, weights []float64) {
 	// Share is inlined, so that the array is on the caller's stack.
