feat: check plans for filbertflow before they are sent

Cause: operators had no check of a plan. filbertflow refuses a plan only for JSON, types or addresses that it can't read; unknown services, repeated names, shadowed routes and limits that contradict each other came into force.

Change: platform.CheckPlan and platform.ComparePlans return typed findings with their place in the file; filbertctl plan check FILE [--base FILE] shows them. The parser is unchanged. The later of two routes with one address is the one that flows take, so the finding names the earlier one as unused. filbertctl now depends on package platform and with it on go-kit.

Measured: go test -race ./platform ./filbertctl/... passes; FuzzCheckPlan ran 236,281 inputs in 20 s without a failure, on code before the wording of type errors changed. The filbertctl binary grows from 9.94 to 10.31 MB.

--- a/filbertctl/internal/cmd/main.go
+++ b/filbertctl/internal/cmd/main.go
@@ -143,6 +143,13 @@
 				{name: "submit", short: "Submit a patch", command: &patchSubmit{config: c}},
 			},
 		},
+		{
+			name:  "plan",
+			short: "Check plans for filbertflow",
+			children: []subcommand{
+				{name: "check", short: "Check a plan and compare it with the one in force", command: &planCheck{config: c}},
+			},
+		},
 		{name: "status", short: "Show the state of balancers", command: &showStatus{config: c}},
 		{name: "trace", short: "Show the log lines of a request or flow", command: &trace{config: c}},
 		{
