feat(flowlab): replay the loads that load sharing answers

Cause: flowlab played policies without load sharing only, and had no bursts of one zone, no kinds of requests and no hosts that slow down with their load.

Change: the policy sharing passes reports, digests and zone summaries between emulated balancers at filbertflow's intervals, and carries out held and rejected first packets. Load files get a zone for bursts, kinds of requests and the fault congested. Results tell zones and kinds apart. Other policies keep their random choices: without any message of load sharing, a run equals one of probed.

--- a/flowlab/internal/cmd/playcmd.go
+++ b/flowlab/internal/cmd/playcmd.go
@@ -15,9 +15,10 @@
 // playCommand is the play command.
 type playCommand struct {
 	Balancers []int    `long:"balancers" value-name:"N" default:"9" default:"90" default:"300" description:"number of balancers; may be repeated"`
-	Policy    []string `long:"policy" value-name:"NAME" default:"alone" default:"shared" default:"probed" description:"policy of the balancers; may be repeated"`
+	Policy    []string `long:"policy" value-name:"NAME" default:"alone" default:"shared" default:"probed" default:"sharing" description:"policy of the balancers; may be repeated"`
 	Placement []string `long:"placement" value-name:"NAME" default:"forwarder" description:"way to choose the host of a new flow; may be repeated"`
 	Seeds     uint64   `long:"seeds" value-name:"N" default:"3" description:"number of runs of each, with the seeds from 1 on"`
+	Parts     bool     `long:"parts" description:"write a second table by zone and kind of requests"`
 	Plot      string   `long:"plot" value-name:"FILE" description:"write an SVG plot of the seconds"`
 	Loads     struct {
 		Files []string `positional-arg-name:"LOAD" required:"1" description:"TOML file that describes a load"`
@@ -52,6 +53,14 @@
 	if err := report.WriteTable(c.stdout, rows); err != nil {
 		return err
 	}
+	if c.Parts {
+		if _, err := io.WriteString(c.stdout, "\n"); err != nil {
+			return eris.Wrap(err, "write table")
+		}
+		if err := report.WriteParts(c.stdout, rows); err != nil {
+			return err
+		}
+	}
 	if c.Plot == "" {
 		return nil
 	}
--- a/flowlab/internal/emulation/emulation.go
+++ b/flowlab/internal/emulation/emulation.go
@@ -37,7 +37,10 @@
 // serviceName is the only service of a load.
 const serviceName = "service"
 
-var serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
+// kindAddress returns the address of the route of the kind of requests with an index.
+func kindAddress(kind int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(443+kind))
+}
 
 // epoch is the simulated time at which runs begin.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -50,12 +53,15 @@
 	// PolicyShared makes the balancers of a zone merge their reports on hosts.
 	PolicyShared = "shared"
 	// PolicyProbed is PolicyShared with probes of hosts whose answers are
-	// overdue. It is what filbertflow does.
+	// overdue. It is what filbertflow does where load sharing is off.
 	PolicyProbed = "probed"
+	// PolicySharing is PolicyProbed with new flows placed, handed to other zones and
+	// admitted by the load that balancers share.
+	PolicySharing = "sharing"
 )
 
 // Policies are all policies in increasing order of complexity.
-var Policies = []string{PolicyAlone, PolicyShared, PolicyProbed}
+var Policies = []string{PolicyAlone, PolicyShared, PolicyProbed, PolicySharing}
 
 // Placements are ways to choose the host of a new flow: that of the balancer,
 // and others to compare it with. The last three use knowledge that no balancer
@@ -91,14 +97,20 @@
 	// Placement is PlacementForwarder if it is empty.
 	Placement string
 	Seed      uint64
+	// loseReports loses all messages of load sharing between balancers.
+	loseReports bool
 }
 
 // emulation is the state of a run.
 type emulation struct {
 	schedule
-	load            *Load
-	options         Options
-	rand            *rand.Rand
+	load    *Load
+	options Options
+	kinds   []Kind
+	rand    *rand.Rand
+	// loadRand is used for load sharing only, so that the other random choices of a run do not
+	// depend on it.
+	loadRand        *rand.Rand
 	directory       *directory.Directory
 	revision        uint64
 	view            *directory.View
@@ -133,7 +145,9 @@
 		schedule:  schedule{now: epoch},
 		load:      l,
 		options:   o,
+		kinds:     l.kinds(),
 		rand:      rand.New(rand.NewPCG(o.Seed, 0)),
+		loadRand:  rand.New(rand.NewPCG(o.Seed, 1)),
 		directory: directory.New(),
 		hosts:     make(map[string]*host),
 		flows:     make(map[netip.AddrPort]*conn),
@@ -145,6 +159,7 @@
 	}
 	e.runUntil(epoch.Add(l.Length.Duration))
 	e.result.sortDetectionTimes()
+	e.result.setBusiest(e)
 	return e.result, nil
 }
 
@@ -155,19 +170,26 @@
 
 // build creates the hosts, balancers and users.
 func (e *emulation) build() {
+	routes := make([]directory.Route, 0, len(e.kinds))
+	for i := range e.kinds {
+		k := &e.kinds[i]
+		routes = append(routes, directory.Route{
+			Name:        k.Name,
+			Address:     kindAddress(i),
+			LatencyGoal: k.LatencyGoal.Duration,
+			Priority:    k.Priority,
+			Targets: []directory.Target{{
+				Service: serviceName,
+				Weight:  1,
+			}},
+		})
+	}
 	e.applyItem(directory.Item{
 		Key: directory.Key{Kind: directory.KindPlan},
 		Plan: &directory.Plan{
 			Version:  1,
 			Services: []directory.Service{{Name: serviceName}},
-			Routes: []directory.Route{{
-				Name:    serviceName,
-				Address: serviceAddress,
-				Targets: []directory.Target{{
-					Service: serviceName,
-					Weight:  1,
-				}},
-			}},
+			Routes:   routes,
 		},
 	})
 	for zone := range e.load.Zones {
@@ -183,8 +205,10 @@
 	hosts := make([]*host, 0, e.load.Hosts.Count)
 	for i := range e.load.Hosts.Count {
 		h := &host{
-			emulation: e,
-			slowdown:  1,
+			emulation:         e,
+			slowdown:          1,
+			congestedSlowdown: 1,
+			received:          make([]int, len(e.kinds)),
 			upstream: &directory.Upstream{
 				ID:      fmt.Sprintf("i-%08x", e.rand.Uint32()),
 				Service: serviceName,
@@ -269,10 +293,13 @@
 	}
 }
 
-// addBurstUsers adds users to each zone for the duration of a burst.
+// addBurstUsers adds users to each zone, or to that of the burst, for its duration.
 func (e *emulation) addBurstUsers(f *Fault) {
 	until := e.now.Add(f.For.Duration)
 	for zone := range e.load.Zones {
+		if f.Zone != nil && *f.Zone != zone {
+			continue
+		}
 		for range int((f.Factor - 1) * float64(e.load.Users.Count)) {
 			newUser(e, zone, until)
 		}
@@ -289,6 +316,9 @@
 			case KindSlow:
 				h.slowdown = f.Factor
 				e.after(f.For.Duration, func() { h.slowdown = 1 })
+			case KindCongested:
+				h.congestedSlowdown = f.Factor
+				e.after(f.For.Duration, func() { h.congestedSlowdown = 1 })
 			case KindCrash:
 				e.failHost(h, hostCrashed, f.For.Duration)
 			default:
--- a/flowlab/internal/emulation/host.go
+++ b/flowlab/internal/emulation/host.go
@@ -26,8 +26,13 @@
 	// flows is the number of open flows of users to the host.
 	flows    int
 	slowdown float64
-	busy     int
-	queue    []func()
+	// congestedSlowdown multiplies the time of requests that start while more than half of the
+	// slots are in use.
+	congestedSlowdown float64
+	busy              int
+	queue             []func()
+	// received counts the requests that reached the host, by kind.
+	received []int
 	// failedAt is when the host crashed or lost power, and detectedAt when a
 	// balancer first considered it dead after that.
 	failedAt   time.Time
@@ -50,15 +55,16 @@
 	h.failedAt = time.Time{}
 }
 
-// serve starts or queues a request, or refuses it if the queue is full. It
+// serve starts or queues a request of a kind, or refuses it if the queue is full. It
 // calls done with whether the request was answered, unless the host fails
 // before that.
-func (h *host) serve(done func(answered bool)) {
+func (h *host) serve(kind int, done func(answered bool)) {
+	h.received[kind]++
 	switch l := &h.emulation.load.Hosts; {
 	case h.busy < l.Slots:
-		h.startRequest(done)
+		h.startRequest(kind, done)
 	case len(h.queue) < l.Queue:
-		h.queue = append(h.queue, func() { h.startRequest(done) })
+		h.queue = append(h.queue, func() { h.startRequest(kind, done) })
 	default:
 		done(false)
 	}
@@ -66,10 +72,13 @@
 
 // startRequest works on a request for 0.5 to 1.5 times the mean, and then
 // starts the next one in the queue.
-func (h *host) startRequest(done func(bool)) {
+func (h *host) startRequest(kind int, done func(bool)) {
 	h.busy++
 	incarnation := h.incarnation
-	mean := h.emulation.load.Hosts.Work.Seconds() * h.slowdown
+	mean := h.emulation.kinds[kind].Work.Seconds() * h.slowdown
+	if 2*h.busy > h.upstream.Slots {
+		mean *= h.congestedSlowdown
+	}
 	jitter := 0.5 + h.emulation.rand.Float64()
 	h.emulation.after(time.Duration(mean*jitter*float64(time.Second)), func() {
 		if h.incarnation != incarnation {
--- a/flowlab/internal/emulation/user.go
+++ b/flowlab/internal/emulation/user.go
@@ -28,8 +28,10 @@
 type user struct {
 	emulation *emulation
 	zone      int
-	address   netip.Addr
-	conn      *conn
+	// kind is the index of the kind of the user's requests.
+	kind    int
+	address netip.Addr
+	conn    *conn
 	// until is when the user leaves; zero means never.
 	until time.Time
 }
@@ -69,9 +71,24 @@
 		until:     until,
 		address:   netip.AddrFrom4([4]byte{100, byte(64 + e.serial>>16), byte(e.serial >> 8), byte(e.serial)}),
 	}
+	if len(e.kinds) > 1 {
+		u.kind = e.randomKind()
+	}
 	e.after(u.thinkTime(), u.nextRequest)
 }
 
+// randomKind returns the index of a random kind of requests, by their shares.
+func (e *emulation) randomKind() int {
+	at := e.rand.Float64()
+	for i := range e.kinds {
+		if at < e.kinds[i].Share {
+			return i
+		}
+		at -= e.kinds[i].Share
+	}
+	return len(e.kinds) - 1
+}
+
 // thinkTime returns a random time until the next request.
 func (u *user) thinkTime() time.Duration {
 	l := &u.emulation.load.Users
@@ -92,7 +109,7 @@
 		sent:       u.emulation.now,
 		atMostOnce: u.emulation.rand.Float64() < u.emulation.load.Users.AtMostOnce,
 	}
-	u.emulation.result.requestSent(u.emulation)
+	u.emulation.result.count(r, func(w *Window) { w.Sent++ })
 	u.emulation.after(u.emulation.load.Users.Deadline.Duration, func() { r.finish(false) })
 	r.attempt()
 }
@@ -170,7 +187,7 @@
 func (c *conn) packet(flags flow.Flags, length int) flow.Packet {
 	p := flow.Packet{
 		Client:       c.client,
-		Service:      serviceAddress,
+		Service:      kindAddress(c.user.kind),
 		Flags:        flags,
 		Sequence:     c.sequence,
 		Acknowledged: c.acknowledged,
@@ -221,7 +238,7 @@
 	case p.Length > 0 && !c.reachedHost && c.request != nil:
 		c.reachedHost = true
 		r := c.request
-		h.serve(func(answered bool) { e.after(clientDelay, func() { c.handleAnswer(r, answered) }) })
+		h.serve(c.user.kind, func(answered bool) { e.after(clientDelay, func() { c.handleAnswer(r, answered) }) })
 	}
 }
 
@@ -252,6 +269,7 @@
 		r.finish(true)
 		return
 	}
+	c.user.emulation.result.count(r, func(w *Window) { w.Refused++ })
 	// Each further attempt uses a new flow.
 	c.finish()
 	r.retry(false)
--- a/flowlab/internal/report/report.go
+++ b/flowlab/internal/report/report.go
@@ -111,3 +111,38 @@
 	_, err := io.WriteString(w, b.String())
 	return eris.Wrap(err, "write table")
 }
+
+// WriteParts writes a Markdown table with a row for each zone and each kind of requests.
+func WriteParts(w io.Writer, rows []*Row) error {
+	var b strings.Builder
+	b.WriteString("| load | balancers | policy | part | in time | worst 2 s | late | failed | refused by hosts | rejected | busiest host |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		for i := range r.results[0].Zones {
+			r.writePart(&b, func(x *emulation.Result) *emulation.Part { return &x.Zones[i] })
+		}
+		for i := range r.results[0].Kinds {
+			r.writePart(&b, func(x *emulation.Result) *emulation.Part { return &x.Kinds[i] })
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return eris.Wrap(err, "write parts")
+}
+
+// writePart writes the row of a zone or kind.
+func (r *Row) writePart(b *strings.Builder, part func(*emulation.Result) *emulation.Part) {
+	mean := func(value func(*emulation.Part) float64) float64 {
+		return r.mean(func(x *emulation.Result) float64 { return value(part(x)) })
+	}
+	count := func(value func(w emulation.Window) int) float64 {
+		return mean(func(p *emulation.Part) float64 { return float64(value(p.Total())) })
+	}
+	fmt.Fprintf(b, "| %s | %d | %s | %s | %.4f | %.3f | %.0f | %.0f | %.0f | %.0f | %.2f |\n", r.Load, r.Balancers, r.Policy, part(r.results[0]).Name,
+		mean(func(p *emulation.Part) float64 { return p.Total().OnTimeShare() }),
+		mean((*emulation.Part).WorstOnTimeShare),
+		count(func(w emulation.Window) int { return w.Late }),
+		count(func(w emulation.Window) int { return w.Failed }),
+		count(func(w emulation.Window) int { return w.Refused }),
+		count(func(w emulation.Window) int { return w.Rejected }),
+		mean(func(p *emulation.Part) float64 { return p.BusiestOverMean }))
+}
