fix: give no flows that the own zone rejects to zones that are as full

Change: what the own zone has no room for goes elsewhere as far as the zone is busier than the mean.

--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -26,6 +26,9 @@
 	// rateMargin is the work by rates, relative to the capacity, that hosts are taken to bear:
 	// usual answer times include the clients' round trip, and rates are one balancer's.
 	rateMargin = 1.25
+	// giveGain is how fast the flows that the own zone has no room for go to other zones, as the
+	// share that the zone gives away rises.
+	giveGain = 4
 	// maxQueueFactor bounds how many requests in progress per slot are taken for in time: hosts
 	// queue a few requests per slot and refuse further ones.
 	maxQueueFactor = 4
@@ -300,6 +303,9 @@
 		return
 	}
 	refused := (1 - l.give) * (1 - own)
+	// excess is 1 if the own zone is busier than the others by far, and 0 if it is not: zones
+	// that are equally full would only exchange their flows.
+	excess := min(giveGain*l.give, 1)
 	room := 0.0
 	for i := range l.others {
 		room += l.others[i].free
@@ -310,7 +316,7 @@
 			c.others[i] = l.give * l.weights[i]
 		}
 		if room > 0 {
-			c.others[i] += refused * z.free / room
+			c.others[i] += refused * excess * z.free / room
 		}
 		if c.others[i]*demand > z.free {
 			c.others[i] = z.free / demand
