feat: show shared load in metrics, logs and an endpoint

Cause: counters of the exchange of loads were kept but not served, nobody could see what a balancer knows of zones and upstreams, and the log lines on first packets that wait, are rejected or go to another zone did not tell what that rests on.

Change: filbertflow serves the reports, digests and bytes of the exchange, the packets that wait and for how long, changes of learned capacity, and for at most 64 zones of services and 64 upstreams their load, capacity and share; what is left out is counted. GET /v1/load on the metrics address has all of it as JSON. A decision tells the priority, the requests in progress, capacity and limit of the own zone, the share in force and the age of the digest where a first packet waits, is rejected or spilled, also for copies of a waiting packet. Decisions are unchanged.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -94,8 +94,12 @@
 // newCounters returns counters of a daemon that starts at now.
 func newCounters(now time.Time) *counters {
 	c := &counters{}
-	c.latency.start = now
-	c.waited.start = now
+	c.latency.name = "filbertflow.packet.duration"
+	c.latency.description = "Time from a packet's arrival until it is sent on."
+	c.latency.start, c.latency.first = now, firstLatencyBucket
+	c.waited.name = "filbertflow.admission.wait"
+	c.waited.description = "Time that first packets waited for room, whether they were sent on or rejected."
+	c.waited.start, c.waited.first = now, firstWaitBucket
 	return c
 }
 
@@ -186,22 +190,31 @@
 
 // A histogram counts durations in buckets, each twice as wide as the one before.
 type histogram struct {
-	// buckets count the durations below firstBucket, below twice that, and so on;
-	// the last one has no upper bound.
+	// name and description are those of the metric.
+	name        string
+	description string
+	// first is the upper bound of the first bucket.
+	first time.Duration
+	// buckets count the durations below first, below twice that, and so on; the last one
+	// has no upper bound.
 	buckets [histogramBuckets]atomic.Uint64
 	sum     atomic.Int64
 	start   time.Time
 }
 
-// Buckets of a histogram.
+// Buckets of histograms.
 const (
 	histogramBuckets = 16
-	firstBucket      = 2 * time.Microsecond
+	// firstLatencyBucket is the upper bound of the first bucket of the time that a packet
+	// takes, and firstWaitBucket that of the wait for admission. The last bounds are 33 ms
+	// and 4 s.
+	firstLatencyBucket = 2 * time.Microsecond
+	firstWaitBucket    = 250 * time.Microsecond
 )
 
 func (h *histogram) record(d time.Duration) {
 	i := 0
-	for bound := firstBucket; i < histogramBuckets-1 && d >= bound; bound *= 2 {
+	for bound := h.first; i < histogramBuckets-1 && d >= bound; bound *= 2 {
 		i++
 	}
 	h.buckets[i].Add(1)
--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -143,8 +143,9 @@
 	events *ring.Ring[func(time.Time)]
 	// probeQueue holds the upstreams to probe.
 	probeQueue *ring.Ring[*directory.Upstream]
-	// rooms is what is known of the room of each zone, for the metrics.
-	rooms       atomic.Pointer[[]flow.ZoneRoom]
+	// load is what is known of the shared load, for metrics and operators; nil until the first
+	// report on it.
+	load        atomic.Pointer[loadView]
 	syncer      *syncer
 	peerNotices peerNotices
 	// reads wakes the store's reader; it holds whether this balancer reads the
--- a/filbertflow/internal/daemon/loads.go
+++ b/filbertflow/internal/daemon/loads.go
@@ -374,7 +374,7 @@
 		e.daemon.counters.capacityChanges.Add(1)
 		e.daemon.log.Info(now, "upstream: capacity changed", logs.F("upstream", u.ID), logs.F("service", u.Service),
 			logs.F("slots", u.Slots), logs.F("capacity", round(total.Capacity)), logs.F("before", round(was)),
-			logs.F("answers", total.Answers), logs.F("working", round(total.Working)))
+			logs.F("answers", total.Answers), logs.F("working", round(total.Working)), logs.F("balancers", d.Balancers))
 	}
 	e.capacities = known
 }
@@ -410,32 +410,5 @@
 	r := t.forwarder.LoadReport(now, interval)
 	d := t.daemon
 	d.post(func(now time.Time) { d.syncer.loads.sendReport(now, &r) })
-	t.recordRooms(now)
-}
-
-// recordRooms records the room of each zone for the metrics, and logs zones that begin or end
-// to get the own zone's new flows.
-func (t *packetHandler) recordRooms(now time.Time) {
-	d := t.daemon
-	rooms := t.forwarder.Rooms(now, t.view())
-	giving := make(map[string]bool)
-	for i := range rooms {
-		r := &rooms[i]
-		if r.Zone == d.options.Zone || r.Share == 0 {
-			continue
-		}
-		giving[r.Service+" "+r.Zone] = true
-		if !t.giving[r.Service+" "+r.Zone] {
-			d.log.Info(now, "zone: gives new flows to another zone", logs.F("service", r.Service), logs.F("to_zone", r.Zone),
-				logs.F("share", round(r.Share)), logs.F("working", round(r.Working)), logs.F("capacity", round(r.Capacity)))
-		}
-	}
-	for k := range t.giving {
-		if !giving[k] {
-			d.log.Info(now, "zone: gives no new flows any more", logs.F("service_zone", k))
-		}
-	}
-	t.giving = giving
-	d.counters.waiting.Store(int64(t.forwarder.Waiting()))
-	d.rooms.Store(&rooms)
+	t.recordLoad(now)
 }
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -26,7 +26,7 @@
 // pathMetrics is the pattern of the metrics endpoint.
 const pathMetrics = "GET /metrics"
 
-// serveMetrics serves metrics until ctx ends. The instruments are created at the
+// serveMetrics serves metrics and the shared load until ctx ends. The instruments are created at the
 // first scrape, so that a starting balancer can forward packets sooner.
 func (d *Daemon) serveMetrics(ctx context.Context) {
 	if !d.options.Metrics.IsValid() {
@@ -45,6 +45,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
+	mux.HandleFunc(pathLoad, d.serveLoad)
 	d.serveHTTP(ctx, d.options.Metrics, mux)
 }
 
@@ -53,6 +54,7 @@
 	exporter, err := otelprometheus.New(
 		otelprometheus.WithRegisterer(registry),
 		otelprometheus.WithProducer(&d.counters.latency),
+		otelprometheus.WithProducer(&d.counters.waited),
 	)
 	if err != nil {
 		return nil, eris.Wrap(err, "exporter")
@@ -63,6 +65,11 @@
 			return nil, eris.Wrap(err, i.name)
 		}
 	}
+	for _, g := range loadGauges() {
+		if err := g.register(meter, d.load.Load); err != nil {
+			return nil, eris.Wrap(err, g.name)
+		}
+	}
 	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
 }
 
@@ -289,6 +296,33 @@
 			unit:        "By",
 			samples:     singleSample(func() int64 { return int64(c.peerBytes.Load()) }),
 		},
+		{
+			name:        "filbertflow.load.reports",
+			description: "Load reports received from other balancers.",
+			samples:     singleSample(func() int64 { return int64(c.loadReports.Load()) }),
+		},
+		{
+			name:        "filbertflow.load.digests",
+			description: "Load digests received from other balancers.",
+			samples:     singleSample(func() int64 { return int64(c.loadDigests.Load()) }),
+		},
+		{
+			name:        "filbertflow.load.sent",
+			description: "Bytes sent for load reports, digests and summaries.",
+			unit:        "By",
+			samples:     singleSample(func() int64 { return int64(c.loadBytes.Load()) }),
+		},
+		{
+			name:        "filbertflow.load.capacity.changes",
+			description: "Changes of an upstream's learned capacity, seen by this balancer as a collector.",
+			samples:     singleSample(func() int64 { return int64(c.capacityChanges.Load()) }),
+		},
+		{
+			name:        "filbertflow.admission.waiting",
+			description: "First packets that wait for admission.",
+			gauge:       true,
+			samples:     singleSample(c.waiting.Load),
+		},
 		{
 			name:        "filbertflow.ring.items",
 			description: "Events that wait for the directory.",
@@ -308,8 +342,7 @@
 	}
 }
 
-// Produce returns the histogram of the time from a packet's arrival until it is
-// forwarded.
+// Produce returns the histogram as a metric.
 func (h *histogram) Produce(context.Context) ([]metricdata.ScopeMetrics, error) {
 	point := metricdata.HistogramDataPoint[float64]{
 		StartTime:    h.start,
@@ -317,7 +350,7 @@
 		Sum:          time.Duration(h.sum.Load()).Seconds(),
 		BucketCounts: make([]uint64, histogramBuckets),
 	}
-	bound := firstBucket
+	bound := h.first
 	for i := range histogramBuckets {
 		point.BucketCounts[i] = h.buckets[i].Load()
 		point.Count += point.BucketCounts[i]
@@ -329,8 +362,8 @@
 	return []metricdata.ScopeMetrics{{
 		Scope: instrumentation.Scope{Name: meterName},
 		Metrics: []metricdata.Metrics{{
-			Name:        "filbertflow.packet.duration",
-			Description: "Time from a packet's arrival until it is sent on.",
+			Name:        h.name,
+			Description: h.description,
 			Unit:        "s",
 			Data: metricdata.Histogram[float64]{
 				DataPoints:  []metricdata.HistogramDataPoint[float64]{point},
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -79,7 +79,7 @@
 	// wakeScheduled tells that a timer will wake the packet handler.
 	wakeScheduled bool
 	// giving holds the services and zones that the own zone gives new flows to.
-	giving map[string]bool
+	giving map[giving]bool
 }
 
 func newPacketHandler(d *Daemon) (*packetHandler, error) {
@@ -322,8 +322,16 @@
 	if decision.Waited > 0 {
 		fields = append(fields, logs.F("waited_ms", decision.Waited.Milliseconds()))
 	}
+	if decision.Service != "" {
+		fields = append(fields, logs.F("service", decision.Service))
+	}
 	if decision.Candidates > 0 {
-		fields = append(fields, logs.F("service", decision.Service), logs.F("candidates", decision.Candidates))
+		fields = append(fields, logs.F("candidates", decision.Candidates))
+	}
+	if r := &decision.Room; r.Known {
+		fields = append(fields, logs.F("priority", r.Priority), logs.F("own_working", round(r.Working)),
+			logs.F("own_capacity", round(r.Capacity)), logs.F("own_limit", round(r.Limit)), logs.F("share", round(r.Share)),
+			logs.F("load_age_ms", r.Age.Milliseconds()))
 	}
 	if decision.Reason == flow.ReasonUnknown {
 		fields = append(fields, logs.F("ticket", uint32(t.packet.Ticket)))
--- a/filbertflow/internal/settings/settings_test.go
+++ b/filbertflow/internal/settings/settings_test.go
@@ -33,6 +33,85 @@
 	require.False(t, s.Metrics.Listen.IsValid())
 }
 
+// TestParseLoad checks that the decisions by shared load are on unless a file turns them off.
+func TestParseLoad(t *testing.T) {
+	type load struct {
+		share, learn, spill, admit bool
+	}
+	for _, test := range []struct {
+		name string
+		text string
+		want load
+	}{
+		{
+			name: "defaults",
+			want: load{
+				share: true,
+				learn: true,
+				spill: true,
+				admit: true,
+			},
+		},
+		{
+			name: "empty table",
+			text: "[load]\n",
+			want: load{
+				share: true,
+				learn: true,
+				spill: true,
+				admit: true,
+			},
+		},
+		{
+			name: "share off",
+			text: "[load]\nshare = false\n",
+			want: load{
+				learn: true,
+				spill: true,
+				admit: true,
+			},
+		},
+		{
+			name: "learn off",
+			text: "[load]\nlearn = false\n",
+			want: load{
+				share: true,
+				spill: true,
+				admit: true,
+			},
+		},
+		{
+			name: "spill off",
+			text: "[load]\nspill = false\n",
+			want: load{
+				share: true,
+				learn: true,
+				admit: true,
+			},
+		},
+		{
+			name: "admit off",
+			text: "[load]\nadmit = false\n",
+			want: load{
+				share: true,
+				learn: true,
+				spill: true,
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, err := Parse([]byte(valid + test.text))
+			require.NoError(t, err)
+			require.Equal(t, test.want, load{
+				share: s.Load.Share,
+				learn: s.Load.Learn,
+				spill: s.Load.Spill,
+				admit: s.Load.Admit,
+			})
+		})
+	}
+}
+
 func TestParseRefuses(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -124,6 +124,29 @@
 	ZoneLoad float64
 	// Waited is how long a first packet waited for admission.
 	Waited time.Duration
+	// Room is the room that a new flow found if it waited, was rejected for the lack of room or
+	// went to another zone.
+	Room Room
+}
+
+// A Room is what a decision on a new flow by the load of the own zone's upstreams rests on.
+type Room struct {
+	// Known reports whether the decision was made by that load. The rest is zero otherwise.
+	Known bool
+	// Priority is that of the flow's route; 0 is the most urgent.
+	Priority int
+	// Working is the number of requests in progress at the upstreams of the flow's service,
+	// without those that slow ones have beyond what they answer in time.
+	Working float64
+	// Capacity is the number of slots' worth of work that these upstreams take.
+	Capacity float64
+	// Limit is the number of requests in progress up to which they answer in time.
+	Limit float64
+	// Share is the share of the priority's new flows that there is room for in all zones, and
+	// for a flow that goes to another zone, the share that goes there.
+	Share float64
+	// Age is the time since the oldest digest of the load came.
+	Age time.Duration
 }
 
 // A Load is the load of an upstream as seen by one balancer.
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -151,11 +151,8 @@
 	if v.Plan == nil {
 		return Decision{Reason: ReasonNotReady}
 	}
-	if f.sharing.holdCopy(p, k) {
-		return Decision{
-			Action: Hold,
-			Reason: ReasonWaiting,
-		}
+	if d, ok := f.sharing.holdCopy(now, p, k); ok {
+		return d
 	}
 	if p.Copy > 0 {
 		return f.openElsewhere(now, v, p, k)
--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -83,6 +83,11 @@
 	// limited is the number of requests in progress of the own zone's hosts, each counted up to
 	// what it answers in time: a slow host's queue takes nothing from the others.
 	limited float64
+	// at is when the load was summed that the rest is worked out from; for the own zone that of
+	// the oldest digest.
+	at time.Time
+	// limit is the number of requests in progress up to which the own zone's hosts answer in time.
+	limit float64
 	// told is the load as it was last told of, and given counts the flows that this balancer has
 	// opened there since.
 	told  load.ZoneTotal
@@ -208,7 +213,7 @@
 
 // arrive counts a new flow of a priority.
 func (l *serviceLoad) arrive(priority int) {
-	i := slices.IndexFunc(l.classes, func(c priorityClass) bool { return c.priority == priority })
+	i := l.class(priority)
 	if i < 0 {
 		l.classes = append(l.classes, priorityClass{
 			priority: priority,
@@ -237,8 +242,7 @@
 // assignShares works out which share of each priority's new flows goes to which zone. What the
 // own zone has no room for goes to the others, as far as these have.
 func (l *serviceLoad) assignShares(f *Forwarder, v *directory.View) {
-	priorities, factor := l.priorities(), f.queueFactor(v, l.name)
-	l.own.shares = admission.SharesFor(l.own.limited, l.own.load.Capacity*factor, priorities)
+	l.own.shares = admission.SharesFor(l.own.limited, l.own.limit, l.priorities())
 	slices.SortFunc(l.classes, func(a, b priorityClass) int { return a.priority - b.priority })
 	// perSecond is the rate of a class by its decaying count.
 	perSecond := math.Ln2 / classHalfLife.Seconds()
@@ -320,43 +324,6 @@
 	return max(factor, 1)
 }
 
-// rooms returns what is known of the room of each zone.
-func (l *serviceLoad) rooms() []ZoneRoom {
-	rooms := make([]ZoneRoom, 0, 1+len(l.others))
-	rooms = append(rooms, l.own.describe(l.name))
-	for i := range l.others {
-		rooms = append(rooms, l.others[i].describe(l.name))
-	}
-	arrived := 0.0
-	for i := range l.classes {
-		arrived += l.classes[i].arrived
-	}
-	if arrived == 0 {
-		rooms[0].Share = 1
-		return rooms
-	}
-	for i := range l.classes {
-		c := &l.classes[i]
-		part := c.arrived / arrived
-		rooms[0].Share += part * c.own
-		for j, share := range c.others {
-			rooms[1+j].Share += part * share
-		}
-	}
-	return rooms
-}
-
-// describe returns what is known of the zone's room.
-func (z *zoneHosts) describe(service string) ZoneRoom {
-	return ZoneRoom{
-		Service:  service,
-		Zone:     z.zone,
-		Working:  z.load.Working,
-		Capacity: z.load.Capacity,
-		Known:    z.load.Known,
-	}
-}
-
 func (z *zoneHosts) reset(zone string) {
 	z.zone = zone
 	z.hosts, z.capacities, z.scratch = z.hosts[:0], z.capacities[:0], z.scratch[:0]
@@ -367,7 +334,7 @@
 // flows a second.
 func (z *zoneHosts) refreshOwn(now time.Time, f *Forwarder, rate, factor float64) {
 	z.load.Known = true
-	z.free, z.limited = 0, 0
+	z.free, z.limited, z.at = 0, 0, now
 	var flows, weighted float64
 	var active, reported float64
 	others := float64(max(f.sharing.balancers-1, 0))
@@ -378,6 +345,9 @@
 		if c <= 0 {
 			c = float64(max(u.Slots, 1))
 		}
+		if at := now.Add(-e.Age); e.Known && at.Before(z.at) {
+			z.at = at
+		}
 		active += float64(h.load.ActiveRequests)
 		reported += h.reported[1]
 		working := e.Working + float64(h.load.ActiveRequests)
@@ -396,6 +366,7 @@
 		flows += hostFlows
 		weighted += hostFlows + workingWeight*working
 	}
+	z.limit = z.load.Capacity * factor
 	grown := others * growth(reported, active)
 	z.load.Working += grown
 	z.limited += grown
@@ -426,7 +397,7 @@
 	}
 	// The other balancers of the own zone have given as many.
 	given := float64(z.given*max(f.sharing.balancers, 1)) * perFlow
-	z.free = max(told.Free-given, 0)
+	z.free, z.at = max(told.Free-given, 0), told.At
 	z.load = spillover.Zone{
 		Working:  max(told.Capacity-z.free/load.SpareFactor, 0),
 		Capacity: told.Capacity,
@@ -475,9 +446,15 @@
 	if u.Cold(now) {
 		h.tokens--
 	}
+	var room Room
+	if reason == ReasonSpilled {
+		room = l.roomFor(now, r.Priority)
+		room.Share = l.shareOf(r.Priority, z)
+	}
 	return Decision{
 		Action:     Forward,
 		Reason:     reason,
+		Room:       room,
 		Upstream:   u,
 		Ticket:     u.Ticket(),
 		Service:    service,
@@ -489,7 +466,7 @@
 
 // chooseZone returns the zone of a new flow with a hash, and the reason for the choice.
 func (l *serviceLoad) chooseZone(hash uint64, priority int) (*zoneHosts, Reason) {
-	i := slices.IndexFunc(l.classes, func(c priorityClass) bool { return c.priority == priority })
+	i := l.class(priority)
 	if i < 0 || len(l.classes[i].others) != len(l.others) {
 		return &l.own, ReasonPlaced
 	}
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -50,9 +50,10 @@
 
 // waitingPacket is a first packet that waits for admission.
 type waitingPacket struct {
-	packet  Packet
-	service *serviceLoad
-	since   time.Time
+	packet   Packet
+	service  *serviceLoad
+	priority int
+	since    time.Time
 }
 
 func newSharing(options Sharing) *sharing {
@@ -107,36 +108,6 @@
 	f.sharing.balancers = balancers
 }
 
-// ZoneRoom is what a forwarder knows of the room of one zone for one service.
-type ZoneRoom struct {
-	Service string
-	Zone    string
-	// Working is the number of requests in progress, and Capacity the number of requests
-	// that the upstreams take at once.
-	Working  float64
-	Capacity float64
-	// Known reports whether the zone's load is known.
-	Known bool
-	// Share is the share of this balancer's new flows that there is room for there.
-	Share float64
-}
-
-// Rooms returns what is known of the room of all zones, by service.
-func (f *Forwarder) Rooms(now time.Time, v *directory.View) []ZoneRoom {
-	if f.sharing == nil || !f.sharing.book.Fresh(now) {
-		return nil
-	}
-	var rooms []ZoneRoom
-	for _, l := range f.sharing.services {
-		l.refresh(now, v, f)
-		rooms = append(rooms, l.rooms()...)
-	}
-	slices.SortFunc(rooms, func(a, b ZoneRoom) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
-	})
-	return rooms
-}
-
 // Waiting returns the number of first packets that wait for admission.
 func (f *Forwarder) Waiting() int {
 	if f.sharing == nil {
@@ -241,20 +212,18 @@
 	}) {
 	case admission.Wait:
 		f.sharing.waiting[k] = &waitingPacket{
-			packet:  *p,
-			service: l,
-			since:   now,
+			packet:   *p,
+			service:  l,
+			priority: r.Priority,
+			since:    now,
 		}
-		return Decision{
-			Action:  Hold,
-			Reason:  ReasonWaiting,
-			Service: l.name,
-		}, true
+		return l.held(now, r.Priority), true
 	case admission.Reject:
 		return Decision{
 			Action:  Reject,
 			Reason:  ReasonNoRoom,
 			Service: l.name,
+			Room:    l.roomFor(now, r.Priority),
 		}, true
 	default:
 		return Decision{}, false
@@ -276,14 +245,15 @@
 	return min(max((r.LatencyGoal-usual)/2, 0), maxAdmissionWait)
 }
 
-// holdCopy keeps a copy of a first packet that waits in place of that one, and reports whether
-// there is one.
-func (s *sharing) holdCopy(p *Packet, k key) bool {
+// holdCopy keeps a copy of a first packet that waits in place of that one. It returns false if
+// there is none.
+func (s *sharing) holdCopy(now time.Time, p *Packet, k key) (Decision, bool) {
 	w := s.waitingOf(k, p.Sequence)
-	if w != nil {
-		w.packet = *p
+	if w == nil {
+		return Decision{}, false
 	}
-	return w != nil
+	w.packet = *p
+	return w.service.held(now, w.priority), true
 }
 
 // waitingOf returns the waiting first packet of a flow, or nil.
@@ -355,6 +325,9 @@
 		}
 	}
 	d.Waited = now.Sub(w.since)
+	if !d.Room.Known {
+		d.Room = w.service.roomFor(now, w.priority)
+	}
 	f.release(&heldPacket{packet: w.packet}, d)
 }
 
