feat: show shared load and its decisions in filbertctl

Cause: an operator could read shared load only balancer by balancer, as JSON. A trace of a request left out why its zone gave flows away, and its client's attempts that were rejected before: these are flows of other ports without a request's id.

Lines of many balancers on different services and zones stay apart.

Measured: go test of filbertctl passes, with script cases for tables, JSON, exit codes and for a request that was rejected, waited and went to another zone.

--- a/filbertctl/internal/cmd/main.go
+++ b/filbertctl/internal/cmd/main.go
@@ -135,6 +135,7 @@
 			},
 		},
 		{name: "explain", short: "Show where a datagram would be sent", command: &explain{config: c}},
+		{name: "load", short: "Show the load that balancers share", command: &showLoad{config: c}},
 		{
 			name:  "patch",
 			short: "Check or submit patches",
--- a/filbertctl/internal/cmd/script_test.go
+++ b/filbertctl/internal/cmd/script_test.go
@@ -12,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"filbertworks.example/filbertworks/config"
+	"filbertworks.example/filbertworks/status"
 )
 
 func TestMain(m *testing.M) {
@@ -74,6 +75,19 @@
 	stuck := newFakePlatform(7, document)
 	s := newFakeBalancer(stuck, "lb-s", "merano")
 	s.stuck = true
+	loads := []*httptest.Server{
+		newFakeLoad(fakeLoad("lb-a", "merano")),
+		newFakeLoad(fakeLoad("lb-b", "bolzano")),
+		newFakeLoad(&status.Load{
+			Balancer: "lb-c",
+			Zone:     "merano",
+			Shared:   true,
+		}),
+	}
+	for i, l := range loads {
+		e.Defer(l.Close)
+		e.Setenv("METRICS_"+string("ABC"[i]), l.Listener.Addr().String())
+	}
 	gone := httptest.NewServer(nil)
 	gone.Close()
 	e.Defer(p.server.Close)
--- a/filbertctl/internal/cmd/trace.go
+++ b/filbertctl/internal/cmd/trace.go
@@ -147,17 +147,25 @@
 
 // relatedLines returns the lines that concern a request or flow, in the order of
 // time: its own, those of its flows, and those within traceMargin that concern the
-// upstreams of these flows or every request.
+// upstreams or the services of these flows or every request. For a request there are
+// also the attempts of its clients, within traceMargin, that were rejected for the lack
+// of room: no request of theirs was ever seen.
 func relatedLines(all []LogLine, id string) []LogLine {
 	f := &lineFilter{
 		id:        id,
 		flows:     map[string]bool{id: true},
 		upstreams: make(map[string]bool),
+		services:  make(map[string]bool),
+		callers:   make(map[caller]bool),
+		rejected:  make(map[string]bool),
 	}
 	for i := range all {
 		f.addRequestLine(&all[i])
 	}
 	isRequest := !f.first.IsZero()
+	for i := range all {
+		f.addRejectedLine(&all[i])
+	}
 	for i := range all {
 		f.addFlowLine(&all[i], !isRequest)
 	}
@@ -171,6 +179,12 @@
 	return chosen
 }
 
+// reasonNoRoom is the reason of decisions that reject a flow for the lack of room.
+const reasonNoRoom = "no room"
+
+// zonePrefix is the prefix of messages on where a zone's new flows of one service go.
+const zonePrefix = "zone:"
+
 // contextPrefixes are the prefixes of messages that concern every request.
 var contextPrefixes = []string{"directory: plan", "directory: zone", "daemon:", "store:"}
 
@@ -181,21 +195,49 @@
 	id string
 	// flows are the flows of the request.
 	flows map[string]bool
-	// upstreams are those of the flows.
+	// upstreams and services are those of the flows.
 	upstreams map[string]bool
+	services  map[string]bool
+	// callers are the clients of the request, and rejected are their flows that were
+	// rejected for the lack of room.
+	callers  map[caller]bool
+	rejected map[string]bool
 	// first and last are the times of the first and the last line of the request or
 	// flow.
 	first, last time.Time
 }
 
+// A caller is a client that opens flows to an address.
+type caller struct {
+	client, service string
+}
+
+// callerOf returns the client of the line's flow, without its port.
+func callerOf(l *LogLine) caller {
+	client, _, _ := strings.Cut(l.text("flow"), ":")
+	return caller{
+		client:  client,
+		service: l.text("service_address"),
+	}
+}
+
 // addRequestLine adds the flow and the time of a line of the request.
 func (f *lineFilter) addRequestLine(l *LogLine) {
 	if l.text("request") == f.id {
 		f.flows[l.text("flow")] = true
+		f.callers[callerOf(l)] = true
 		f.extendTimes(l)
 	}
 }
 
+// addRejectedLine adds the flow of a line that rejects an attempt of the request's clients
+// for the lack of room.
+func (f *lineFilter) addRejectedLine(l *LogLine) {
+	if l.text("reason") == reasonNoRoom && f.callers[callerOf(l)] && f.inTime(l) {
+		f.rejected[l.text("flow")] = true
+	}
+}
+
 // addFlowLine adds the upstream of a line of the request's flows, and its time if
 // extend is true.
 func (f *lineFilter) addFlowLine(l *LogLine, extend bool) {
@@ -203,6 +245,7 @@
 		return
 	}
 	f.upstreams[l.text("upstream")] = true
+	f.services[l.text("service")] = true
 	if extend {
 		f.extendTimes(l)
 	}
@@ -218,6 +261,11 @@
 	}
 }
 
+// inTime reports whether a line is within traceMargin.
+func (f *lineFilter) inTime(l *LogLine) bool {
+	return !l.Time.Before(f.first.Add(-traceMargin)) && !l.Time.After(f.last.Add(traceMargin))
+}
+
 // matchesFlow reports whether a line belongs to one of the flows.
 func (f *lineFilter) matchesFlow(l *LogLine) bool {
 	flow := l.text("flow")
@@ -229,17 +277,24 @@
 // of the flow.
 func (f *lineFilter) matchesRequest(l *LogLine) bool {
 	request := l.text("request")
+	if f.rejected[l.text("flow")] && f.inTime(l) {
+		return true
+	}
 	return f.matchesFlow(l) && (request == "" || request == f.id || f.flows[f.id] && l.text("flow") == f.id)
 }
 
 // matchesContext reports whether a line within traceMargin belongs to no flow and
-// concerns an upstream of the flows or every request.
+// concerns an upstream or a service of the flows or every request.
 func (f *lineFilter) matchesContext(l *LogLine) bool {
-	if l.Time.Before(f.first.Add(-traceMargin)) || l.Time.After(f.last.Add(traceMargin)) || l.text("flow") != "" {
+	if !f.inTime(l) || l.text("flow") != "" {
 		return false
 	}
 	if u := l.text("upstream"); u != "" {
 		return f.upstreams[u]
 	}
+	if strings.HasPrefix(l.Message, zonePrefix) {
+		service := l.text("service")
+		return service != "" && f.services[service]
+	}
 	return slices.ContainsFunc(contextPrefixes, func(p string) bool { return strings.HasPrefix(l.Message, p) })
 }
--- a/filbertctl/internal/cmd/tracesummary.go
+++ b/filbertctl/internal/cmd/tracesummary.go
@@ -11,7 +11,7 @@
 
 // eventFields are the fields that tell events with the same message apart. The others differ
 // from balancer to balancer.
-var eventFields = []string{"upstream", "zone", "plan", "out", "gone", "draining", "result", "reads", "leads"}
+var eventFields = []string{"upstream", "zone", "plan", "out", "gone", "draining", "result", "reads", "leads", "service", "to_zone"}
 
 // summarizeEvents replaces the lines of more than maxRepeatedLines balancers on the same
 // event by one line at the time of the first. Lines of flows are kept.
--- a/filbertctl/internal/fleet/report.go
+++ b/filbertctl/internal/fleet/report.go
@@ -66,17 +66,22 @@
 // order of targets.
 func Gather(ctx context.Context, doer remote.Doer, targets []Target) []Report {
 	reports := make([]Report, len(targets))
+	each(len(targets), func(i int) { reports[i] = fetchReport(ctx, doer, targets[i]) })
+	return reports
+}
+
+// each calls f for the indices below n, for maxCalls of them at a time.
+func each(n int, f func(i int)) {
 	semaphore := make(chan struct{}, maxCalls)
 	var group sync.WaitGroup
-	for i := range targets {
+	for i := range n {
 		semaphore <- struct{}{}
 		group.Go(func() {
-			reports[i] = fetchReport(ctx, doer, targets[i])
+			f(i)
 			<-semaphore
 		})
 	}
 	group.Wait()
-	return reports
 }
 
 func fetchReport(ctx context.Context, doer remote.Doer, t Target) Report {
--- a/filbertctl/internal/remote/balancer.go
+++ b/filbertctl/internal/remote/balancer.go
@@ -53,6 +53,16 @@
 	return e, nil
 }
 
+// Load returns what a filbertflow knows of the load that balancers share. The client's address is
+// that of its metrics.
+func (b *Balancer) Load(ctx context.Context) (*status.Load, error) {
+	l := &status.Load{}
+	if err := b.get(ctx, b.base.JoinPath(status.PathLoad), l); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
 // Status returns the balancer's state.
 func (b *Balancer) Status(ctx context.Context) (*status.Status, error) {
 	s := &status.Status{}
