fix: log recovered capacities and show avoided upstreams

Lines on zones that give new flows away began and ended with shares of 0.002. A zone's capacity of 0 could not be told from a fault: all its hosts were avoided. A trace had the lines on giving of all balancers.

Change: capacities are kept by group and recoveries are logged; zones that give less than 0.01 of their new flows have no line, and the others name the own zone; GET /v1/load and filbertctl load tell which upstreams new flows avoid; a trace shows where those balancers sent new flows that handled the flow. Upstreams are sorted by the readers of the load, not by the packet handler.

--- a/filbertctl/internal/cmd/fakeload_test.go
+++ b/filbertctl/internal/cmd/fakeload_test.go
@@ -72,6 +72,7 @@
 				Slots:    8,
 				Capacity: 2,
 				Answers:  412,
+				Avoided:  true,
 				Flows:    9,
 				Working:  5.25,
 				Age:      config.Duration(240 * time.Millisecond),
--- a/filbertctl/internal/cmd/showload.go
+++ b/filbertctl/internal/cmd/showload.go
@@ -107,15 +107,19 @@
 // printUpstreamLoads writes a line for each upstream, the slowest first.
 func printUpstreamLoads(w io.Writer, reports []fleet.LoadReport) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	printf(t, "\nSERVICE\tUPSTREAM\tZONE\tSLOTS\tCAPACITY\tANSWERS\tFLOWS\tWORKING\tAGE\n")
+	printf(t, "\nSERVICE\tUPSTREAM\tZONE\tSLOTS\tCAPACITY\tANSWERS\tFLOWS\tWORKING\tAGE\tNEW FLOWS\n")
 	for _, r := range upstreamLoadRows(reports) {
 		u := &r.load
+		newFlows := "yes"
+		if u.Avoided {
+			newFlows = "avoid it"
+		}
 		if !u.Known {
-			printf(t, "%s\t%s\t%s\t%d\t-\t-\t-\t-\tunknown\n", u.Service, u.Name, r.zone, u.Slots)
+			printf(t, "%s\t%s\t%s\t%d\t-\t-\t-\t-\tunknown\t%s\n", u.Service, u.Name, r.zone, u.Slots, newFlows)
 			continue
 		}
-		printf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\t%.0f\t%.1f\t%s\n", u.Service, u.Name, r.zone, u.Slots,
-			u.Capacity, u.Answers, u.Flows, u.Working, loadAge(u.Age))
+		printf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\t%.0f\t%.1f\t%s\t%s\n", u.Service, u.Name, r.zone, u.Slots,
+			u.Capacity, u.Answers, u.Flows, u.Working, loadAge(u.Age), newFlows)
 	}
 	_ = t.Flush()
 }
--- a/filbertctl/internal/cmd/trace.go
+++ b/filbertctl/internal/cmd/trace.go
@@ -147,7 +147,8 @@
 
 // relatedLines returns the lines that concern a request or flow, in the order of
 // time: its own, those of its flows, and those within traceMargin that concern the
-// upstreams or the services of these flows or every request. For a request there are
+// upstreams of these flows or every request, or tell where the balancers of these flows
+// sent the new flows of their services. For a request there are
 // also the attempts of its clients, within traceMargin, that were rejected for the lack
 // of room: no request of theirs was ever seen.
 func relatedLines(all []LogLine, id string) []LogLine {
@@ -155,7 +156,7 @@
 		id:        id,
 		flows:     map[string]bool{id: true},
 		upstreams: make(map[string]bool),
-		services:  make(map[string]bool),
+		services:  make(map[origin]bool),
 		callers:   make(map[caller]bool),
 		rejected:  make(map[string]bool),
 	}
@@ -195,9 +196,10 @@
 	id string
 	// flows are the flows of the request.
 	flows map[string]bool
-	// upstreams and services are those of the flows.
+	// upstreams are those of the flows, and services their services with the balancers that
+	// decided on new flows.
 	upstreams map[string]bool
-	services  map[string]bool
+	services  map[origin]bool
 	// callers are the clients of the request, and rejected are their flows that were
 	// rejected for the lack of room.
 	callers  map[caller]bool
@@ -207,6 +209,19 @@
 	first, last time.Time
 }
 
+// An origin is a service whose new flows a balancer sends somewhere.
+type origin struct {
+	balancer, service string
+}
+
+// originOf returns the line's balancer and service.
+func originOf(l *LogLine) origin {
+	return origin{
+		balancer: l.Balancer,
+		service:  l.text("service"),
+	}
+}
+
 // A caller is a client that opens flows to an address.
 type caller struct {
 	client, service string
@@ -235,6 +250,7 @@
 func (f *lineFilter) addRejectedLine(l *LogLine) {
 	if l.text("reason") == reasonNoRoom && f.callers[callerOf(l)] && f.inTime(l) {
 		f.rejected[l.text("flow")] = true
+		f.services[originOf(l)] = true
 	}
 }
 
@@ -245,7 +261,9 @@
 		return
 	}
 	f.upstreams[l.text("upstream")] = true
-	f.services[l.text("service")] = true
+	if l.text("service") != "" {
+		f.services[originOf(l)] = true
+	}
 	if extend {
 		f.extendTimes(l)
 	}
@@ -284,7 +302,7 @@
 }
 
 // matchesContext reports whether a line within traceMargin belongs to no flow and
-// concerns an upstream or a service of the flows or every request.
+// concerns an upstream of the flows, where their balancers sent new flows, or every request.
 func (f *lineFilter) matchesContext(l *LogLine) bool {
 	if !f.inTime(l) || l.text("flow") != "" {
 		return false
@@ -293,8 +311,7 @@
 		return f.upstreams[u]
 	}
 	if strings.HasPrefix(l.Message, zonePrefix) {
-		service := l.text("service")
-		return service != "" && f.services[service]
+		return f.services[originOf(l)]
 	}
 	return slices.ContainsFunc(contextPrefixes, func(p string) bool { return strings.HasPrefix(l.Message, p) })
 }
--- a/filbertflow/internal/daemon/loadmetrics.go
+++ b/filbertflow/internal/daemon/loadmetrics.go
@@ -132,8 +132,9 @@
 	slow := slices.DeleteFunc(slices.Clone(l.upstreams), func(u flow.UpstreamLoad) bool {
 		return !u.Known || round(learnedCapacity(&u)) == float64(u.Upstream.Slots)
 	})
-	slices.SortStableFunc(slow, func(a, b flow.UpstreamLoad) int {
-		return cmp.Compare(a.Capacity/float64(max(a.Upstream.Slots, 1)), b.Capacity/float64(max(b.Upstream.Slots, 1)))
+	slices.SortFunc(slow, func(a, b flow.UpstreamLoad) int {
+		return cmp.Or(cmp.Compare(a.Capacity/float64(max(a.Upstream.Slots, 1)), b.Capacity/float64(max(b.Upstream.Slots, 1))),
+			cmp.Compare(a.Upstream.ID, b.Upstream.ID))
 	})
 	return slow
 }
--- a/filbertflow/internal/daemon/loads.go
+++ b/filbertflow/internal/daemon/loads.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
-	"filbertworks.example/filbertworks/filbertflow/internal/logs"
 	"filbertworks.example/filbertworks/load"
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/rendezvous"
@@ -25,8 +24,6 @@
 	// busyUtilization is the number of requests in progress per slot of the zone's upstreams
 	// above which the zone is busy.
 	busyUtilization = 0.1
-	// capacityChange is by which factor an upstream's capacity changes before that is logged.
-	capacityChange = 1.5
 )
 
 // A loadExchange shares the load of upstreams with other balancers. Only the syncer's goroutine
@@ -46,8 +43,6 @@
 	collecting map[int]*groupCollector
 	// targets are the collectors of the groups of any zone that are known so far.
 	targets map[groupID][]member.Member
-	// capacities are those that were logged last, by upstream.
-	capacities map[directory.Ticket]float64
 }
 
 // groupID names a group of a zone's upstreams.
@@ -60,6 +55,9 @@
 type groupCollector struct {
 	collector *load.Collector
 	dueAt     time.Time
+	// capacities are those of the group's upstreams that were logged last, by upstream. One that
+	// is missing has as much as its slots.
+	capacities map[directory.Ticket]float64
 }
 
 func newLoadExchange(s *syncer) *loadExchange {
@@ -68,7 +66,6 @@
 		syncer:     s,
 		collecting: make(map[int]*groupCollector),
 		targets:    make(map[groupID][]member.Member),
-		capacities: make(map[directory.Ticket]float64),
 	}
 }
 
@@ -87,7 +84,7 @@
 	for group := range e.hosts {
 		if c := e.collecting[group]; c != nil && !now.Before(c.dueAt) {
 			c.dueAt = now.Add(collectorsPerGroup * e.interval())
-			e.sendDigest(now, group, c.collector)
+			e.sendDigest(now, group, c)
 		}
 	}
 }
@@ -231,19 +228,19 @@
 }
 
 // sendDigest sends the digest of a group to the zone, and the group's summary to other zones.
-func (e *loadExchange) sendDigest(now time.Time, group int, c *load.Collector) {
+func (e *loadExchange) sendDigest(now time.Time, group int, c *groupCollector) {
 	zone, hosts := e.daemon.options.Zone, e.hosts[group]
-	d, ok := c.Digest(now, group, len(e.hosts), hosts, len(e.syncer.zonePeers())+1)
+	d, ok := c.collector.Digest(now, group, len(e.hosts), hosts, len(e.syncer.zonePeers())+1)
 	if !ok {
 		return
 	}
-	e.logCapacities(now, hosts, &d)
+	e.logCapacities(now, c, hosts, &d)
 	e.applyDigest(now, &d)
 	summary := load.Digest{
 		Origin:   e.daemon.incarnation,
 		Sequence: d.Sequence,
 		Group:    group,
-		Zones:    c.Own(now, zone, group, hosts),
+		Zones:    c.collector.Own(now, zone, group, hosts),
 	}
 	e.sendSummary(now, group, &summary)
 }
@@ -349,42 +346,6 @@
 	}
 }
 
-// logCapacities logs the upstreams whose capacity has changed by capacityChange.
-func (e *loadExchange) logCapacities(now time.Time, hosts []*directory.Upstream, d *load.Digest) {
-	learned := make(map[directory.Ticket]*load.Total, len(d.Totals))
-	for i := range d.Totals {
-		learned[d.Totals[i].Ticket] = &d.Totals[i]
-	}
-	known := make(map[directory.Ticket]float64, len(hosts))
-	for _, u := range hosts {
-		t := u.Ticket()
-		was, ok := e.capacities[t]
-		if !ok {
-			was = float64(u.Slots)
-		}
-		total := learned[t]
-		if total == nil || total.Capacity <= 0 {
-			continue
-		}
-		if total.Capacity*capacityChange > was && was*capacityChange > total.Capacity {
-			known[t] = was
-			continue
-		}
-		known[t] = total.Capacity
-		e.daemon.counters.capacityChanges.Add(1)
-		e.daemon.log.Info(now, "upstream: capacity changed", logs.F("upstream", u.ID), logs.F("service", u.Service),
-			logs.F("slots", u.Slots), logs.F("capacity", round(total.Capacity)), logs.F("before", round(was)),
-			logs.F("answers", total.Answers), logs.F("working", round(total.Working)), logs.F("balancers", d.Balancers))
-	}
-	e.capacities = known
-}
-
-// round rounds a number for logs.
-func round(x float64) float64 {
-	const digits = 100
-	return float64(int(x*digits+0.5)) / digits
-}
-
 // encoded returns datagrams, or none after counting an error.
 func (e *loadExchange) encoded(datagrams [][]byte, err error) [][]byte {
 	if err != nil {
--- a/filbertflow/internal/daemon/loadview.go
+++ b/filbertflow/internal/daemon/loadview.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/config"
@@ -15,6 +17,9 @@
 // all upstreams of the zone on the packet handler's goroutine.
 const upstreamLoadInterval = time.Second
 
+// minGivenShare is the share of new flows from which on a zone that gives them away is logged.
+const minGivenShare = 0.01
+
 // pathLoad is the pattern of the endpoint that serves a status.Load.
 const pathLoad = "GET " + status.PathLoad
 
@@ -66,7 +71,7 @@
 	for i := range l.rooms {
 		r := &l.rooms[i]
 		o := own[r.Service]
-		if o == nil || r == o || r.Share == 0 {
+		if o == nil || r == o || r.Share < minGivenShare {
 			continue
 		}
 		g := giving{
@@ -75,7 +80,7 @@
 		}
 		current[g] = true
 		if !t.giving[g] {
-			log.Info(now, "zone: gives new flows to another zone", logs.F("service", r.Service), logs.F("to_zone", r.Zone),
+			log.Info(now, "zone: gives new flows to another zone", logs.F("service", r.Service), logs.F("zone", o.Zone), logs.F("to_zone", r.Zone),
 				logs.F("share", round(r.Share)), logs.F("working", round(r.Working)), logs.F("capacity", round(r.Capacity)),
 				logs.F("free", round(r.Free)), logs.F("load_age_ms", r.Age.Milliseconds()),
 				logs.F("own_working", round(o.Working)), logs.F("own_capacity", round(o.Capacity)),
@@ -86,7 +91,7 @@
 		if current[g] {
 			continue
 		}
-		fields := []logs.Field{logs.F("service", g.service), logs.F("to_zone", g.zone), logs.F("known", l.known)}
+		fields := []logs.Field{logs.F("service", g.service), logs.F("zone", t.daemon.options.Zone), logs.F("to_zone", g.zone), logs.F("known", l.known)}
 		if o := own[g.service]; o != nil {
 			fields = append(fields, logs.F("own_working", round(o.Working)), logs.F("own_capacity", round(o.Capacity)))
 		}
@@ -145,12 +150,16 @@
 			Answers:  u.Answers,
 			Flows:    round(u.Flows),
 			Working:  round(u.Working),
+			Avoided:  u.Avoided,
 		}
 		if u.Known {
 			v.Age = roundedAge(u.Age + now.Sub(l.upstreamsAt))
 		}
 		s.Upstreams = append(s.Upstreams, v)
 	}
+	slices.SortFunc(s.Upstreams, func(a, b status.UpstreamLoad) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
 	return s
 }
 
--- a/flow/room.go
+++ b/flow/room.go
@@ -62,14 +62,17 @@
 	Capacity float64
 	// Answers is the number of answers that Capacity rests on.
 	Answers int
+	// Avoided reports whether new flows avoid the upstream as it is silent or behind with its
+	// work; it counts for nothing in its zone's capacity meanwhile.
+	Avoided bool
 	// Known reports whether there is a fresh digest of the upstream's group, and Age is the time
 	// since that digest came.
 	Known bool
 	Age   time.Duration
 }
 
-// UpstreamLoads returns what is known of the load of the own zone's upstreams, ordered by service
-// and ID. It is empty if load is not shared.
+// UpstreamLoads returns what is known of the load of the own zone's upstreams, in the order of the
+// view. It is empty if load is not shared.
 func (f *Forwarder) UpstreamLoads(now time.Time, v *directory.View) []UpstreamLoad {
 	if f.sharing == nil {
 		return nil
@@ -91,12 +94,10 @@
 		if h := f.health[t]; h != nil {
 			l.Flows += float64(h.load.Flows)
 			l.Working += float64(h.load.ActiveRequests)
+			l.Avoided = h.avoided(now)
 		}
 		loads = append(loads, l)
 	}
-	slices.SortFunc(loads, func(a, b UpstreamLoad) int {
-		return cmp.Or(cmp.Compare(a.Upstream.Service, b.Upstream.Service), cmp.Compare(a.Upstream.ID, b.Upstream.ID))
-	})
 	return loads
 }
 
--- a/flow/room_test.go
+++ b/flow/room_test.go
@@ -259,6 +259,12 @@
 	for _, l := range f.forwarder.UpstreamLoads(f.now, f.view()) {
 		require.False(t, l.Known)
 	}
+	// A first packet without an answer has the host avoided.
+	u := f.client(boardAddress).open().Upstream
+	f.advance(lateOpeningAfter)
+	for _, l := range f.forwarder.UpstreamLoads(f.now, f.view()) {
+		require.Equal(t, l.Upstream == u, l.Avoided)
+	}
 	off := newFixture(t, 1)
 	require.Empty(t, off.forwarder.UpstreamLoads(off.now, off.view()))
 }
--- a/status/load.go
+++ b/status/load.go
@@ -65,6 +65,9 @@
 	Flows float64 `json:"flows"`
 	// Working is the number of requests in progress.
 	Working float64 `json:"working"`
+	// Avoided reports whether the balancer opens no flows there for now, as the upstream is silent
+	// or behind with its work. It counts for nothing in its zone's capacity meanwhile.
+	Avoided bool `json:"avoided"`
 	// Age is how long ago the load was told of.
 	Age config.Duration `json:"age"`
 }
