fix: spill flows by what slow hosts of other zones take

Cause: a zone knows only the totals of other zones, and spilled flows went to their slow hosts as to others. Own hosts with free slots were passed over while shares by the zone's work were low.

Change: a zone's total names up to 32 hosts that take much less than their slots. New flows fill free slots of the own zone, the most urgent first. Work by rates is limited at 1.5 times the capacity.

--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -23,9 +23,6 @@
 	// coldCapacity is the capacity of a host that has just started relative to that of a warm
 	// one.
 	coldCapacity = 0.5
-	// rateMargin is the work by rates, relative to the capacity, that hosts are taken to bear:
-	// usual answer times include the clients' round trip, and rates are one balancer's.
-	rateMargin = 1.25
 	// giveGain is how fast the flows that the own zone has no room for go to other zones, as the
 	// share that the zone gives away rises.
 	giveGain = 4
@@ -286,8 +283,10 @@
 	full := admission.SharesFor(l.own.limited, l.own.limit, priorities)
 	l.own.shares = l.damper.Damp(now, full, priorities)
 	if l.own.load.Working >= l.own.load.Capacity {
-		// Rates are this balancer's, extrapolated: they count only while the hosts are busy.
-		l.own.shares = l.own.shares.Min(admission.Fit(rateMargin*l.own.load.Capacity, demands))
+		// Rates are this balancer's, extrapolated: they count only while the hosts are busy. Usual
+		// answer times include the clients' round trip, so that the hosts bear more than these add
+		// up to.
+		l.own.shares = l.own.shares.Min(admission.Fit(load.SpareFactor*l.own.load.Capacity, demands))
 	}
 	for i := range l.classes {
 		c := &l.classes[i]
@@ -301,6 +300,10 @@
 // served first.
 func (l *serviceLoad) assignClass(c *priorityClass, demand float64, spill bool) {
 	own := l.own.shares.Of(c.priority)
+	if part := (1 - l.give) * demand; part > 0 {
+		own = max(own, min(l.own.free/part, 1))
+		l.own.free = max(l.own.free-own*part, 0)
+	}
 	c.own = (1 - l.give) * own
 	c.others = slices.Grow(c.others[:0], len(l.others))[:len(l.others)]
 	clear(c.others)
@@ -441,9 +444,10 @@
 // this balancer sees of each host.
 func (z *zoneHosts) refreshOther(now time.Time, f *Forwarder, service string, perFlow float64) {
 	told, known := f.sharing.book.Zone(now, z.zone, service)
-	if told != z.told {
-		z.told, z.given = told, 0
+	if !told.At.Equal(z.told.At) {
+		z.given = 0
 	}
+	z.told = told
 	// The other balancers of the own zone have given as many.
 	given := float64(z.given*max(f.sharing.balancers, 1)) * perFlow
 	z.free, z.at = max(told.Free-given, 0), told.At
@@ -454,6 +458,9 @@
 	}
 	for _, u := range z.hosts {
 		c := float64(max(u.Slots, 1))
+		if i := slices.IndexFunc(told.Slow, func(h load.SlowHost) bool { return h.Ticket == u.Ticket() }); i >= 0 {
+			c = told.Slow[i].Capacity
+		}
 		z.scratch = append(z.scratch, selection.Host{
 			Load:     f.weightedLoad(u),
 			Capacity: c,
--- a/load/book.go
+++ b/load/book.go
@@ -220,6 +220,7 @@
 		sum.Working += z.Working
 		sum.Capacity += z.Capacity
 		sum.Free += z.Free
+		sum.Slow = append(sum.Slow, z.Slow...)
 		ok = true
 	}
 	return sum, ok
--- a/load/collector.go
+++ b/load/collector.go
@@ -195,6 +195,7 @@
 			room = min(room, c.sums[i].working)
 		} else {
 			totals[n].Free += max(SpareFactor*room-c.sums[i].working, 0)
+			totals[n].addSlow(h, &estimates[i])
 		}
 		totals[n].Working += c.sums[i].working
 		totals[n].Capacity += room
--- a/load/collector_test.go
+++ b/load/collector_test.go
@@ -508,6 +508,10 @@
 			Working:  4.5,
 			Capacity: 8 + 2 + 1.5,
 			Free:     SpareFactor*(8+2) - 2*1.5,
+			Slow: []SlowHost{{
+				Ticket:   2,
+				Capacity: 2,
+			}},
 			At:       at(250),
 		},
 	}, c.Own(at(250), "a", 3, hosts))
--- a/load/zone.go
+++ b/load/zone.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"filbertworks.example/filbertworks/capacity"
+	"filbertworks.example/filbertworks/directory"
 )
 
 // zoneTotalLifetime is how long a zone total counts: an excess must not go on to a zone that
@@ -14,6 +17,18 @@
 // them: a request then waits for half the time of another one on average.
 const SpareFactor = 1.5
 
+// maxSlowHosts bounds the slow hosts in a zone total, which is sent to other zones.
+const maxSlowHosts = 32
+
+// slowCapacity is the capacity per slot below which a host is slow.
+const slowCapacity = 0.75
+
+// A SlowHost is a host that takes much less than its slots.
+type SlowHost struct {
+	Ticket   directory.Ticket
+	Capacity float64 // slots' worth of work
+}
+
 // A ZoneTotal is the load of one service's hosts in one group of a zone.
 type ZoneTotal struct {
 	Zone, Service string
@@ -24,6 +39,8 @@
 	// progress than SpareFactor times their capacity. It may be positive while Working
 	// exceeds Capacity, as other hosts have more work than they take.
 	Free float64
+	// Slow are hosts that take much less than their slots, maxSlowHosts at most.
+	Slow []SlowHost
 	// At is when the load was summed, on this process's monotonic clock.
 	At time.Time
 }
@@ -76,3 +93,13 @@
 func compareZoneTotals(a, b ZoneTotal) int {
 	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Group, b.Group))
 }
+
+// addSlow adds a host if it is slow.
+func (t *ZoneTotal) addSlow(u *directory.Upstream, e *capacity.Estimate) {
+	if e.Known && e.Capacity < slowCapacity*float64(u.Slots) && len(t.Slow) < maxSlowHosts {
+		t.Slow = append(t.Slow, SlowHost{
+			Ticket:   u.Ticket(),
+			Capacity: e.Capacity,
+		})
+	}
+}
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -217,7 +217,7 @@
 		if len(z.Zone) > maxLoadName || len(z.Service) > maxLoadName {
 			return nil, ErrLoadSize
 		}
-		x.Zones = append(x.Zones, &ZoneLoad{
+		row := &ZoneLoad{
 			Zone:     z.Zone,
 			Service:  z.Service,
 			Group:    uint32(max(z.Group, 0)),
@@ -225,7 +225,12 @@
 			Capacity: sixteenths(z.Capacity),
 			Free:     sixteenths(z.Free),
 			Age:      milliseconds(now.Sub(z.At)),
-		})
+		}
+		for _, h := range z.Slow {
+			row.Slow = append(row.Slow, uint32(h.Ticket))
+			row.SlowCapacities = append(row.SlowCapacities, sixteenths(h.Capacity))
+		}
+		x.Zones = append(x.Zones, row)
 	}
 	return x, nil
 }
@@ -268,7 +273,7 @@
 		})
 	}
 	for _, z := range x.GetZones() {
-		if len(z.GetZone()) > maxLoadName || len(z.GetService()) > maxLoadName {
+		if len(z.GetZone()) > maxLoadName || len(z.GetService()) > maxLoadName || len(z.GetSlow()) != len(z.GetSlowCapacities()) {
 			return nil, ErrLoadDigest
 		}
 		d.Zones = append(d.Zones, load.ZoneTotal{
@@ -278,12 +283,25 @@
 			Working:  fromSixteenths(z.GetWorking()),
 			Capacity: fromSixteenths(z.GetCapacity()),
 			Free:     fromSixteenths(z.GetFree()),
+			Slow:     slowHosts(z),
 			At:       now.Add(-min(duration(z.GetAge()), maxLoadAge)),
 		})
 	}
 	return d, nil
 }
 
+// slowHosts returns the slow hosts of a zone's load.
+func slowHosts(z *ZoneLoad) []load.SlowHost {
+	var hosts []load.SlowHost
+	for i, t := range z.GetSlow() {
+		hosts = append(hosts, load.SlowHost{
+			Ticket:   directory.Ticket(t),
+			Capacity: number(z.GetSlowCapacities(), i),
+		})
+	}
+	return hosts
+}
+
 // maxTotalFlows is the limit of the flows of an upstream over all balancers.
 const maxTotalFlows = 1 << 28
 
--- a/wire/loadreport_test.go
+++ b/wire/loadreport_test.go
@@ -857,3 +857,34 @@
 		})
 	}
 }
+
+// TestSlowHostsOfZones guards against slow hosts of other zones that are lost on their way, and
+// against columns that don't belong together.
+func TestSlowHostsOfZones(t *testing.T) {
+	d := &load.Digest{
+		Origin:   1,
+		Sequence: 1,
+		Zones: []load.ZoneTotal{{
+			Zone:     "b",
+			Service:  "board",
+			Working:  1.5,
+			Capacity: 8,
+			Free:     2.25,
+			Slow: []load.SlowHost{{
+				Ticket:   7,
+				Capacity: 0.5,
+			}},
+			At: loadTime,
+		}},
+	}
+	datagrams, err := AppendLoadDigest(nil, loadTime, d, MaxLoadDatagram)
+	require.NoError(t, err)
+	require.Len(t, datagrams, 1)
+	parsed, err := ParseLoadDigest(loadTime, datagrams[0])
+	require.NoError(t, err)
+	require.Equal(t, d.Zones, parsed.Zones)
+	uneven, err := marshalLoad(loadDigestFormat, &LoadDigest{Zones: []*ZoneLoad{{Slow: []uint32{7}}}})
+	require.NoError(t, err)
+	_, err = ParseLoadDigest(loadTime, uneven)
+	require.ErrorIs(t, err, ErrLoadDigest)
+}
