--- a/filbertflow/internal/daemon/syncer_test.go
+++ b/filbertflow/internal/daemon/syncer_test.go
@@ -32,9 +32,10 @@
 	return &directory.Delta{}, nil
 }
 
-func newDaemon(t *testing.T) *Daemon {
+// newDaemon returns a daemon with sockets of its own, after applying the changes to its options.
+func newDaemon(t *testing.T, change ...func(*Options)) *Daemon {
 	t.Helper()
-	d := New(Options{
+	o := Options{
 		Name:                "lb-1",
 		Zone:                "a",
 		Packets:             netip.MustParseAddrPort("127.0.0.1:1"),
@@ -47,7 +48,11 @@
 		Headroom:            platform.Headroom,
 		NewSource:           func(SourceObserver) Source { return emptySource{} },
 		NewReadinessHandler: func(func() bool) http.Handler { return http.NotFoundHandler() },
-	})
+	}
+	for _, f := range change {
+		f(&o)
+	}
+	d := New(o)
 	require.NoError(t, d.openSockets(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort("127.0.0.1:0")))
 	t.Cleanup(func() {
 		_ = d.packets.Close()
