fix: give other zones no more new flows than they have free slots for

Cause: the share of new flows that goes to other zones follows the excess over the mean load of all zones, and another zone's load counts as its capacity at most. While all zones are full, a share of up to 0.38 was to go to zones without a free slot. It was cut there and refused, from all priorities alike, although the own zone had room for urgent flows.

Change: the share is bounded by the free slots of the other zones before the own zone's share is worked out.

--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -257,6 +257,7 @@
 	slices.SortFunc(l.classes, func(a, b priorityClass) int { return a.priority - b.priority })
 	// slots is the work, in slots, of one flow or request in a class's decaying count.
 	slots := float64(max(f.sharing.balancers, 1)) * f.usualTime(l).Seconds() * math.Ln2 / classHalfLife.Seconds()
+	l.boundGive(slots)
 	demands := make([]admission.Demand, 0, len(l.classes))
 	for i := range l.classes {
 		c := &l.classes[i]
@@ -275,6 +276,34 @@
 	}
 }
 
+// boundGive reduces the share of new flows that go to other zones to that which these have free
+// slots for. The rest stays: taken from all priorities alike, it would be refused although the own
+// zone has room for the urgent ones. The argument slots is the work of one flow.
+func (l *serviceLoad) boundGive(slots float64) {
+	if l.give == 0 {
+		return
+	}
+	demand := 0.0
+	for i := range l.classes {
+		demand += l.classes[i].arrived * slots
+	}
+	bounded := 0.0
+	for i := range l.others {
+		part, free := l.give*l.weights[i], l.others[i].free
+		if part*demand > free || free <= 0 {
+			part = free / max(demand, free)
+		}
+		l.weights[i] = part
+		bounded += part
+	}
+	l.give = bounded
+	for i := range l.weights {
+		if bounded > 0 {
+			l.weights[i] /= bounded
+		}
+	}
+}
+
 // assignClass works out where the new flows of one priority go. The argument demand is the number
 // of slots that the first requests of the zone's new flows take. Another zone gets no more of them
 // than it has free slots for: it tells of its load a digest later. The most urgent priority is
