fix: let all new flows go while no host of the zone counts as capacity

Cause: cold hosts, and hosts with a first packet that has been unanswered for 50 ms, do not count as capacity. Where all of a zone's hosts were one or the other, admission.Fit gave the least share of 0.1 for a capacity of 0, and new flows were reset although the hosts took them: after a restart of a whole service, or a lost first packet to each host. SharesFor takes a limit of 0 for unknown.

Change: Fit does the same.

--- a/admission/fit.go
+++ b/admission/fit.go
@@ -12,9 +12,13 @@
 // Fit returns the share of each demand's new work that fits into a capacity, in slots. Demands are
 // ordered by priority, the most urgent first; work that is less urgent takes no room from them. No
 // share is below the least one. Fit needs no time to settle, as it goes by rates: the hosts' work
-// shows only that they are full, not by how much.
+// shows only that they are full, not by how much. If the capacity isn't positive, it isn't known, and
+// all may go, as with SharesFor.
 func Fit(capacity float64, demands []Demand) Shares {
 	var s Shares
+	if !(capacity > 0) {
+		return s
+	}
 	room := capacity
 	for _, d := range demands {
 		room -= d.Open
--- a/flow/admission_test.go
+++ b/flow/admission_test.go
@@ -269,6 +269,14 @@
 			reason:  ReasonNoRoom,
 			zone:    "a",
 		},
+		{
+			name: "the own zone is taken out",
+			do: func(z *crowd, _ *client) {
+				z.zoneOut("a")
+			},
+			actions: forward,
+			zone:    "b",
+		},
 		{
 			name: "all hosts leave",
 			do: func(z *crowd, _ *client) {
