--- a/filbertflow/internal/daemon/loads.go
+++ b/filbertflow/internal/daemon/loads.go
@@ -16,14 +16,14 @@
 const (
 	// busyReportInterval and idleReportInterval are the times between two reports of a balancer
 	// while its zone is busy, and otherwise.
-	busyReportInterval = 200 * time.Millisecond
-	idleReportInterval = 500 * time.Millisecond
+	busyReportInterval = 300 * time.Millisecond
+	idleReportInterval = 700 * time.Millisecond
 	// collectorsPerGroup is the number of balancers that sum the reports on a group of
 	// upstreams. They take turns with their digests, so that losing one halves their rate.
 	collectorsPerGroup = 2
 	// busyUtilization is the number of requests in progress per slot of the zone's upstreams
 	// above which the zone is busy.
-	busyUtilization = 0.1
+	busyUtilization = 0.4
 )
 
 // A loadExchange shares the load of upstreams with other balancers. Only the syncer's goroutine
--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -270,6 +270,8 @@
 	slices.SortFunc(l.classes, func(a, b priorityClass) int { return a.priority - b.priority })
 	// zoneRate turns a decaying count of this balancer into the zone's rate per second.
 	zoneRate := float64(max(f.sharing.balancers, 1)) * math.Ln2 / classHalfLife.Seconds()
+	slots := zoneRate * f.usualTime(l).Seconds()
+	l.boundGive(slots)
 	demands := make([]admission.Demand, 0, len(l.classes))
 	for i := range l.classes {
 		c := &l.classes[i]
@@ -290,7 +292,38 @@
 	}
 	for i := range l.classes {
 		c := &l.classes[i]
-		l.assignClass(c, c.arrived*zoneRate*f.usualTime(l).Seconds(), f.sharing.options.Spill)
+		l.assignClass(c, c.arrived*slots, f.sharing.options.Spill)
+	}
+}
+
+// boundGive reduces the share of new flows that go to other zones to that which these have free
+// slots for. The rest stays: taken from all priorities alike, it would be refused although the own
+// zone has room for the urgent ones. The argument slots is the work of one flow.
+func (l *serviceLoad) boundGive(slots float64) {
+	if l.give == 0 {
+		return
+	}
+	demand := 0.0
+	for i := range l.classes {
+		demand += l.classes[i].arrived * slots
+	}
+	bounded := 0.0
+	for i := range l.others {
+		part, free := l.give*l.weights[i], l.others[i].free
+		switch {
+		case free <= 0:
+			part = 0
+		case part*demand > free:
+			part = free / demand
+		}
+		l.weights[i] = part
+		bounded += part
+	}
+	l.give = bounded
+	for i := range l.weights {
+		if bounded > 0 {
+			l.weights[i] /= bounded
+		}
 	}
 }
 
--- a/flowlab/internal/emulation/sharing.go
+++ b/flowlab/internal/emulation/sharing.go
@@ -13,10 +13,10 @@
 // Intervals and limits of filbertflow's exchange of loads (filbertflow/internal/daemon/loads.go).
 const (
 	loadTick           = 100 * time.Millisecond
-	busyReportInterval = 200 * time.Millisecond
-	idleReportInterval = 500 * time.Millisecond
+	busyReportInterval = 300 * time.Millisecond
+	idleReportInterval = 700 * time.Millisecond
 	collectorsPerZone  = 2
-	busyUtilization    = 0.1
+	busyUtilization    = 0.4
 	// digestFanOut is the number of balancers that each one relays a digest to.
 	digestFanOut = 6
 )
