fix: drop a waiting first packet that is decided on late

Cause: a process that does not run for less than minStall (300 ms) counts as running. A first packet that waited meanwhile was placed or rejected up to 450 ms after it came, while its copy of 200 ms may have gone to another balancer after a rehash, which placed it after lookupTimeout. The flow had two hosts then, or a reset after a host had taken it. Change: a packet whose wait ends 200 ms after it came, without a copy here, is dropped. Measured: TestLateWait fails before (rejected) and passes now; go test ./flow passes.

--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -332,7 +332,12 @@
 		Reason:  ReasonNoRoom,
 		Service: w.service.name,
 	}
-	if r.Verdict == admission.Admit {
+	switch {
+	case w.packet.Copy == 0 && now.Sub(w.since) >= initialRetransmitInterval:
+		// The client has sent a copy. It did not come here, so that another balancer may have
+		// placed it.
+		d = Decision{Reason: ReasonDelayed}
+	case r.Verdict == admission.Admit:
 		if d = f.place(now, v, &w.packet, r.ID, nil); d.Action == Forward {
 			f.addFlow(now, r.ID, d.Upstream, &w.packet)
 		}
