fix: release a waiting first packet that another flow of its port replaces

Cause: a first packet with another sequence number took the place of one that waited with the same addresses and ports. The datagram of the replaced one stayed in the daemon for good: a client could fill the memory. Change: the earlier packet is withdrawn first.

--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -153,7 +153,7 @@
 	if v.Plan == nil {
 		return Decision{Reason: ReasonNotReady}
 	}
-	if d, ok := f.sharing.holdCopy(now, p, k); ok {
+	if d, ok := f.holdCopy(now, p, k); ok {
 		return d
 	}
 	if p.Copy > 0 {
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -259,12 +259,19 @@
 }
 
 // holdCopy keeps a copy of a first packet that waits in place of that one. It returns false if
-// there is none.
-func (s *sharing) holdCopy(now time.Time, p *Packet, k key) (Decision, bool) {
-	w := s.waitingOf(k, p.Sequence)
+// there is none. The first packet of an earlier flow of the same addresses and ports waits no longer.
+func (f *Forwarder) holdCopy(now time.Time, p *Packet, k key) (Decision, bool) {
+	if f.sharing == nil {
+		return Decision{}, false
+	}
+	w := f.sharing.waiting[k]
 	if w == nil {
 		return Decision{}, false
 	}
+	if w.packet.Sequence != p.Sequence {
+		f.withdraw(k, w.packet.Sequence)
+		return Decision{}, false
+	}
 	w.packet = *p
 	return w.service.held(now, w.priority), true
 }
@@ -281,7 +288,8 @@
 	return w
 }
 
-// withdraw drops a waiting first packet, since another balancer decides on a copy of it.
+// withdraw drops a waiting first packet, since another balancer decides on a copy of it, or its
+// client has opened another flow.
 func (f *Forwarder) withdraw(k key, sequence uint32) {
 	w := f.sharing.waitingOf(k, sequence)
 	if w == nil {
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -55,3 +55,21 @@
 	require.Equal(t, Drop, released[0].Decision.Action)
 	require.Equal(t, ReasonDelayed, released[0].Decision.Reason)
 }
+
+// TestReplacedWait guards against held datagrams that are never released: a client opens another
+// flow from the same port while the first packet of the former one waits.
+func TestReplacedWait(t *testing.T) {
+	z := newFullZone(t)
+	c := z.hold()
+	first := c.seq
+	c.seq += 1000
+	c.open()
+	z.advance(maxAdmissionWait)
+	z.forwarder.Advance(z.now, z.view())
+	sequences := make(map[uint32]int)
+	for _, r := range z.released(c) {
+		sequences[r.Flow.Sequence]++
+	}
+	require.Equal(t, 1, sequences[first])
+	require.Zero(t, z.forwarder.Waiting())
+}
