fix: keep one entry for each request in progress

Cause: an entry was kept as long as its flow had any request in progress at the deadline, so that a flow that is busy most of the time got one more entry with each request. Change: an entry ends with its own request.

--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -134,6 +134,7 @@
 	if s.requestActive {
 		return
 	}
+	s.requestEntryAt = now
 	f.activeRequests = append(f.activeRequests, pendingAnswer{
 		flow:     s,
 		sentAt:   now,
@@ -157,9 +158,11 @@
 		e := f.activeRequests[0]
 		f.activeRequests = f.activeRequests[1:]
 		switch s := e.flow; {
-		case !s.requestActive:
+		case !s.requestActive || !s.requestEntryAt.Equal(e.sentAt):
+			// The request is over. A later one of the flow has its own entry.
 		case s.requestAt.After(e.sentAt):
 			e.sentAt, e.deadline = s.requestAt, now.Add(maxRequestTime)
+			s.requestEntryAt = e.sentAt
 			f.activeRequests = append(f.activeRequests, e)
 		default:
 			f.setRequestActive(now, f.healthOf(s.upstream), s, false)
--- a/flow/table.go
+++ b/flow/table.go
@@ -25,6 +25,8 @@
 	requestAt       time.Time
 	requestWorking  float64
 	requestMeasured bool
+	// requestEntryAt is the sentAt of the request's entry in the forwarder's activeRequests.
+	requestEntryAt time.Time
 	// startsRequest is set while a packet that starts a request is decided on.
 	startsRequest bool
 	// answered is set once the client has acknowledged content of the upstream.
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -73,3 +73,16 @@
 	require.Equal(t, 1, sequences[first])
 	require.Zero(t, z.forwarder.Waiting())
 }
+
+// TestRequestsOfBusyFlow guards against an entry for each request of a flow that is kept as long as
+// the flow has requests in progress.
+func TestRequestsOfBusyFlow(t *testing.T) {
+	z := newSharedZone(t, 1, Sharing{})
+	c := z.client(boardAddress).establish()
+	for range 4000 {
+		c.request()
+		z.advance(10 * time.Millisecond)
+		c.acknowledgeAnswer()
+	}
+	require.LessOrEqual(t, len(z.forwarder.activeRequests), int(maxRequestTime/(10*time.Millisecond))+1)
+}
