fix: count requests of open flows by service, and let them age without digests

Cause: the requests on open flows were collected by address until the service was refreshed. Without digests nothing refreshed it, and the requests of the whole time counted as demand of one moment when digests came again: new flows were rejected for seconds although hosts were idle. The first service of a split route took the requests of all of its services, and addresses without a route stayed for good. Change: a request counts at once, at the service of its host, and for routes with a latency goal only. TestOpenRequestsByService fails before (100 requests at the other service). 1000 requests to ports without a route left 1000 entries before; they leave none now. go test ./flow passes.

--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -1,7 +1,9 @@
 package flow
 
 import (
+	"cmp"
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -49,6 +51,8 @@
 	weights []float64
 	// routes are the service's routes with a latency goal.
 	routes []*directory.Route
+	// routePriorities holds the priorities of routes by address.
+	routePriorities map[netip.AddrPort]int
 	// classes are the priorities of the service's recent new flows, the most urgent first.
 	classes []priorityClass
 	// damper damps the shares that follow the work at the own zone's hosts.
@@ -260,14 +264,7 @@
 // assignShares works out which share of each priority's new flows goes to which zone. What the
 // own zone has no room for goes to the others, as far as these have.
 func (l *serviceLoad) assignShares(now time.Time, f *Forwarder) {
-	for _, r := range l.routes {
-		if n := f.sharing.openRequests[r.Address]; n > 0 {
-			usual, _ := f.sharing.learner.Usual(r.Address)
-			l.class(r.Priority).openWork += float64(n) * usual.Seconds()
-			delete(f.sharing.openRequests, r.Address)
-		}
-	}
-	slices.SortFunc(l.classes, func(a, b priorityClass) int { return a.priority - b.priority })
+	slices.SortFunc(l.classes, func(a, b priorityClass) int { return cmp.Compare(a.priority, b.priority) })
 	// zoneRate turns a decaying count of this balancer into the zone's rate per second.
 	zoneRate := float64(max(f.sharing.balancers, 1)) * math.Ln2 / classHalfLife.Seconds()
 	slots := zoneRate * f.usualTime(l).Seconds()
@@ -369,6 +366,7 @@
 // findRoutes finds the service's routes with a latency goal.
 func (l *serviceLoad) findRoutes(v *directory.View) {
 	l.routes = l.routes[:0]
+	l.routePriorities = make(map[netip.AddrPort]int)
 	if v.Plan == nil {
 		return
 	}
@@ -376,6 +374,7 @@
 		r := &v.Plan.Routes[i]
 		if r.LatencyGoal > 0 && slices.ContainsFunc(r.Targets, func(t directory.Target) bool { return t.Service == l.name }) {
 			l.routes = append(l.routes, r)
+			l.routePriorities[r.Address] = r.Priority
 		}
 	}
 }
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -45,9 +45,6 @@
 	digests   uint64
 	balancers int
 	services  map[string]*serviceLoad
-	// openRequests counts the requests on open flows to hosts of the own zone, by route, since
-	// the route's service was last refreshed.
-	openRequests map[netip.AddrPort]int
 	// waiting holds the first packets that wait in a service's queue.
 	waiting map[key]*waitingPacket
 }
@@ -66,9 +63,7 @@
 		book:     load.NewBook(),
 		learner:  capacity.NewLearner(),
 		services: make(map[string]*serviceLoad),
-
-		openRequests: make(map[netip.AddrPort]int),
-		waiting:      make(map[key]*waitingPacket),
+		waiting:  make(map[key]*waitingPacket),
 	}
 }
 
@@ -141,13 +136,26 @@
 		deadline: now.Add(maxRequestTime),
 	})
 	if f.sharing != nil && s.answered && s.upstream.Zone == f.zone {
-		f.sharing.openRequests[p.Service]++
+		f.sharing.countOpenRequest(s.upstream.Service, p.Service)
 	}
 	if s.requestMeasured = began && f.sharing != nil && f.sharing.options.Learn; s.requestMeasured {
 		s.requestWorking = f.workingAt(now, s.upstream.Ticket(), h)
 	}
 }
 
+// countOpenRequest counts a request on an open flow for its route's priority at a service of the
+// own zone. Routes without a latency goal have none there.
+func (s *sharing) countOpenRequest(service string, route netip.AddrPort) {
+	l := s.services[service]
+	if l == nil {
+		return
+	}
+	if priority, ok := l.routePriorities[route]; ok {
+		usual, _ := s.learner.Usual(route)
+		l.class(priority).openWork += usual.Seconds()
+	}
+}
+
 // maxRequestTime is how long a request counts as in progress. A client that gives up, or whose
 // flow the host has reset, tells the balancers nothing.
 const maxRequestTime = 2 * time.Second
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -1,10 +1,13 @@
 package flow
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/directory"
 )
 
 // newFullZone returns a balancer of a zone whose hosts have more work than they answer in time.
@@ -86,3 +89,65 @@
 	}
 	require.LessOrEqual(t, len(z.forwarder.activeRequests), int(maxRequestTime/(10*time.Millisecond))+1)
 }
+
+// TestReturnOfDigests guards against the rejection of flows that there is room for when digests come
+// again: the requests of the time without them are no demand of this moment.
+func TestReturnOfDigests(t *testing.T) {
+	z := newSharedZone(t, 4, Sharing{Admit: true, Learn: true})
+	z.learnUsualTime()
+	z.tell(nil)
+	c := z.client(boardAddress).establish()
+	const requests = 6000
+	for range requests {
+		c.request()
+		z.advance(10 * time.Millisecond)
+		c.acknowledgeAnswer()
+	}
+	z.tell(nil)
+	byHost, _ := z.opens(50)
+	placed := 0
+	for _, n := range byHost {
+		placed += n
+	}
+	require.Equal(t, 50, placed)
+}
+
+// TestOpenRequestsByService guards against requests of open flows that count for another service of
+// a split route, and against state for addresses without a route.
+func TestOpenRequestsByService(t *testing.T) {
+	z := newSharedZone(t, 2, Sharing{Admit: true, Learn: true})
+	z.learnUsualTime()
+	z.host("a8", "a", "plans")
+	p := plan(100, boardAddress)
+	p.Routes[0].LatencyGoal = goal
+	p.Routes[0].Targets = append(p.Routes[0].Targets, directory.Target{Service: "plans", Weight: 1})
+	z.set(directory.Item{
+		Key:  directory.Key{Kind: directory.KindPlan},
+		Plan: p,
+	})
+	z.tell(nil)
+	z.opens(20)
+	host := z.upstream("a0")
+	for port := range uint16(100) {
+		for _, to := range []netip.AddrPort{boardAddress, netipWithPort(boardAddress, 1024+port)} {
+			c := z.client(to)
+			c.host, c.ack = host, 5000
+			c.request()
+			c.acknowledgeAnswer()
+			c.request()
+		}
+	}
+	open := func(service string) float64 {
+		l := z.forwarder.sharing.services[service]
+		l.refresh(z.now, z.view(), z.forwarder)
+		sum := 0.0
+		for i := range l.classes {
+			sum += l.classes[i].openWork
+		}
+		return sum
+	}
+	require.Zero(t, open("plans"))
+	usual, ok := z.forwarder.sharing.learner.Usual(boardAddress)
+	require.True(t, ok)
+	require.InDelta(t, 100*usual.Seconds(), open("board"), usual.Seconds())
+}
