--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -262,7 +262,8 @@
 }
 
 // assignShares works out which share of each priority's new flows goes to which zone. What the
-// own zone has no room for goes to the others, as far as these have.
+// own zone has no room for goes to the others, as far as these have. While all hosts are cold or
+// avoided, their capacity is unknown: cold hosts have their own limit.
 func (l *serviceLoad) assignShares(now time.Time, f *Forwarder) {
 	slices.SortFunc(l.classes, func(a, b priorityClass) int { return cmp.Compare(a.priority, b.priority) })
 	// zoneRate turns a decaying count of this balancer into the zone's rate per second.
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -77,6 +77,25 @@
 	require.Zero(t, z.forwarder.Waiting())
 }
 
+// TestColdZone guards against the rejection of flows that cold hosts have room for, as after a
+// release of all of a service's hosts.
+func TestColdZone(t *testing.T) {
+	z := newSharedZone(t, 0, Sharing{Admit: true, Spill: true})
+	for _, id := range []string{"a0", "a1", "a2", "a3"} {
+		z.host(id, "a", "board", func(u *directory.Upstream) { u.WarmAt = z.now.Add(time.Minute) })
+	}
+	placed := 0
+	const flows = 100
+	for range flows {
+		z.advance(100 * time.Millisecond)
+		z.tell(nil)
+		if z.client(boardAddress).open().Action == Forward {
+			placed++
+		}
+	}
+	require.GreaterOrEqual(t, placed, flows*9/10)
+}
+
 // TestRequestsOfBusyFlow guards against an entry for each request of a flow that is kept as long as
 // the flow has requests in progress.
 func TestRequestsOfBusyFlow(t *testing.T) {
