fix: wake the packet handler for a timer that is due before the scheduled one

Cause: while any wake-up was scheduled, an earlier one was not. A second probe is scheduled up to 400 ms ahead; first packets that wait for admission, 150 ms at most, were decided on with the next packet, notice or probe only. Change: one timer, which is set to the earliest time.

--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -76,8 +76,9 @@
 	resumedAt int64
 	// held holds the datagrams of packets that the forwarder holds, with headroom.
 	held map[flow.ID][]byte
-	// wakeScheduled tells that a timer will wake the packet handler.
-	wakeScheduled bool
+	// wakeAt is when waker wakes the packet handler next; zero if it does not.
+	wakeAt time.Time
+	waker  *time.Timer
 	// giving holds the services and zones that the own zone gives new flows to.
 	giving map[giving]bool
 }
@@ -175,7 +176,7 @@
 	if err := t.daemon.packets.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	t.wakeScheduled = false
+	t.wakeAt = time.Time{}
 	t.checkResumed(time.Now())
 	t.applyPeerNotices()
 	now, view := time.Now(), t.view()
@@ -201,12 +202,25 @@
 			t.daemon.probeQueue.Offer(u)
 		}
 	}
-	if next := t.forwarder.NextTimer(); !next.IsZero() && !t.wakeScheduled {
-		t.wakeScheduled = true
-		time.AfterFunc(next.Sub(now), t.daemon.wakePacketHandler)
+	if next := t.forwarder.NextTimer(); !next.IsZero() {
+		t.scheduleWake(now, next)
 	}
 }
 
+// scheduleWake wakes the packet handler at next, unless it wakes before that. A first packet that
+// waits for admission may be due before what was known until then.
+func (t *packetHandler) scheduleWake(now, next time.Time) {
+	switch {
+	case t.waker == nil:
+		t.waker = time.AfterFunc(next.Sub(now), t.daemon.wakePacketHandler)
+	case t.wakeAt.IsZero() || next.Before(t.wakeAt):
+		t.waker.Reset(next.Sub(now))
+	default:
+		return
+	}
+	t.wakeAt = next
+}
+
 // checkResumed tells the forwarder if the process has been stalled.
 func (t *packetHandler) checkResumed(now time.Time) {
 	d := t.daemon
