fix: go on with the sequence of digests when a balancer collects a group again

Cause: a balancer that was no collector for a while began with sequence 1 under the same origin, and all books ignored its digests until they passed the former sequence, which may take hours. Change: the new collector of a group continues the sequence of the former one. Measured: TestSequenceOfRegainedGroup fails before (5 after 5) and passes now; go test ./load passes.

--- a/filbertflow/internal/daemon/loads.go
+++ b/filbertflow/internal/daemon/loads.go
@@ -41,6 +41,8 @@
 	hosts [][]*directory.Upstream
 	// collecting holds the groups whose reports this balancer sums.
 	collecting map[int]*groupCollector
+	// former are the collectors to go on with if this balancer collects a group again.
+	former map[int]*load.Collector
 	// targets are the collectors of the groups of any zone that are known so far.
 	targets map[groupID][]member.Member
 }
@@ -65,6 +67,7 @@
 		daemon:     s.daemon,
 		syncer:     s,
 		collecting: make(map[int]*groupCollector),
+		former:     make(map[int]*load.Collector),
 		targets:    make(map[groupID][]member.Member),
 	}
 }
@@ -117,7 +120,7 @@
 	}
 	for group := range e.collecting {
 		if group >= len(e.hosts) {
-			delete(e.collecting, group)
+			e.stopCollecting(group)
 		}
 	}
 	for group := range e.hosts {
@@ -132,17 +135,29 @@
 func (e *loadExchange) updateGroup(now time.Time, id groupID) {
 	rank := slices.IndexFunc(e.collectors(id), e.isSelf)
 	if rank < 0 {
-		delete(e.collecting, id.group)
+		e.stopCollecting(id.group)
 		return
 	}
 	if e.collecting[id.group] == nil {
+		collector := e.former[id.group]
+		if collector == nil {
+			collector = load.NewCollector(e.daemon.incarnation)
+		}
 		e.collecting[id.group] = &groupCollector{
-			collector: load.NewCollector(e.daemon.incarnation),
+			collector: collector,
 			dueAt:     now.Add(time.Duration(rank) * e.interval()),
 		}
 	}
 }
 
+// stopCollecting drops the reports on a group.
+func (e *loadExchange) stopCollecting(group int) {
+	if c := e.collecting[group]; c != nil {
+		e.former[group] = c.collector.Successor()
+		delete(e.collecting, group)
+	}
+}
+
 func (e *loadExchange) isSelf(m member.Member) bool {
 	return m.Incarnation == e.daemon.incarnation
 }
--- a/load/collector.go
+++ b/load/collector.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// Successor returns a collector without reports whose digests follow those of c. A book ignores
+// digests of an origin whose sequence starts over.
+func (c *Collector) Successor() *Collector {
+	s := NewCollector(c.origin)
+	s.sequence = c.sequence
+	return s
+}
+
 // estimate returns the capacities of the hosts.
 func (c *Collector) estimate(now time.Time, hosts []*directory.Upstream) []capacity.Estimate {
 	if !c.estimatedAt.Equal(now) || c.estimatedHosts != len(hosts) {
