fix: pass digests on once, keep reports of groups apart, and bound what waits

Digests were relayed whether or not they were repeated, so that they could go in circles while balancers disagree on the members. A collector of two groups could take a balancer's empty report on one for its report on the other. One group's digest decided whether the zone is busy. Callers were hashed without a seed, services that a plan dropped kept their state, each packet looked at all first packets that wait, and these were bounded by service only.

Change: repeated digests are dropped, reports name their group, the busiest group counts, each process has its own seed, and what waits is looked at once a millisecond and bounded for all services.

--- a/filbertflow/internal/daemon/loads.go
+++ b/filbertflow/internal/daemon/loads.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,6 +25,11 @@
 	// busyUtilization is the number of requests in progress per slot of the zone's upstreams
 	// above which the zone is busy.
 	busyUtilization = 0.4
+	// seenLifetime is how long a digest that came is remembered: longer than one is on its way.
+	// maxSeenDigests bounds them; a zone of 3,235 upstreams has 26 groups, and so some 200 digests
+	// in that time.
+	seenLifetime   = 2 * time.Second
+	maxSeenDigests = 1024
 )
 
 // A loadExchange shares the load of upstreams with other balancers. Only the syncer's goroutine
@@ -33,7 +39,11 @@
 	syncer *syncer
 	// reportedAt is when the last report was requested of the packet handler.
 	reportedAt time.Time
-	busy       bool
+	// busy tells whether one of the groups of the own zone is; utilization is that of each.
+	busy        bool
+	utilization map[int]float64
+	// seen holds the digests that came lately, with their times.
+	seen map[digestID]time.Time
 	// table and view are those that groups, hosts and targets were worked out from.
 	table *member.Table
 	view  *directory.View
@@ -53,6 +63,15 @@
 	group int
 }
 
+// digestID identifies a digest, or a part of one.
+type digestID struct {
+	origin   uint64
+	sequence uint32
+	group    int
+	// ticket is that of the first upstream.
+	ticket directory.Ticket
+}
+
 // groupCollector sums the reports on one group of upstreams.
 type groupCollector struct {
 	collector *load.Collector
@@ -69,6 +88,9 @@
 		collecting: make(map[int]*groupCollector),
 		former:     make(map[int]*load.Collector),
 		targets:    make(map[groupID][]member.Member),
+
+		utilization: make(map[int]float64),
+		seen:        make(map[digestID]time.Time),
 	}
 }
 
@@ -197,7 +219,7 @@
 	}
 	for id, samples := range parts {
 		part := *r
-		part.Sender, part.Samples = e.daemon.incarnation, samples
+		part.Sender, part.Group, part.Samples = e.daemon.incarnation, id.group, samples
 		e.sendPart(now, id, &part)
 	}
 }
@@ -224,22 +246,9 @@
 	}
 }
 
-// handleReport adds a peer's report to the groups that this balancer collects.
+// handleReport adds a peer's report if this balancer collects its group.
 func (e *loadExchange) handleReport(now time.Time, r *load.Report) {
-	if len(e.hosts) == 1 {
-		e.addReport(now, 0, r)
-		return
-	}
-	parts := make(map[int][]load.Sample)
-	for _, s := range r.Samples {
-		group := load.GroupOf(s.Ticket, len(e.hosts))
-		parts[group] = append(parts[group], s)
-	}
-	for group := range e.collecting {
-		part := *r
-		part.Samples = parts[group]
-		e.addReport(now, group, &part)
-	}
+	e.addReport(now, r.Group, r)
 }
 
 // sendDigest sends the digest of a group to the zone, and the group's summary to other zones.
@@ -284,7 +293,7 @@
 // applyDigest hands a digest to the packet handler, and passes it on to the peers that follow in
 // the relay tree of its collector.
 func (e *loadExchange) applyDigest(now time.Time, d *load.Digest) {
-	e.busy = utilization(e.hosts, d) >= busyUtilization
+	e.updateBusy(d)
 	if c := e.collecting[d.Group]; c != nil && d.Origin != e.daemon.incarnation {
 		// The collectors take turns.
 		c.dueAt = now.Add(e.interval())
@@ -300,6 +309,43 @@
 	e.daemon.queueNotice(func(t *packetHandler) { t.forwarder.ApplyDigest(time.Now(), d, balancers) })
 }
 
+// updateBusy determines whether any group of the zone's upstreams is busy.
+func (e *loadExchange) updateBusy(d *load.Digest) {
+	e.utilization[d.Group] = utilization(e.hosts, d)
+	e.busy = false
+	for group, u := range e.utilization {
+		if group >= len(e.hosts) {
+			delete(e.utilization, group)
+			continue
+		}
+		e.busy = e.busy || u >= busyUtilization
+	}
+}
+
+// isRepeated reports whether a digest, or the same part of one, has come before. Balancers that
+// disagree on the members have different relay trees, in which digests could go in circles.
+func (e *loadExchange) isRepeated(now time.Time, d *load.Digest) bool {
+	id := digestID{
+		origin:   d.Origin,
+		sequence: d.Sequence,
+		group:    d.Group,
+	}
+	if len(d.Totals) > 0 {
+		id.ticket = d.Totals[0].Ticket
+	}
+	if _, ok := e.seen[id]; ok {
+		return true
+	}
+	if len(e.seen) >= maxSeenDigests {
+		maps.DeleteFunc(e.seen, func(_ digestID, at time.Time) bool { return now.Sub(at) >= seenLifetime })
+	}
+	if len(e.seen) >= maxSeenDigests {
+		return true
+	}
+	e.seen[id] = now
+	return false
+}
+
 // utilization returns the number of requests in progress per slot of a digest's group.
 func utilization(groups [][]*directory.Upstream, d *load.Digest) float64 {
 	if d.Group >= len(groups) {
@@ -342,7 +388,9 @@
 		return
 	}
 	e.daemon.counters.loadDigests.Add(1)
-	e.applyDigest(now, d)
+	if !e.isRepeated(now, d) {
+		e.applyDigest(now, d)
+	}
 }
 
 // addZone adds another zone's summary to the digests of this balancer's groups.
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"os"
 	"slices"
@@ -87,7 +88,9 @@
 	reader, err := newPacketReader(d.packets)
 	options := []flow.Option{flow.WithInquiries(), flow.WithLookups()}
 	if d.options.Load.Share {
-		options = append(options, flow.WithSharing(d.options.Load.Sharing))
+		sharing := d.options.Load.Sharing
+		sharing.Seed = rand.Uint64()
+		options = append(options, flow.WithSharing(sharing))
 	}
 	return &packetHandler{
 		daemon:    d,
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -518,6 +518,7 @@
 	for _, s := range forgotten {
 		f.closeFlow(now, s)
 	}
+	f.sharing.forgetServices(v)
 	f.openings.expire(now, f.idleTimeout)
 	for t, a := range f.asked {
 		if now.Sub(a.askedAt) >= maxInquiryAge {
--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -31,7 +31,9 @@
 	// maxQueueFactor bounds how many requests in progress per slot are taken for in time: hosts
 	// queue a few requests per slot and refuse further ones.
 	maxQueueFactor = 4
-	// maxWaitingPackets and maxWaitingBytes bound the first packets that wait for admission.
+	// maxWaitingPackets and maxWaitingBytes bound the first packets of one service that wait for
+	// admission, and maxWaiting those of all services.
+	maxWaiting        = 1024
 	maxWaitingPackets = 256
 	maxWaitingBytes   = 512 << 10
 )
@@ -133,6 +135,7 @@
 				MaxBytes:    maxWaitingBytes,
 			}),
 		}
+		l.queue.SetSeed(s.options.Seed)
 		s.services[service] = l
 	}
 	l.refresh(now, v, f)
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,6 +23,9 @@
 	Spill bool
 	// Admit lets new flows wait, or rejects them, while no zone has room.
 	Admit bool
+	// Seed is the seed by which admission tells callers apart. It should be random for each
+	// process, so that nobody can choose an address that is taken for another caller's.
+	Seed uint64
 }
 
 // WithSharing has the forwarder report the load that it sees, and place new flows by the load
@@ -45,6 +49,8 @@
 	digests   uint64
 	balancers int
 	services  map[string]*serviceLoad
+	// checkedAt is when it was last checked which first packets need wait no longer.
+	checkedAt time.Time
 	// waiting holds the first packets that wait in a service's queue.
 	waiting map[key]*waitingPacket
 }
@@ -262,6 +268,9 @@
 // leaves beside the usual answer time, since a client that is refused needs the rest for its
 // next attempt.
 func (f *Forwarder) maxWait(r *directory.Route) time.Duration {
+	if len(f.sharing.waiting) >= maxWaiting {
+		return 0
+	}
 	usual, ok := f.sharing.learner.Usual(r.Address)
 	if !ok {
 		usual = defaultAnswerTime
@@ -326,11 +335,24 @@
 	f.sharing.book = load.NewBook()
 }
 
+// forgetServices forgets the load of services that have no hosts, and nothing that waits.
+func (s *sharing) forgetServices(v *directory.View) {
+	if s == nil {
+		return
+	}
+	waiting := make(map[*serviceLoad]bool)
+	for _, w := range s.waiting {
+		waiting[w.service] = true
+	}
+	maps.DeleteFunc(s.services, func(name string, l *serviceLoad) bool { return len(v.Eligible(name)) == 0 && !waiting[l] })
+}
+
 // checkWaiting places or rejects the first packets whose wait is over.
 func (f *Forwarder) checkWaiting(now time.Time, v *directory.View) {
-	if f.sharing == nil || len(f.sharing.waiting) == 0 {
+	if f.sharing == nil || len(f.sharing.waiting) == 0 || now.Sub(f.sharing.checkedAt) < waitResolution {
 		return
 	}
+	f.sharing.checkedAt = now
 	for _, l := range f.sharing.services {
 		l.refresh(now, v, f)
 		for _, d := range l.queue.Release(now) {
@@ -379,5 +401,12 @@
 			next = t
 		}
 	}
+	if !next.IsZero() && next.Before(s.checkedAt.Add(waitResolution)) {
+		next = s.checkedAt.Add(waitResolution)
+	}
 	return next
 }
+
+// waitResolution is the least time between two checks of the first packets that wait, each of which
+// looks at all of them.
+const waitResolution = time.Millisecond
--- a/flow/sharing_bench_test.go
+++ b/flow/sharing_bench_test.go
@@ -31,8 +31,10 @@
 		id := fmt.Sprintf("%08x", i+1)
 		items = append(items, directory.Item{
 			Key: directory.Key{Kind: directory.KindUpstream, Name: id}, Revision: uint64(i + 2),
-			Upstream: &directory.Upstream{ID: id, Service: fmt.Sprintf("s%d", i%services), Zone: string(rune('a' + i/services%3)),
-				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80), Slots: 8},
+			Upstream: &directory.Upstream{
+				ID: id, Service: fmt.Sprintf("s%d", i%services), Zone: string(rune('a' + i/services%3)),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80), Slots: 8,
+			},
 		})
 	}
 	if _, err := dir.Apply(now, &directory.Delta{Revision: uint64(hosts + 1), Items: items}); err != nil {
--- a/load/collector_test.go
+++ b/load/collector_test.go
@@ -512,7 +512,7 @@
 				Ticket:   2,
 				Capacity: 2,
 			}},
-			At:       at(250),
+			At: at(250),
 		},
 	}, c.Own(at(250), "a", 3, hosts))
 }
--- a/load/report.go
+++ b/load/report.go
@@ -53,6 +53,8 @@
 	// Period is the time since the last report, or the time until the next one if that is
 	// longer. The report counts for 2.5 periods, of at most 1 s each.
 	Period time.Duration
+	// Group is the group of the upstreams in their zone.
+	Group int
 	// Partial reports are parts of a larger one with the same sequence. The samples of the
 	// former sequence still count for upstreams that no part lists, since a part may be
 	// lost.
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -83,6 +83,7 @@
 		Sender:   r.Sender,
 		Sequence: r.Sequence,
 		Period:   milliseconds(r.Period),
+		Group:    uint32(max(r.Group, 0)),
 	}
 	if partial {
 		samples = append([]load.Sample{{Ticket: partTicket}}, samples...)
@@ -128,6 +129,7 @@
 		Sender:   x.GetSender(),
 		Sequence: x.GetSequence(),
 		Period:   min(duration(x.GetPeriod()), maxLoadPeriod),
+		Group:    int(min(x.GetGroup(), maxLoadNumber)),
 		Samples:  make([]load.Sample, 0, n),
 	}
 	for i, t := range x.GetTickets() {
@@ -292,7 +294,10 @@
 
 // slowHosts returns the slow hosts of a zone's load.
 func slowHosts(z *ZoneLoad) []load.SlowHost {
-	var hosts []load.SlowHost
+	if len(z.GetSlow()) == 0 {
+		return nil
+	}
+	hosts := make([]load.SlowHost, 0, len(z.GetSlow()))
 	for i, t := range z.GetSlow() {
 		hosts = append(hosts, load.SlowHost{
 			Ticket:   directory.Ticket(t),
