fix: report at once when the load grows

Cause: a quiet zone reports each 700 ms, and learned late of a burst. Change: a balancer whose own requests have grown beyond chance reports at once, and for 2 s as in a busy zone.

--- a/filbertflow/internal/daemon/exchange_test.go
+++ b/filbertflow/internal/daemon/exchange_test.go
@@ -193,11 +193,11 @@
 func (p *exchangePeer) report(now time.Time) {
 	p.sequence++
 	if p.next != nil {
-		p.samples = p.next(p.daemon.syncer.loads.interval())
+		p.samples = p.next(p.daemon.syncer.loads.interval(now))
 	}
 	p.daemon.syncer.loads.sendReport(now, &load.Report{
 		Sequence: p.sequence,
-		Period:   p.daemon.syncer.loads.interval(),
+		Period:   p.daemon.syncer.loads.interval(now),
 		Samples:  p.samples,
 	})
 }
--- a/filbertflow/internal/daemon/loads.go
+++ b/filbertflow/internal/daemon/loads.go
@@ -25,6 +25,8 @@
 	// busyUtilization is the number of requests in progress per slot of the zone's upstreams
 	// above which the zone is busy.
 	busyUtilization = 0.4
+	// burstLifetime is how long a zone counts as busy after its load has grown.
+	burstLifetime = 2 * time.Second
 	// seenLifetime is how long a digest that came is remembered: longer than one is on its way.
 	// maxSeenDigests bounds them; a zone of 3,235 upstreams has 26 groups, and so some 200 digests
 	// in that time.
@@ -42,6 +44,9 @@
 	// busy tells whether one of the groups of the own zone is; utilization is that of each.
 	busy        bool
 	utilization map[int]float64
+	// burstUntil is until when reports and digests come as in a busy zone, since the load has
+	// grown.
+	burstUntil time.Time
 	// seen holds the digests that came lately, with their times.
 	seen map[digestID]time.Time
 	// table and view are those that groups, hosts and targets were worked out from.
@@ -101,22 +106,33 @@
 		return
 	}
 	e.update(now, v)
-	if now.Sub(e.reportedAt) >= e.interval() {
+	if now.Sub(e.reportedAt) >= e.interval(now) {
 		e.reportedAt = now
-		interval := e.interval()
+		interval := e.interval(now)
 		e.daemon.queueNotice(func(t *packetHandler) { t.reportLoad(interval) })
 	}
 	for group := range e.hosts {
 		if c := e.collecting[group]; c != nil && !now.Before(c.dueAt) {
-			c.dueAt = now.Add(collectorsPerGroup * e.interval())
+			c.dueAt = now.Add(collectorsPerGroup * e.interval(now))
 			e.sendDigest(now, group, c)
 		}
 	}
 }
 
+// handleGrowth makes the next report at once, and the following ones as in a busy zone.
+func (e *loadExchange) handleGrowth(now time.Time) {
+	if !now.Before(e.burstUntil) && !e.busy {
+		e.reportedAt = now.Add(-busyReportInterval)
+		for _, c := range e.collecting {
+			c.dueAt = now.Add(min(c.dueAt.Sub(now), busyReportInterval))
+		}
+	}
+	e.burstUntil = now.Add(burstLifetime)
+}
+
 // interval returns the time between two reports.
-func (e *loadExchange) interval() time.Duration {
-	if e.busy {
+func (e *loadExchange) interval(now time.Time) time.Duration {
+	if e.busy || now.Before(e.burstUntil) {
 		return busyReportInterval
 	}
 	return idleReportInterval
@@ -167,7 +183,7 @@
 		}
 		e.collecting[id.group] = &groupCollector{
 			collector: collector,
-			dueAt:     now.Add(time.Duration(rank) * e.interval()),
+			dueAt:     now.Add(time.Duration(rank) * e.interval(now)),
 		}
 	}
 }
@@ -296,7 +312,7 @@
 	e.updateBusy(d)
 	if c := e.collecting[d.Group]; c != nil && d.Origin != e.daemon.incarnation {
 		// The collectors take turns.
-		c.dueAt = now.Add(e.interval())
+		c.dueAt = now.Add(e.interval(now))
 	}
 	self := &member.Member{
 		Zone:        e.daemon.options.Zone,
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -81,6 +81,8 @@
 	wakeAt time.Time
 	waker  *time.Timer
 	// giving holds the services and zones that the own zone gives new flows to.
+	// grewAt is when the syncer was last told that the load has grown.
+	grewAt time.Time
 	giving map[giving]bool
 }
 
@@ -195,8 +197,15 @@
 	t.sendReports()
 	t.queueProbes(now)
 	t.logStateChanges(now, view)
+	if t.forwarder.LoadGrew() && now.Sub(t.grewAt) >= growthInterval {
+		t.grewAt = now
+		t.daemon.post(func(now time.Time) { t.daemon.syncer.loads.handleGrowth(now) })
+	}
 }
 
+// growthInterval is the least time between two notices that the load has grown.
+const growthInterval = 500 * time.Millisecond
+
 // queueProbes queues probes of upstreams that have not answered in time, and
 // schedules a wake-up for when the next answers are due.
 func (t *packetHandler) queueProbes(now time.Time) {
--- a/flow/serviceload.go
+++ b/flow/serviceload.go
@@ -456,6 +456,7 @@
 	}
 	z.limit = z.load.Capacity * factor
 	grown := others * growth(reported, active)
+	f.sharing.grew = f.sharing.grew || grown > 0
 	z.load.Working += grown
 	z.limited += grown
 	z.free = max(z.free-grown, 0)
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -49,6 +49,8 @@
 	digests   uint64
 	balancers int
 	services  map[string]*serviceLoad
+	// grew is set once the load has grown beyond chance, until that is asked for.
+	grew bool
 	// checkedAt is when it was last checked which first packets need wait no longer.
 	checkedAt time.Time
 	// waiting holds the first packets that wait in a service's queue.
@@ -115,6 +117,17 @@
 	f.sharing.balancers = balancers
 }
 
+// LoadGrew reports whether the load at the own zone's upstreams has grown beyond chance since the
+// last call. Reports and digests should then come at the rate of a busy zone.
+func (f *Forwarder) LoadGrew() bool {
+	if f.sharing == nil {
+		return false
+	}
+	grew := f.sharing.grew
+	f.sharing.grew = false
+	return grew
+}
+
 // Waiting returns the number of first packets that wait for admission.
 func (f *Forwarder) Waiting() int {
 	if f.sharing == nil {
--- a/flow/sharing_test.go
+++ b/flow/sharing_test.go
@@ -370,3 +370,23 @@
 		})
 	}
 }
+
+// TestLoadGrew guards against a zone that learns late of a burst, since its balancers report seldom
+// while it is quiet, and against growth that is reported without any.
+func TestLoadGrew(t *testing.T) {
+	z := newSharedZone(t, 4, Sharing{})
+	for range 3 {
+		z.tell(z.all(1))
+		z.forwarder.LoadReport(z.now, 200*time.Millisecond)
+		z.opens(1)
+		z.advance(200 * time.Millisecond)
+	}
+	require.False(t, z.forwarder.LoadGrew())
+	for range 24 {
+		z.client(boardAddress).establish().request()
+	}
+	z.advance(loadRefreshInterval)
+	z.opens(1)
+	require.True(t, z.forwarder.LoadGrew())
+	require.False(t, z.forwarder.LoadGrew(), "told already")
+}
--- a/flowlab/internal/emulation/sharing.go
+++ b/flowlab/internal/emulation/sharing.go
@@ -17,6 +17,7 @@
 	idleReportInterval = 700 * time.Millisecond
 	collectorsPerZone  = 2
 	busyUtilization    = 0.4
+	burstLifetime      = 2 * time.Second
 	// digestFanOut is the number of balancers that each one relays a digest to.
 	digestFanOut = 6
 )
@@ -28,6 +29,7 @@
 	// reportedAt is when the last report was made.
 	reportedAt time.Time
 	busy       bool
+	burstUntil time.Time
 	// collector is nil unless this balancer sums the reports on the zone's hosts; its next
 	// digest is due at dueAt.
 	collector *load.Collector
@@ -63,9 +65,20 @@
 	})
 }
 
+// handleGrowth makes the next report at once, and the following ones as in a busy zone.
+func (x *loadExchange) handleGrowth(now time.Time) {
+	if !now.Before(x.burstUntil) && !x.busy {
+		x.reportedAt = now.Add(-busyReportInterval)
+		if x.collector != nil {
+			x.dueAt = now.Add(min(x.dueAt.Sub(now), busyReportInterval))
+		}
+	}
+	x.burstUntil = now.Add(burstLifetime)
+}
+
 // interval returns the time between two reports.
-func (x *loadExchange) interval() time.Duration {
-	if x.busy {
+func (x *loadExchange) interval(now time.Time) time.Duration {
+	if x.busy || now.Before(x.burstUntil) {
 		return busyReportInterval
 	}
 	return idleReportInterval
@@ -78,10 +91,13 @@
 		return
 	}
 	now := b.emulation.now
+	if b.forwarder.LoadGrew() {
+		x.handleGrowth(now)
+	}
 	x.updateCollector(now)
-	if now.Sub(x.reportedAt) >= x.interval() {
+	if now.Sub(x.reportedAt) >= x.interval(now) {
 		x.reportedAt = now
-		interval := x.interval()
+		interval := x.interval(now)
 		b.packets.add(func() {
 			if !b.down && b.loads == x {
 				x.sendReport(b.forwarder.LoadReport(b.emulation.now, interval))
@@ -89,7 +105,7 @@
 		})
 	}
 	if x.collector != nil && !now.Before(x.dueAt) {
-		x.dueAt = now.Add(collectorsPerZone * x.interval())
+		x.dueAt = now.Add(collectorsPerZone * x.interval(now))
 		x.sendDigest(now)
 	}
 	b.emulation.after(loadTick, x.tick)
@@ -103,7 +119,7 @@
 		x.collector = nil
 	case x.collector == nil:
 		x.collector = load.NewCollector(x.balancer.id)
-		x.dueAt = now.Add(time.Duration(rank) * x.interval())
+		x.dueAt = now.Add(time.Duration(rank) * x.interval(now))
 	}
 }
 
@@ -178,7 +194,7 @@
 	x.busy = working >= busyUtilization*float64(max(slots, 1))
 	if x.collector != nil && d.Origin != b.id {
 		// The collectors take turns.
-		x.dueAt = b.emulation.now.Add(x.interval())
+		x.dueAt = b.emulation.now.Add(x.interval(x.balancer.emulation.now))
 	}
 	b.packets.add(func() { b.forwarder.ApplyDigest(b.emulation.now, d, len(b.peers())) })
 }
