--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -234,7 +234,7 @@
 	if f.sharing == nil || r == nil || r.LatencyGoal == 0 || p.Delayed {
 		return Decision{}, false
 	}
-	l := f.serviceLoad(now, v, selectService(r, k))
+	l := f.loadOf(now, v, selectService(r, k))
 	if l == nil {
 		return Decision{}, false
 	}
