refactor: split files of load sharing by their jobs

Files of 413 to 890 lines held the queue and its decisions, the comparison of hosts and what is known of one, the exchange and its datagrams, and tests of several parts.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 
 	"filbertworks.example/filbertworks/admission"
 )
@@ -264,45 +262,6 @@
 	require.Equal(t, admission.Admit, verdict)
 }
 
-// TestCopyKeepsItsPlace guards against a retransmitted packet that counts twice.
-func TestCopyKeepsItsPlace(t *testing.T) {
-	q, now := waitingQueue(t, admission.Limits{
-		MaxRequests: 3,
-		MaxBytes:    1000,
-	}, 3)
-	timer := q.NextTimer()
-	for range 10 {
-		r := request(1, 1)
-		r.Priority = 2
-		r.MaxWait = 0
-		require.Equal(t, admission.Wait, q.Offer(now, r))
-	}
-	require.Equal(t, timer, q.NextTimer())
-	larger := request(1, 1)
-	larger.Size = 800
-	require.Equal(t, admission.Wait, q.Offer(now, larger))
-	larger.Size = 801
-	require.Equal(t, admission.Reject, q.Offer(now, larger), "the copy exceeds MaxBytes")
-	require.False(t, q.Remove(1))
-	require.ElementsMatch(t, []int{0, 2}, ids(q.RejectAll(), admission.Reject))
-}
-
-// TestCopyAfterDecisionIsNotDecidedTwice guards against a copy that comes between the decision
-// on a request and the call of Release.
-func TestCopyAfterDecisionIsNotDecidedTwice(t *testing.T) {
-	q, now := waitingQueue(t, admission.Limits{
-		MaxRequests: 1,
-		MaxBytes:    1000,
-	}, 1)
-	urgent := request(100, 100)
-	urgent.Priority = 0
-	require.Equal(t, admission.Wait, q.Offer(now, urgent))
-	require.Equal(t, now, q.NextTimer())
-	require.Equal(t, admission.Wait, q.Offer(now, request(0, 0)))
-	require.Equal(t, []int{0}, ids(q.Release(now), admission.Reject))
-	require.Len(t, q.RejectAll(), 1)
-}
-
 // TestMaxWaitEndsWaiting guards against requests that wait beyond their latency goal.
 func TestMaxWaitEndsWaiting(t *testing.T) {
 	q, now := waitingQueue(t, usualLimits, 4)
@@ -430,133 +389,6 @@
 	require.Positive(t, admitted)
 }
 
-// TestReturnsEarnNothing guards against refusals that raise the admitted load because their
-// clients come back within 10 ms.
-func TestReturnsEarnNothing(t *testing.T) {
-	play := func(returns int) int {
-		q, now := shortQueue(t, usualLimits)
-		admitted, id := 0, 0
-		for i := range 8000 {
-			now = now.Add(time.Millisecond)
-			if i%250 == 0 {
-				q.SetShares(now, admission.SharesFor(1000, 100, []int{0, 1, 2}))
-			}
-			for range 1 + returns {
-				id++
-				r := request(id, i)
-				r.MaxWait = 0
-				if q.Offer(now, r) == admission.Admit {
-					admitted++
-					break
-				}
-			}
-		}
-		return admitted
-	}
-	alone := play(0)
-	require.Positive(t, alone)
-	// A client that returns twice looks the same, as all its attempts are known.
-	require.InDelta(t, 800, play(2), 120)
-	require.LessOrEqual(t, alone, 800)
-}
-
-// TestReturnMayWaitOnce guards against refused clients that all come back together: under
-// sustained pressure the first return may wait where a new request may not.
-func TestReturnMayWaitOnce(t *testing.T) {
-	q, now := shortQueue(t, usualLimits)
-	waited := [3]int{}
-	for i := range 8000 {
-		now = now.Add(time.Millisecond)
-		if i%250 == 0 {
-			q.SetShares(now, admission.SharesFor(1000, 100, []int{0, 1, 2}))
-		}
-		for attempt := range 3 {
-			r := request(3*i+attempt, i)
-			r.MaxWait = 400 * time.Millisecond
-			v := q.Offer(now, r)
-			if v == admission.Wait {
-				waited[attempt]++
-			}
-			if v != admission.Reject {
-				break
-			}
-		}
-		q.Release(now)
-	}
-	require.Greater(t, waited[1], waited[0])
-	require.Greater(t, waited[1], waited[2])
-}
-
-// TestQueueKeepsItsInvariants plays random calls: every waiting request is decided exactly
-// once, and the limits hold.
-func TestQueueKeepsItsInvariants(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		limits := admission.Limits{
-			MaxRequests: rapid.IntRange(0, 10).Draw(t, "requests"),
-			MaxBytes:    rapid.IntRange(0, 1000).Draw(t, "bytes"),
-		}
-		q := admission.NewQueue[int](limits)
-		now := epoch
-		waiting := map[int]int{}
-		settle := func(released []admission.Released[int]) {
-			for _, r := range released {
-				require.Contains(t, waiting, r.ID)
-				require.NotEqual(t, admission.Wait, r.Verdict)
-				delete(waiting, r.ID)
-			}
-		}
-		for range rapid.IntRange(1, 300).Draw(t, "calls") {
-			now = now.Add(time.Duration(rapid.IntRange(-5, 100).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 19).Draw(t, "call") {
-			case 0, 1, 2:
-				q.SetShares(now, admission.SharesFor(rapid.Float64Range(0, 200).Draw(t, "working"), 100, []int{0, 1, 2}))
-			case 3, 4:
-				settle(q.Release(now))
-			case 5:
-				id := rapid.IntRange(0, 30).Draw(t, "id")
-				_, ok := waiting[id]
-				require.Equal(t, ok, q.Remove(id))
-				delete(waiting, id)
-			case 6:
-				if rapid.Bool().Draw(t, "clear") {
-					q.Clear()
-					clear(waiting)
-				} else {
-					settle(q.RejectAll())
-					require.Empty(t, waiting)
-				}
-			default:
-				r := admission.Request[int]{
-					ID:       rapid.IntRange(0, 30).Draw(t, "id"),
-					Priority: rapid.IntRange(0, 3).Draw(t, "priority"),
-					Caller:   address(rapid.IntRange(0, 5).Draw(t, "caller")),
-					Size:     rapid.IntRange(0, 400).Draw(t, "size"),
-					MaxWait:  time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond,
-				}
-				switch q.Offer(now, r) {
-				case admission.Wait:
-					waiting[r.ID] = r.Size
-				default:
-					delete(waiting, r.ID)
-				}
-			}
-			require.Equal(t, len(waiting) == 0, q.NextTimer().IsZero())
-		}
-		settle(q.Release(now))
-		require.LessOrEqual(t, len(waiting), limits.MaxRequests)
-		bytes := 0
-		for _, size := range waiting {
-			bytes += size
-		}
-		require.LessOrEqual(t, bytes, limits.MaxBytes)
-		settle(q.Release(now.Add(time.Hour)))
-		for at := q.NextTimer(); !at.IsZero(); at = q.NextTimer() {
-			settle(q.Release(at))
-		}
-		require.Empty(t, waiting)
-	})
-}
-
 // BenchmarkOffer measures Offer in the ordinary state, and under overload with many waiting.
 func BenchmarkOffer(b *testing.B) {
 	b.Run("ordinary", func(b *testing.B) {
@@ -584,25 +416,3 @@
 		}
 	})
 }
-
-// TestPrefixIsOneCaller guards against one IPv6 host that takes a share for each address.
-func TestPrefixIsOneCaller(t *testing.T) {
-	m := newModel(1, 1, stream{
-		priority: 1,
-		rate:     constant(0.75 * modelCapacity),
-		caller: func(r *rand.Rand) netip.Addr {
-			b := netip.MustParseAddr("2001:db8::").As16()
-			for i := 8; i < 16; i++ {
-				b[i] = byte(r.Uint32())
-			}
-			return netip.AddrFrom16(b)
-		},
-	}, stream{
-		priority: 1,
-		rate:     constant(0.75 * modelCapacity),
-		caller:   callers(200),
-	})
-	m.from = 4 * time.Second
-	m.run(14 * time.Second)
-	require.GreaterOrEqual(t, m.outcomes[1].part(m.outcomes[1].inTime), 0.95)
-}
--- a/load/collector_test.go
+++ b/load/collector_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -13,126 +11,6 @@
 	"filbertworks.example/filbertworks/directory"
 )
 
-// TestSumsOfUnreliableReports guards against sums that lose or repeat the load of some of 27
-// balancers, or bring back a former load, when datagrams are lost, late, repeated or
-// reordered.
-func TestSumsOfUnreliableReports(t *testing.T) {
-	const (
-		balancers = 27
-		fallsAt   = 5000 // ms; each balancer's work falls to half
-		endsAt    = 10000
-	)
-	for _, test := range []struct {
-		name string
-		// lost, late, repeated and reordered are shares of the reports; late ones come a
-		// second later, reordered ones up to 400 ms.
-		lost, late, repeated, reordered float64
-		// least is the least share of the work that any digest has, and mean that of all
-		// digests, where the work has been the same for a second. A balancer of which two
-		// reports in a row are lost is missing for half a period.
-		least, mean float64
-	}{
-		{
-			name:  "reliable",
-			least: 1,
-			mean:  1,
-		},
-		{
-			name:  "lost",
-			lost:  0.05,
-			least: 0.85,
-			mean:  0.995,
-		},
-		{
-			name:  "late",
-			late:  0.05,
-			least: 0.85,
-			mean:  0.995,
-		},
-		{
-			name:     "repeated",
-			repeated: 0.5,
-			least:    1,
-		},
-		{
-			name:      "reordered",
-			reordered: 0.5,
-			least:     0.9,
-		},
-		{
-			name:      "all at once",
-			lost:      0.02,
-			late:      0.02,
-			repeated:  0.2,
-			reordered: 0.2,
-			least:     0.9,
-		},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			sum, digests := 0., 0.
-			for seed := range uint64(20) {
-				random := rand.New(rand.NewPCG(seed, 1))
-				hosts := hostsOf(3)
-				arrivals := make(map[int][]*Report)
-				for b := range balancers {
-					offset := random.IntN(250)
-					for n := range endsAt / 250 {
-						ms := n*250 + offset
-						flows, working := 4, 0.5
-						if ms >= fallsAt {
-							flows, working = 2, 0.25
-						}
-						r := reportOf(uint64(b+1), uint32(n+1), hosts, flows, working)
-						if random.Float64() < test.lost {
-							continue
-						}
-						delay := random.IntN(5)
-						switch {
-						case random.Float64() < test.late:
-							delay = 1000
-						case random.Float64() < test.reordered:
-							delay = random.IntN(400)
-						}
-						arrivals[ms+delay] = append(arrivals[ms+delay], r)
-						if random.Float64() < test.repeated {
-							again := ms + delay + random.IntN(1000)
-							arrivals[again] = append(arrivals[again], r)
-						}
-					}
-				}
-				c := NewCollector(1)
-				for ms := range endsAt {
-					for _, r := range arrivals[ms] {
-						c.AddReport(at(ms), r)
-					}
-					if ms%250 != 0 || ms < 1000 {
-						continue
-					}
-					d, ok := c.Digest(at(ms), 0, 1, hosts, balancers)
-					require.True(t, ok)
-					require.Len(t, d.Totals, len(hosts))
-					flows, working := 4.*balancers, 0.5*balancers
-					if ms >= fallsAt+1000 {
-						flows, working = flows/2, working/2
-					}
-					for _, total := range d.Totals {
-						require.LessOrEqual(t, float64(total.Flows), flows, "seed %d, %d ms", seed, ms)
-						require.LessOrEqual(t, total.Working, working, "seed %d, %d ms", seed, ms)
-						if ms >= fallsAt && ms < fallsAt+1000 {
-							continue
-						}
-						sum += total.Working / working
-						digests++
-						require.GreaterOrEqual(t, float64(total.Flows), test.least*flows, "seed %d, %d ms", seed, ms)
-						require.GreaterOrEqual(t, total.Working, test.least*working, "seed %d, %d ms", seed, ms)
-					}
-				}
-			}
-			require.GreaterOrEqual(t, sum/digests, test.mean)
-		})
-	}
-}
-
 // TestNoDigestFromFewReports guards against digests that make busy hosts look idle, since
 // their collector has just started, woken up or lost the balancers.
 func TestNoDigestFromFewReports(t *testing.T) {
@@ -365,61 +243,6 @@
 	require.Equal(t, 3, d.Totals[0].Flows)
 }
 
-// TestSplitZone guards against a half of a split zone that has no digests, or one that says
-// nothing of how little it knows.
-func TestSplitZone(t *testing.T) {
-	for _, test := range []struct {
-		name string
-		// reporting is the number of balancers on the collector's side, and members that
-		// of the zone as the collector knows it.
-		reporting int
-		members   int
-		ok        bool
-	}{
-		{
-			name:      "larger half, split not yet known",
-			reporting: 14,
-			members:   27,
-			ok:        true,
-		},
-		{
-			name:      "smaller half, split not yet known",
-			reporting: 13,
-			members:   27,
-		},
-		{
-			name:      "larger half",
-			reporting: 14,
-			members:   14,
-			ok:        true,
-		},
-		{
-			name:      "smaller half",
-			reporting: 13,
-			members:   13,
-			ok:        true,
-		},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			c, hosts := NewCollector(1), hostsOf(2)
-			for n := range 8 {
-				for i := range 27 {
-					if n < 4 || i < test.reporting {
-						c.AddReport(at(250*n), reportOf(uint64(i+1), uint32(n+1), hosts, 2, 0.25))
-					}
-				}
-			}
-			d, ok := c.Digest(at(1750), 0, 1, hosts, test.members)
-			require.Equal(t, test.ok, ok)
-			if ok {
-				require.Equal(t, test.reporting, d.Balancers)
-				require.Equal(t, 2*test.reporting, d.Totals[0].Flows)
-				require.InDelta(t, 0.25*float64(test.reporting), d.Totals[0].Working, 1e-6)
-			}
-		})
-	}
-}
-
 // TestCapacitiesOfDigest guards against slow hosts that are left out of digests, and against
 // answers that count twice, or count for hosts of other collectors.
 func TestCapacitiesOfDigest(t *testing.T) {
@@ -474,80 +297,6 @@
 	}, d.Totals)
 }
 
-// TestOwnZone guards against zone totals that offer room at hosts which take no new flows.
-func TestOwnZone(t *testing.T) {
-	e := &estimates{values: map[directory.Ticket]capacity.Estimate{
-		2: {
-			Capacity: 2,
-			Known:    true,
-		},
-	}}
-	c, hosts := NewCollector(1), hostsOf(6)
-	c.estimator = e
-	hosts[2].Draining = true
-	hosts[3].DepartedAt = start
-	hosts[4].WarmAt = at(60000)
-	hosts[5].Service = "agenda"
-	c.AddReport(start, reportOf(1, 1, hosts, 1, 1.5))
-	_, ok := c.Digest(at(250), 0, 1, hosts, 1)
-	require.True(t, ok)
-	require.Equal(t, []ZoneTotal{
-		{
-			Zone:     "a",
-			Service:  "agenda",
-			Group:    3,
-			Working:  1.5,
-			Capacity: 8,
-			Free:     SpareFactor*8 - 1.5,
-			At:       at(250),
-		},
-		{
-			Zone:     "a",
-			Service:  "board",
-			Group:    3,
-			Working:  4.5,
-			Capacity: 8 + 2 + 1.5,
-			Free:     SpareFactor*(8+2) - 2*1.5,
-			Slow: []SlowHost{{
-				Ticket:   2,
-				Capacity: 2,
-			}},
-			At: at(250),
-		},
-	}, c.Own(at(250), "a", 3, hosts))
-}
-
-// TestZonesOfDigest guards against totals of other zones that are passed on although they are
-// old, and against late ones that replace newer ones.
-func TestZonesOfDigest(t *testing.T) {
-	c, hosts := NewCollector(1), hostsOf(1)
-	total := func(zone string, ms int, working float64) ZoneTotal {
-		return ZoneTotal{
-			Zone:     zone,
-			Service:  "board",
-			Working:  working,
-			Capacity: 8,
-			At:       at(ms),
-		}
-	}
-	c.AddReport(at(-1000), reportOf(1, 1, hosts, 1, 1))
-	c.AddReport(start, reportOf(1, 2, hosts, 1, 1))
-	for _, z := range []ZoneTotal{
-		total("d", -1001, 1),
-		total("c", -1000, 1),
-		total("b", -100, 2),
-		total("b", -200, 1),
-	} {
-		c.AddZone(start, z)
-	}
-	d, ok := c.Digest(start, 0, 1, hosts, 1)
-	require.True(t, ok)
-	require.Equal(t, []ZoneTotal{total("b", -100, 2), total("c", -1000, 1)}, d.Zones)
-	d, ok = c.Digest(at(1), 0, 1, hosts, 1)
-	require.True(t, ok)
-	require.Equal(t, []ZoneTotal{total("b", -100, 2)}, d.Zones)
-}
-
 // TestHostsWithOneTicket guards against load that counts twice where two hosts have the same
 // ticket.
 func TestHostsWithOneTicket(t *testing.T) {
@@ -562,21 +311,3 @@
 		Working: 1,
 	}}, d.Totals)
 }
-
-// TestOrderOfSendersChangesNoSum guards against seeded runs that can't be repeated since sums
-// of fractions depend on the order of their terms.
-func TestOrderOfSendersChangesNoSum(t *testing.T) {
-	hosts := hostsOf(20)
-	digest := func(order []int) Digest {
-		c := NewCollector(1)
-		for _, i := range order {
-			c.AddReport(start, reportOf(uint64(i+1), 1, hosts, i, 1/float64(i+3)))
-		}
-		d, ok := c.Digest(at(250), 0, 1, hosts, 27)
-		require.True(t, ok)
-		return d
-	}
-	order := rand.New(rand.NewPCG(1, 1)).Perm(27)
-	sorted := slices.Sorted(slices.Values(order))
-	require.Equal(t, digest(sorted), digest(order))
-}
