test: set the bounds of two replays back to those first asked for

The used capacity of 0.8 and the change of 0.5 in a digest had been lowered to 0.75 and 0.6 after plays that missed them. The message of skipped loads says where they run.

--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -22,9 +22,9 @@
 		// minOthers is the least share that others get, less what is answered late.
 		minOthers = 0.095
 		// minServed is the part of the capacity that is used in all, minSecond in the
-		// worst second: the bound of the oscillation. Of 640 plays with 20 seeds, six with
-		// a lag of 500 ms served 0.78 to 0.80 in all, the others more.
-		minServed = 0.75
+		// worst second: the bound of the oscillation. Six of 640 plays with 20 seeds stay
+		// below it (KNOWN-RED.txt).
+		minServed = 0.8
 		minSecond = 0.5
 		// maxRefused is the number of refusals by hosts relative to those without admission.
 		maxRefused = 0.2
--- a/flowlab/internal/emulation/sharing_test.go
+++ b/flowlab/internal/emulation/sharing_test.go
@@ -24,11 +24,12 @@
 	return probed, play(t, l, o)
 }
 
-// skipLarge skips a test that plays large loads under the race detector.
+// skipLarge leaves large loads to the run of scripts/test without the race detector, under which
+// they take minutes.
 func skipLarge(t *testing.T) {
 	t.Helper()
 	if !playsLargeLoads {
-		t.Skip("large loads take too long under the race detector")
+		t.Skip("large loads are played by the run without the race detector")
 	}
 }
 
--- a/spillover/replay_test.go
+++ b/spillover/replay_test.go
@@ -13,7 +13,7 @@
 
 // maxJump is the largest change of the share from one digest to the next, so that it does
 // not flip between 0 and 1.
-const maxJump = 0.6
+const maxJump = 0.5
 
 // lags are those of digests of other zones.
 var lags = []time.Duration{250 * time.Millisecond, time.Second}
