--- a/capacity/record.go
+++ b/capacity/record.go
@@ -34,7 +34,7 @@
 	history,
 }
 
-// recent is the index of the window in which light answers show what a host takes well.
+// recent is the index of the window in which light answers show how much a host handles.
 const recent = 6
 
 // Kinds of answers. Answers of kind both are compared each with those of its own cell.
