fix: drop a waiting first packet once its flow has gone on

Cause: a copy of a first packet waits 30 ms for the answer to a lookup, and a first packet up to 150 ms for admission. Nothing that came meanwhile counted. The client's packets for the first host came through the same balancer, and the copy was placed all the same: the flow's entry was overwritten, a second host answered the copy, and the next request followed that host's echo. The same for a first packet that came after its copy, for another flow of the client's port, and for a flow that a peer had told of.

Change: a later packet of the flow, or the first packet of another flow of its port, drops the packet that waits (reason "overtaken"). A first packet that comes after its copy waits with that. When nobody has answered in time, the copy follows what peers have told of the flow meanwhile.

Both tests fail on the code before, with the new reason's name added: all six events of TestHeldCopyFollowsLaterPackets, and TestOvertakenWait. go test ./flow passes.

--- a/flow/admission.go
+++ b/flow/admission.go
@@ -90,7 +90,7 @@
 		return Decision{}, false
 	}
 	if w.packet.Sequence != p.Sequence {
-		f.withdraw(k, w.packet.Sequence)
+		f.withdraw(k, w.packet.Sequence, ReasonOvertaken)
 		return Decision{}, false
 	}
 	w.packet = *p
@@ -110,15 +110,15 @@
 }
 
 // withdraw drops a waiting first packet, since another balancer decides on a copy of it, or its
-// client has opened another flow.
-func (f *Forwarder) withdraw(k key, sequence uint32) {
+// client has gone on.
+func (f *Forwarder) withdraw(k key, sequence uint32, reason Reason) {
 	w := f.sharing.waitingOf(k, sequence)
 	if w == nil {
 		return
 	}
 	w.service.queue.Remove(k)
 	delete(f.sharing.waiting, k)
-	f.release(&heldPacket{packet: w.packet}, Decision{Reason: ReasonDelayed})
+	f.release(&heldPacket{packet: w.packet}, Decision{Reason: reason})
 }
 
 // checkWaiting places or rejects the first packets whose wait is over.
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -82,17 +82,20 @@
 	ReasonWaiting
 	// ReasonNoRoom rejects a new flow that no upstream has room for in time.
 	ReasonNoRoom
+	// ReasonOvertaken drops a first packet that waited until a later packet of the client
+	// showed that the flow had opened, or that the client had left it.
+	ReasonOvertaken
 )
 
 // reasonNames holds the names of the reasons, indexed by Reason.
 var reasonNames = [...]string{
 	"placed", "copy", "moved", "ticket", "remembered", "unknown upstream",
 	"not ready", "no route", "no upstream", "dead upstream", "silent upstream",
-	"replaced upstream", "delayed", "lookup", "spilled", "waiting", "no room",
+	"replaced upstream", "delayed", "lookup", "spilled", "waiting", "no room", "overtaken",
 }
 
 // NumReasons is the number of reasons.
-const NumReasons = int(ReasonNoRoom) + 1
+const NumReasons = int(ReasonOvertaken) + 1
 
 // String returns r's name.
 func (r Reason) String() string {
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -136,6 +136,7 @@
 	if p.Flags.Has(FlagOpen) {
 		return f.open(now, v, p, k, s)
 	}
+	f.dropOvertaken(p, k)
 	return f.follow(now, v, p, k, s)
 }
 
@@ -156,6 +157,12 @@
 	if d, ok := f.holdCopy(now, p, k); ok {
 		return d
 	}
+	if f.holdWithCopy(p, k) {
+		return Decision{
+			Action: Hold,
+			Reason: ReasonLookup,
+		}
+	}
 	if p.Copy > 0 {
 		return f.openElsewhere(now, v, p, k)
 	}
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -136,7 +136,7 @@
 // A first packet that waits for admission here is dropped, since the other balancer has a copy.
 func (f *Forwarder) Opening(id ID) (Opening, bool) {
 	k := id.key()
-	f.withdraw(k, id.Sequence)
+	f.withdraw(k, id.Sequence, ReasonDelayed)
 	if a := f.openings.ambiguous[k]; a != nil && a.sequence == id.Sequence {
 		return a.opening(id), true
 	}
@@ -155,8 +155,8 @@
 // upstream that has got the first one, or where a further copy goes after that.
 func (f *Forwarder) AddOpening(now time.Time, v *directory.View, o Opening) {
 	k := o.Flow.key()
-	h, u := f.openings.held[k], v.ByTicket(o.Ticket)
-	if h == nil || u == nil || h.packet.Sequence != o.Flow.Sequence {
+	h, u := f.openings.heldOf(k, o.Flow.Sequence), v.ByTicket(o.Ticket)
+	if h == nil || u == nil {
 		return
 	}
 	delete(f.openings.held, k)
@@ -167,7 +167,7 @@
 // reached several upstreams.
 func (f *Forwarder) AddAmbiguous(now time.Time, o Opening) {
 	k := o.Flow.key()
-	f.withdraw(k, o.Flow.Sequence)
+	f.withdraw(k, o.Flow.Sequence, ReasonDelayed)
 	if a := f.openings.ambiguous[k]; a != nil && a.sequence == o.Flow.Sequence && a.open {
 		return
 	}
@@ -182,31 +182,78 @@
 // openElsewhere decides on a copy of a first packet that this balancer has not seen: another
 // one has, unless the first packet was lost on its way.
 func (f *Forwarder) openElsewhere(now time.Time, v *directory.View, p *Packet, k key) Decision {
-	if a := f.openings.find(now, p, k); a != nil {
-		if u := v.ByTicket(a.ticket); u != nil {
-			return f.openAt(now, v, p, k, u, a.open)
-		}
+	if d, ok := f.openAmbiguous(now, v, p, k); ok {
+		return d
 	}
 	if !f.openings.enabled || p.Delayed || len(f.openings.held) >= maxLookups {
 		return f.openUnseen(now, v, p, k)
 	}
-	h := f.openings.held[k]
-	if h == nil || h.packet.Sequence != p.Sequence {
-		h = &heldPacket{deadline: now.Add(lookupTimeout)}
-		f.openings.held[k] = h
-		f.openings.waiting = append(f.openings.waiting, lookupDeadline{
-			key:      k,
-			deadline: h.deadline,
-		})
-		f.openings.lookups = append(f.openings.lookups, p.flow())
+	h := &heldPacket{
+		packet:   *p,
+		deadline: now.Add(lookupTimeout),
 	}
-	h.packet = *p
+	f.openings.held[k] = h
+	f.openings.waiting = append(f.openings.waiting, lookupDeadline{
+		key:      k,
+		deadline: h.deadline,
+	})
+	f.openings.lookups = append(f.openings.lookups, p.flow())
 	return Decision{
 		Action: Hold,
 		Reason: ReasonLookup,
 	}
 }
 
+// openAmbiguous decides on a copy of the first packet of an ambiguous flow. It returns false if
+// the flow is not known as one.
+func (f *Forwarder) openAmbiguous(now time.Time, v *directory.View, p *Packet, k key) (Decision, bool) {
+	a := f.openings.find(now, p, k)
+	if a == nil {
+		return Decision{}, false
+	}
+	u := v.ByTicket(a.ticket)
+	if u == nil {
+		return Decision{}, false
+	}
+	return f.openAt(now, v, p, k, u, a.open), true
+}
+
+// holdWithCopy keeps a first packet, or a copy of it, in place of the copy that waits for the
+// answer to a lookup. It returns false if none waits. The copy of another flow of the same
+// addresses and ports waits no longer.
+func (f *Forwarder) holdWithCopy(p *Packet, k key) bool {
+	h := f.openings.held[k]
+	if h == nil || p.Delayed {
+		return false
+	}
+	if h.packet.Sequence != p.Sequence {
+		f.dropHeldCopy(k, h)
+		return false
+	}
+	h.packet = *p
+	return true
+}
+
+// dropOvertaken drops the first packet that waits here for a lookup or for admission if p, a later
+// packet of its flow, has come: the client has had an answer by another way, or has given up.
+func (f *Forwarder) dropOvertaken(p *Packet, k key) {
+	if h := f.openings.held[k]; h != nil && p.Sequence-h.packet.Sequence <= maxFlowLength {
+		f.dropHeldCopy(k, h)
+	}
+	if f.sharing == nil {
+		return
+	}
+	if w := f.sharing.waiting[k]; w != nil && p.Sequence-w.packet.Sequence <= maxFlowLength {
+		f.withdraw(k, w.packet.Sequence, ReasonOvertaken)
+	}
+}
+
+// dropHeldCopy drops a copy that waits for the answer to a lookup.
+func (f *Forwarder) dropHeldCopy(k key, h *heldPacket) {
+	delete(f.openings.held, k)
+	f.release(h, Decision{Reason: ReasonOvertaken})
+}
+
 // openAt decides on a copy of a first packet that another balancer has sent to u. The
 // argument open reports whether the flow has opened there.
 func (f *Forwarder) openAt(now time.Time, v *directory.View, p *Packet, k key, u *directory.Upstream, open bool) Decision {
@@ -245,7 +292,11 @@
 			continue
 		}
 		delete(f.openings.held, w.key)
-		f.release(h, f.openUnseen(now, v, &h.packet, w.key))
+		d, ok := f.openAmbiguous(now, v, &h.packet, w.key)
+		if !ok {
+			d = f.openUnseen(now, v, &h.packet, w.key)
+		}
+		f.release(h, d)
 	}
 }
 
@@ -313,6 +364,15 @@
 	return a
 }
 
+// heldOf returns the copy of a flow's first packet that waits, or nil.
+func (o *openings) heldOf(k key, sequence uint32) *heldPacket {
+	h := o.held[k]
+	if h == nil || h.packet.Sequence != sequence {
+		return nil
+	}
+	return h
+}
+
 // expire forgets ambiguous flows that have been idle for longer than idleTimeout.
 func (o *openings) expire(now time.Time, idleTimeout time.Duration) {
 	maps.DeleteFunc(o.ambiguous, func(_ key, a *ambiguousFlow) bool { return now.Sub(a.usedAt) >= idleTimeout })
--- a/flow/opening_test.go
+++ b/flow/opening_test.go
@@ -266,3 +266,97 @@
 	z.forwarder.Advance(z.now, z.view())
 	require.Equal(t, Forward, z.released(1).Action)
 }
+
+// TestHeldCopyFollowsLaterPackets guards against a second host for a flow while a copy of its first
+// packet waits for a lookup: what came meanwhile was overwritten when nobody had answered, and the
+// second host reset the open flow.
+func TestHeldCopyFollowsLaterPackets(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// meanwhile is what happens while the copy waits.
+		meanwhile func(z *zone, c *client)
+		want      Reason
+		// placed reports whether this balancer places the flow.
+		placed bool
+	}{
+		{
+			name:      "the client acknowledges the answer of the first host",
+			meanwhile: func(_ *zone, c *client) { c.acknowledge() },
+			want:      ReasonOvertaken,
+		},
+		{
+			name:      "the client's acknowledgment was lost, and its request comes",
+			meanwhile: func(_ *zone, c *client) { c.request() },
+			want:      ReasonOvertaken,
+		},
+		{
+			name: "the client gives up",
+			meanwhile: func(z *zone, c *client) {
+				p := c.packet()
+				p.Flags |= FlagReset
+				z.send(p)
+			},
+			want: ReasonOvertaken,
+		},
+		{
+			name: "the client opens another flow from its port",
+			meanwhile: func(_ *zone, c *client) {
+				c.seq += 1 << 30
+				c.establish()
+			},
+			want: ReasonOvertaken,
+		},
+		{
+			name: "the zone is told that the flow has opened",
+			meanwhile: func(z *zone, c *client) {
+				z.forwarder.AddAmbiguous(z.now, Opening{
+					Flow:   z.id(c),
+					Ticket: c.host.Ticket(),
+					Open:   true,
+				})
+			},
+			want: ReasonCopy,
+		},
+		{
+			name: "the first packet comes late",
+			meanwhile: func(z *zone, c *client) {
+				c.seq--
+				require.Equal(z.t, Hold, c.copy(0).Action)
+				c.seq++
+			},
+			want:   ReasonPlaced,
+			placed: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			z := newZone(t, 2)
+			z.by(1)
+			c := z.client(boardAddress)
+			require.Equal(t, Hold, c.copy(1).Action)
+			first := z.upstream("a0")
+			c.host, c.ack = first, 5000
+			c.seq++
+			z.advance(time.Millisecond)
+			test.meanwhile(z, c)
+			z.advance(lookupTimeout)
+			z.forwarder.Advance(z.now, z.view())
+			require.Equal(t, test.want, z.released(1).Reason)
+			z.advance(2 * lookupTimeout)
+			z.forwarder.Advance(z.now, z.view())
+			require.Empty(t, z.forwarder.Released(), "one decision on one packet")
+			require.Equal(t, test.placed, len(z.forwarder.AmbiguousFlows()) > 0)
+			if s := z.forwarder.flows.find(newKey(c.addr, c.service)); !test.placed {
+				require.Equal(t, c.host, s.upstream, "the flow's host stays")
+			}
+		})
+	}
+}
+
+// id returns the ID of a client's flow that has sent no content.
+func (z *zone) id(c *client) ID {
+	return ID{
+		Client:   c.addr,
+		Service:  c.service,
+		Sequence: c.seq - 1,
+	}
+}
--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -225,7 +225,7 @@
 		return
 	}
 	for k, w := range f.sharing.waiting {
-		f.withdraw(k, w.packet.Sequence)
+		f.withdraw(k, w.packet.Sequence, ReasonDelayed)
 	}
 	for _, l := range f.sharing.services {
 		l.queue.Clear()
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -59,6 +59,23 @@
 	require.Equal(t, ReasonDelayed, released[0].Decision.Reason)
 }
 
+// TestOvertakenWait guards against a second host for an open flow: its first packet waits for
+// admission here, and another balancer has placed a copy that nobody asked this one about.
+func TestOvertakenWait(t *testing.T) {
+	z := newFullZone(t)
+	c := z.hold()
+	c.host, c.ack = z.upstream("b0"), 5000
+	c.acknowledge()
+	z.tell(nil)
+	z.advance(maxAdmissionWait)
+	z.forwarder.Advance(z.now, z.view())
+	released := z.released(c)
+	require.Len(t, released, 1)
+	require.Equal(t, ReasonOvertaken, released[0].Decision.Reason)
+	require.Equal(t, c.host, z.forwarder.flows.find(newKey(c.addr, c.service)).upstream)
+	require.Zero(t, z.forwarder.Waiting())
+}
+
 // TestReplacedWait guards against held datagrams that are never released: a client opens another
 // flow from the same port while the first packet of the former one waits.
 func TestReplacedWait(t *testing.T) {
