fix: ask all zones for a flow's first packet while flows move between zones

Cause: a balancer that gets a copy of a first packet it has not seen asks the balancers of its own zone. Routers give the flows of a zone without a balancer in rotation to other zones, and back when it has one again. The balancer that had placed the first packet was then in a zone that nobody asked, and the copy was placed anew.

From then until 5 s after, lookups go to the living balancers of all zones, which covers both directions and two changes in a row, and a copy waits up to 100 ms for the answer instead of 30 ms, as other zones may be tens of milliseconds away. At other times nothing changes: 300 balancers do not ask all others. The bytes of lookups, answers and ambiguous flows are counted (filbertflow.openings.sent).

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -20,8 +20,10 @@
 	busy         atomic.Uint64
 	// ambiguous counts the flows whose first packet may have reached several upstreams,
 	// and lookupsAnswered the lookups of peers that this balancer has answered.
-	ambiguous       atomic.Uint64
+	ambiguous atomic.Uint64
+	// openingBytes counts the bytes that were sent for both.
 	lookupsAnswered atomic.Uint64
+	openingBytes    atomic.Uint64
 	inquiries       [inquiryEventCount]atomic.Uint64
 	probes          [probeResultCount]atomic.Uint64
 	peers           [peerStateCount]atomic.Int64
--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -135,6 +135,8 @@
 	ranAt     atomic.Int64
 	resumedAt atomic.Int64
 	leaving   atomic.Bool
+	// flowsMove tells that flows may move between zones while they are opened.
+	flowsMove atomic.Bool
 	// leads tells that this balancer is the reader that the other zones rely on.
 	leads atomic.Bool
 	// leaveDone is closed when a leaving daemon may stop.
--- a/filbertflow/internal/daemon/health.go
+++ b/filbertflow/internal/daemon/health.go
@@ -346,16 +346,18 @@
 	}
 }
 
-func (s *syncer) sendHealth(to []netip.AddrPort, m *wire.Health) {
+// sendHealth sends a datagram on the health of upstreams to peers, and returns the bytes sent.
+func (s *syncer) sendHealth(to []netip.AddrPort, m *wire.Health) int {
 	m.Sender = s.daemon.incarnation
 	data, err := wire.AppendHealth(nil, m)
 	if err != nil {
 		s.daemon.counters.malformed.Add(1)
-		return
+		return 0
 	}
 	for _, a := range to {
 		s.daemon.sendPeer(a, data)
 	}
+	return len(to) * len(data)
 }
 
 // upstreamID returns the ID of the upstream that a ticket identifies, or "" if it
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -187,6 +187,12 @@
 			description: "Lookups of peers for a flow that this balancer knows.",
 			samples:     singleSample(func() int64 { return int64(c.lookupsAnswered.Load()) }),
 		},
+		{
+			name:        "filbertflow.openings.sent",
+			description: "Bytes sent for lookups, the answers to them and ambiguous flows.",
+			unit:        "By",
+			samples:     singleSample(func() int64 { return int64(c.openingBytes.Load()) }),
+		},
 		{
 			name:        "filbertflow.inquiries",
 			description: "Inquiries whether an upstream is dead, by what happened to them.",
--- a/filbertflow/internal/daemon/openings.go
+++ b/filbertflow/internal/daemon/openings.go
@@ -104,29 +104,34 @@
 	t.logDecision(now, n, t.view(), &r.Decision)
 }
 
-// sendLookups asks the other balancers of the zone for flows that this one does not know.
+// sendLookups asks the other balancers that may know them for flows that this one does not know.
 func (s *syncer) sendLookups(lookups []flow.ID) {
-	peers := relays(s.zonePeers())
+	peers := relays(s.openingPeers())
 	for chunk := range slices.Chunk(lookups, openingsPerDatagram) {
 		m := &wire.Health{}
 		for i := range chunk {
 			m.Lookups = append(m.Lookups, wire.NewFlow(&chunk[i]))
 		}
-		s.sendHealth(peers, m)
+		s.sendOpenings(peers, m)
 	}
 }
 
-// sendAmbiguous sends ambiguous flows to balancers of the zone.
+// sendAmbiguous sends ambiguous flows to balancers.
 func (s *syncer) sendAmbiguous(to []netip.AddrPort, ambiguous []flow.Opening) {
 	for chunk := range slices.Chunk(ambiguous, openingsPerDatagram) {
 		m := &wire.Health{}
 		for i := range chunk {
 			m.Ambiguous = append(m.Ambiguous, wire.NewOpening(&chunk[i]))
 		}
-		s.sendHealth(to, m)
+		s.sendOpenings(to, m)
 	}
 }
 
+// sendOpenings sends a datagram on the openings of flows.
+func (s *syncer) sendOpenings(to []netip.AddrPort, m *wire.Health) {
+	s.daemon.counters.openingBytes.Add(uint64(s.sendHealth(to, m)))
+}
+
 // shareAmbiguous tells the zone of this balancer's ambiguous flows.
 func (s *syncer) shareAmbiguous(now time.Time) {
 	if unsent := s.ambiguous.take(now); len(unsent) > 0 {
@@ -171,6 +176,6 @@
 	d := t.daemon
 	d.counters.lookupsAnswered.Add(1)
 	d.post(func(time.Time) {
-		d.syncer.sendHealth([]netip.AddrPort{from}, &wire.Health{Openings: []*wire.Opening{wire.NewOpening(&o)}})
+		d.syncer.sendOpenings([]netip.AddrPort{from}, &wire.Health{Openings: []*wire.Opening{wire.NewOpening(&o)}})
 	})
 }
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -68,6 +68,7 @@
 	isReader bool
 	// ambiguous are the flows to tell the zone of.
 	ambiguous ambiguousFlows
+	vacancies vacancies
 	// outage is set while the store has not answered for longer than
 	// outageThreshold; outageStart is when it last answered before the latest
 	// outage. Upstreams whose entries lapsed since then stay eligible until
@@ -116,8 +117,9 @@
 			Control:     o.Peers,
 			Admin:       o.Readiness,
 		}, rand.New(rand.NewPCG(d.incarnation, uint64(now.UnixNano())))),
-		isReader: true,
-		clock:    newSuspensionClock(now),
+		isReader:  true,
+		vacancies: newVacancies(),
+		clock:     newSuspensionClock(now),
 	}
 	s.loads = newLoadExchange(s)
 	s.tracker.AcceptUnlisted()
@@ -316,6 +318,7 @@
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
 	}
 	s.checkInquiries(now)
+	s.updateVacancies(now)
 	s.shareAmbiguous(now)
 	s.loads.tick(now)
 	s.updateOutage(now)
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -88,7 +88,7 @@
 
 func newPacketHandler(d *Daemon) (*packetHandler, error) {
 	reader, err := newPacketReader(d.packets)
-	options := []flow.Option{flow.WithInquiries(), flow.WithLookups()}
+	options := []flow.Option{flow.WithInquiries(), flow.WithLookups(d)}
 	if d.options.Load.Share {
 		sharing := d.options.Load.Sharing
 		sharing.Seed = rand.Uint64()
--- /dev/null
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"time"
+
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/member"
+)
+
+// handOverPeriod is how long after a zone was vacant flows that are opening may still move between
+// zones: two readiness probes, the time in which the news of a change reaches all balancers, and the
+// 1.4 s that a client takes to open a flow.
+const handOverPeriod = 5 * time.Second
+
+// vacancies knows the zones that lately had no balancer in rotation. Routers give the flows of such
+// a zone to balancers of other zones, and back once it has balancers again. Only the syncer's
+// goroutine uses it.
+type vacancies struct {
+	// lastVacant is when a zone was last seen vacant, by zone.
+	lastVacant map[string]time.Time
+}
+
+func newVacancies() vacancies {
+	return vacancies{
+		lastVacant: make(map[string]time.Time),
+	}
+}
+
+// update records the zones that have no balancer in rotation now. One that leaves, is suspected or
+// has just started may be out of rotation.
+func (v *vacancies) update(now time.Time, t *member.Table) {
+	staffed := make(map[string]bool)
+	for _, m := range t.Members() {
+		staffed[m.Zone] = staffed[m.Zone] || m.State == member.Alive && !m.Suspected && !m.Joining
+	}
+	for zone, ok := range staffed {
+		if !ok {
+			v.lastVacant[zone] = now
+		}
+	}
+}
+
+// vacantWithin reports whether a zone was vacant within a period until now.
+func (v *vacancies) vacantWithin(now time.Time, zone string, period time.Duration) bool {
+	at, ok := v.lastVacant[zone]
+	return ok && now.Sub(at) <= period
+}
+
+// anyWithin reports whether any zone was vacant within a period until now.
+func (v *vacancies) anyWithin(now time.Time, period time.Duration) bool {
+	for zone := range v.lastVacant {
+		if v.vacantWithin(now, zone, period) {
+			return true
+		}
+	}
+	return false
+}
+
+// updateVacancies notes which zones are vacant.
+func (s *syncer) updateVacancies(now time.Time) {
+	s.vacancies.update(now, s.tracker.Table())
+	moving := s.vacancies.anyWithin(now, handOverPeriod)
+	if moving != s.daemon.flowsMove.Swap(moving) {
+		s.daemon.log.Info(now, "zones: flows may move between zones", logs.F("moving", moving))
+	}
+}
+
+// openingPeers returns the balancers that may know of flows which are opened here: those of the own
+// zone, and those of all zones while flows may have moved.
+func (s *syncer) openingPeers() []member.Member {
+	if s.daemon.flowsMove.Load() {
+		return append(s.zonePeers(), s.remotePeers()...)
+	}
+	return s.zonePeers()
+}
+
+// remotePeers returns the balancers of other zones that are not dead.
+func (s *syncer) remotePeers() []member.Member {
+	var peers []member.Member
+	for _, m := range s.tracker.Members() {
+		if m.State != member.Dead && m.Zone != s.daemon.options.Zone {
+			peers = append(peers, m)
+		}
+	}
+	return peers
+}
+
+// FlowsMove reports whether flows may move between zones while they are opened.
+func (d *Daemon) FlowsMove() bool {
+	return d.flowsMove.Load()
+}
--- /dev/null
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"filbertworks.example/filbertworks/directory"
+	"filbertworks.example/filbertworks/member"
+	"filbertworks.example/filbertworks/platform"
+)
+
+// twoZones is a balancer in each of two zones, with a host in each zone that leaves all packets
+// unanswered.
+type twoZones struct {
+	t         *testing.T
+	balancers map[string]*Daemon
+	hosts     map[string]*endpoint
+	client    *endpoint
+}
+
+func newTwoZones(t *testing.T) *twoZones {
+	t.Helper()
+	z := &twoZones{
+		t:         t,
+		balancers: make(map[string]*Daemon),
+		hosts:     make(map[string]*endpoint),
+		client:    newEndpoint(t),
+	}
+	plan := directory.Item{
+		Key:      directory.Key{Kind: directory.KindPlan},
+		Revision: 1,
+		Plan: &directory.Plan{
+			Version:  1,
+			Services: []directory.Service{{Name: "board"}},
+			Routes: []directory.Route{{
+				Name:    "board",
+				Address: serviceAddress,
+				Targets: []directory.Target{{
+					Service: "board",
+					Weight:  1,
+				}},
+			}},
+		},
+	}
+	items := []directory.Item{plan}
+	for _, zone := range []string{"a", "b"} {
+		z.hosts[zone] = newEndpoint(t)
+		items = append(items, directory.Item{
+			Key: directory.Key{
+				Kind: directory.KindUpstream,
+				Name: "i-0" + zone,
+			},
+			Revision: uint64(len(items) + 1),
+			Upstream: &directory.Upstream{
+				ID:      "i-0" + zone,
+				Service: "board",
+				Zone:    zone,
+				Address: z.hosts[zone].address(),
+				Slots:   2,
+			},
+		})
+	}
+	for _, zone := range []string{"a", "b"} {
+		z.start(zone, items)
+	}
+	return z
+}
+
+// start starts the balancer of a zone.
+func (z *twoZones) start(zone string, items []directory.Item) {
+	z.t.Helper()
+	d := newDaemon(z.t, func(o *Options) {
+		o.Name, o.Zone = "lb-"+zone, zone
+		o.Codec = platform.Codec{ClientPort: z.client.address().Port()}
+	})
+	now := time.Now()
+	_, err := d.syncer.dir.Apply(now, &directory.Delta{
+		Revision: uint64(len(items)),
+		Items:    items,
+	})
+	require.NoError(z.t, err)
+	d.syncer.publish(now)
+	z.balancers[zone] = d
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, task := range []func(context.Context){d.forwardPackets, d.receiveFromPeers, func(ctx context.Context) { handleEvents(ctx, d) }} {
+		d.tasks.Go(func() { task(ctx) })
+	}
+	z.t.Cleanup(d.tasks.Wait)
+	z.t.Cleanup(cancel)
+}
+
+// handleEvents runs a balancer's syncer without its periodic work.
+func handleEvents(ctx context.Context, d *Daemon) {
+	for {
+		select {
+		case f := <-d.events.C():
+			f(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// know has the balancer of one zone know the state of another zone's.
+func (z *twoZones) know(zone, other string, r member.Record) {
+	z.t.Helper()
+	d := z.balancers[zone]
+	r.Zone, r.Incarnation, r.Name = other, z.balancers[other].incarnation, "lb-"+other
+	r.Relay = z.balancers[other].peerDatagrams.LocalAddr().(*net.UDPAddr).AddrPort()
+	r.Control, r.Admin = r.Relay, r.Relay
+	done := make(chan struct{})
+	d.postWait(context.Background(), func(now time.Time) {
+		d.syncer.tracker.Merge(now, &r)
+		d.syncer.updateVacancies(now)
+		close(done)
+	})
+	<-done
+}
+
+// send sends a flow's first packet or a copy of it by the balancer of a zone.
+func (z *twoZones) send(zone string, number byte) {
+	z.t.Helper()
+	packet := clientPacket(flowPort, 0, 0)
+	const acknowledgment = 27
+	packet[acknowledgment+3] = number
+	to := z.balancers[zone].packets.LocalAddr().(*net.UDPAddr).AddrPort()
+	_, err := z.client.conn.WriteToUDPAddrPort(packet, to)
+	require.NoError(z.t, err)
+}
+
+// TestCopyFollowsFirstPacketToAnotherZone guards against resets of open flows by a second host: the
+// answer to a first packet was lost, the routers gave the copy to a balancer of another zone, and
+// that one asked its own zone only and chose another host.
+func TestCopyFollowsFirstPacketToAnotherZone(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// first and second are the zones of the balancers that get the first packet and the copy.
+		first, second string
+		// change tells the second balancer of the other zone's one.
+		change member.Record
+	}{
+		{
+			name:   "the only balancer of a zone leaves",
+			first:  "b",
+			second: "a",
+			change: member.Record{State: member.Leaving},
+		},
+		{
+			name:   "the only balancer of a zone has started",
+			first:  "a",
+			second: "b",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			z := newTwoZones(t)
+			z.know(test.second, test.first, test.change)
+			z.send(test.first, 0)
+			require.NotZero(t, z.hosts[test.first].receive(time.Second))
+			z.send(test.second, 1)
+			require.NotZero(t, z.hosts[test.first].receive(time.Second), "the same host")
+			require.Zero(t, z.hosts[test.second].receive(200*time.Millisecond), "no other host")
+		})
+	}
+}
+
+// TestVacantZones checks for how long balancers count on flows that move between zones.
+func TestVacantZones(t *testing.T) {
+	now := time.Now()
+	alive := member.Member{
+		Name:        "lb-1",
+		Zone:        "a",
+		Incarnation: 1,
+		Relay:       netip.MustParseAddrPort("10.0.0.1:7400"),
+	}
+	with := func(change func(m *member.Member)) member.Member {
+		m := alive
+		m.Name, m.Zone, m.Incarnation = "lb-2", "b", 2
+		change(&m)
+		return m
+	}
+	for _, test := range []struct {
+		name   string
+		member member.Member
+		vacant bool
+	}{
+		{
+			name:   "in rotation",
+			member: with(func(*member.Member) {}),
+		},
+		{
+			name:   "leaving",
+			member: with(func(m *member.Member) { m.State = member.Leaving }),
+			vacant: true,
+		},
+		{
+			name:   "suspected",
+			member: with(func(m *member.Member) { m.Suspected = true }),
+			vacant: true,
+		},
+		{
+			name:   "dead",
+			member: with(func(m *member.Member) { m.State = member.Dead }),
+			vacant: true,
+		},
+		{
+			name:   "started",
+			member: with(func(m *member.Member) { m.Joining = true }),
+			vacant: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			v := newVacancies()
+			v.update(now, member.NewTable([]member.Member{alive, test.member}))
+			require.False(t, v.vacantWithin(now, "a", time.Hour))
+			require.Equal(t, test.vacant, v.vacantWithin(now, "b", 0))
+			end := now.Add(handOverPeriod)
+			v.update(end, member.NewTable([]member.Member{alive, with(func(*member.Member) {})}))
+			require.Equal(t, test.vacant, v.anyWithin(end, handOverPeriod))
+			require.False(t, v.anyWithin(end.Add(time.Nanosecond), handOverPeriod))
+		})
+	}
+}
--- a/flow/copy_test.go
+++ b/flow/copy_test.go
@@ -63,7 +63,7 @@
 		fixture: newFixture(t, 1),
 		moves:   make([]int, len(test.opened)),
 	}
-	c.forwarder = New(c.now, "a", owner(true), WithInquiries(), WithLookups())
+	c.forwarder = New(c.now, "a", owner(true), WithInquiries(), WithLookups(zones(false)))
 	c.host = c.upstream("a0")
 	c.open = c.client(boardAddress).establish()
 	c.advance(5 * time.Second)
--- a/flow/fixture_test.go
+++ b/flow/fixture_test.go
@@ -25,6 +25,11 @@
 
 func (o owner) Owns(*directory.Upstream) bool { return bool(o) }
 
+// zones implements Zones: flows move between them, or not.
+type zones bool
+
+func (z zones) FlowsMove() bool { return bool(z) }
+
 // fixture is a balancer with its directory and clock.
 type fixture struct {
 	t         *testing.T
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
@@ -11,8 +12,11 @@
 
 const (
 	// lookupTimeout is how long a retransmitted first packet of an unknown flow waits for
-	// the balancer that knows the flow.
+	// the balancer of the zone that knows the flow.
 	lookupTimeout = 30 * time.Millisecond
+	// remoteLookupTimeout is how long it waits while the balancer that knows the flow may be
+	// one of another zone, some tens of milliseconds away.
+	remoteLookupTimeout = 100 * time.Millisecond
 	// maxLookups is the maximum number of first packets that wait.
 	maxLookups = 1024
 	// initialRetransmitInterval is the time until a client first retransmits a packet. The
@@ -52,11 +56,18 @@
 	Decision Decision
 }
 
+// Zones tells whether flows move between the zones of balancers.
+type Zones interface {
+	// FlowsMove reports whether flows may move here from another zone, or back there, while
+	// their clients open them.
+	FlowsMove() bool
+}
+
 // openings holds what a forwarder knows of flows that other balancers have seen opening.
 type openings struct {
-	// enabled reports whether other balancers are asked for the flows of retransmitted
-	// first packets.
-	enabled bool
+	// zones is nil unless other balancers are asked for the flows of retransmitted first
+	// packets.
+	zones Zones
 	// held holds the first packets that wait for an answer to a lookup, and waiting their
 	// deadlines in order. An entry of waiting may be over already.
 	held    map[key]*heldPacket
@@ -102,10 +113,11 @@
 }
 
 // WithLookups has the forwarder hold a retransmitted first packet of an unknown flow until
-// another balancer has told where the flow's first packet went, for lookupTimeout at most.
-func WithLookups() Option {
+// another balancer has told where the flow's first packet went, for lookupTimeout at most, or for
+// remoteLookupTimeout while flows move between zones.
+func WithLookups(z Zones) Option {
 	return func(f *Forwarder) {
-		f.openings.enabled = true
+		f.openings.zones = z
 	}
 }
 
@@ -124,8 +136,8 @@
 }
 
 // AmbiguousFlows returns what this balancer has found out since the last call about flows whose
-// first packet may have reached several upstreams. The other balancers of the zone must learn of
-// it by AddAmbiguous.
+// first packet may have reached several upstreams. The other balancers that may get their packets
+// must learn of it by AddAmbiguous.
 func (f *Forwarder) AmbiguousFlows() []Opening {
 	c := f.openings.changed
 	f.openings.changed = nil
@@ -185,18 +197,19 @@
 	if d, ok := f.openAmbiguous(now, v, p, k); ok {
 		return d
 	}
-	if !f.openings.enabled || p.Delayed || len(f.openings.held) >= maxLookups {
+	if f.openings.zones == nil || p.Delayed || len(f.openings.held) >= maxLookups {
 		return f.openUnseen(now, v, p, k)
 	}
+	timeout := lookupTimeout
+	if f.openings.zones.FlowsMove() {
+		timeout = remoteLookupTimeout
+	}
 	h := &heldPacket{
 		packet:   *p,
-		deadline: now.Add(lookupTimeout),
+		deadline: now.Add(timeout),
 	}
 	f.openings.held[k] = h
-	f.openings.waiting = append(f.openings.waiting, lookupDeadline{
-		key:      k,
-		deadline: h.deadline,
-	})
+	f.openings.await(k, h.deadline)
 	f.openings.lookups = append(f.openings.lookups, p.flow())
 	return Decision{
 		Action: Hold,
@@ -364,6 +377,18 @@
 	return a
 }
 
+// await adds a deadline to those of the copies that wait.
+func (o *openings) await(k key, deadline time.Time) {
+	i := len(o.waiting)
+	for i > 0 && o.waiting[i-1].deadline.After(deadline) {
+		i--
+	}
+	o.waiting = slices.Insert(o.waiting, i, lookupDeadline{
+		key:      k,
+		deadline: deadline,
+	})
+}
+
 // heldOf returns the copy of a flow's first packet that waits, or nil.
 func (o *openings) heldOf(k key, sequence uint32) *heldPacket {
 	h := o.held[k]
--- a/flow/opening_test.go
+++ b/flow/opening_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	z := &zone{fixture: newFixture(t, balancers)}
 	for i := range balancers {
-		z.balancers = append(z.balancers, New(z.now, "a", owner(true), WithInquiries(), WithLookups()))
+		z.balancers = append(z.balancers, New(z.now, "a", owner(true), WithInquiries(), WithLookups(zones(false))))
 		z.forwarder = z.balancers[i]
 		for j := range balancers {
 			if j != i {
--- a/flow/sharing_bench_test.go
+++ b/flow/sharing_bench_test.go
@@ -41,7 +41,7 @@
 		b.Fatal(err)
 	}
 	v := dir.View(now, func(*directory.Upstream) bool { return false })
-	f := New(now, "a", owner(true), WithInquiries(), WithLookups(), WithSharing(s))
+	f := New(now, "a", owner(true), WithInquiries(), WithLookups(zones(false)), WithSharing(s))
 	for g := range 2 {
 		f.ApplyDigest(now, &load.Digest{Origin: 7, Sequence: uint32(g + 1), Group: g, Groups: 2, Balancers: 27}, 27)
 	}
--- a/flow/sharing_test.go
+++ b/flow/sharing_test.go
@@ -26,7 +26,7 @@
 func newSharedZone(t *testing.T, hosts int, s Sharing) *sharedZone {
 	t.Helper()
 	z := &sharedZone{fixture: newFixture(t, hosts)}
-	z.forwarder = New(z.now, "a", owner(true), WithInquiries(), WithLookups(), WithSharing(s))
+	z.forwarder = New(z.now, "a", owner(true), WithInquiries(), WithLookups(zones(false)), WithSharing(s))
 	z.setGoals(goal)
 	return z
 }
@@ -154,7 +154,7 @@
 				Admit: true,
 			})
 			test.prepare(z)
-			alone := New(z.now, "a", owner(true), WithInquiries(), WithLookups())
+			alone := New(z.now, "a", owner(true), WithInquiries(), WithLookups(zones(false)))
 			for range 50 {
 				c := z.client(boardAddress)
 				p := c.packet()
--- a/flow/withdrawal_test.go
+++ b/flow/withdrawal_test.go
@@ -11,7 +11,7 @@
 
 // other returns another balancer of the crowd's zone that knows no load.
 func (z *crowd) other() *Forwarder {
-	return New(z.now, "a", owner(true), WithInquiries(), WithLookups(), WithSharing(allSharing))
+	return New(z.now, "a", owner(true), WithInquiries(), WithLookups(zones(false)), WithSharing(allSharing))
 }
 
 // id returns the ID of the client's flow.
