fix: tell other zones of ambiguous flows that move there

Callers would see a reset of an open flow by its second host: the client's packets carry the echo of the host that spoke last, and the balancer of another zone that gets them follows it.

Cause: flows whose first packet may have reached several hosts were told to the own zone only, and to balancers of the own zone that start. When the flows of a vacant zone move to other zones, or back, the balancers there know nothing of them. A balancer that was taken for dead and is back was not told either.

Change: while flows move between zones, ambiguous flows go to all zones. A balancer whose zone becomes vacant tells the other zones what it knows. Balancers that start, or return from the dead, are told by the zones that may have served their flows: those that saw their zone vacant within the time that such flows are kept for.

TestNewBalancersAreWelcomed said that a balancer of another zone is told nothing. That was the fault for zones that were vacant; the check is kept for zones that were not, or long ago, and two cases that must be told join it. It goes by the membership now instead of calling welcome.

Measured: TestAmbiguousFlowsReachTheZonesThatGetThem fails with only the own zone told. All tests of the daemon pass with the race detector.

--- a/filbertflow/internal/daemon/openings.go
+++ b/filbertflow/internal/daemon/openings.go
@@ -132,16 +132,21 @@
 	s.daemon.counters.openingBytes.Add(uint64(s.sendHealth(to, m)))
 }
 
-// shareAmbiguous tells the zone of this balancer's ambiguous flows.
+// shareAmbiguous tells the other balancers that may get their packets of this balancer's ambiguous
+// flows.
 func (s *syncer) shareAmbiguous(now time.Time) {
 	if unsent := s.ambiguous.take(now); len(unsent) > 0 {
-		s.sendAmbiguous(relays(s.zonePeers()), unsent)
+		s.sendAmbiguous(relays(s.openingPeers()), unsent)
 	}
 }
 
-// welcome tells a balancer that was not known before of the ambiguous flows.
-func (s *syncer) welcome(m *member.Member) {
-	if m.Zone == s.daemon.options.Zone && m.Incarnation != s.daemon.incarnation {
+// welcome tells a balancer that was not known before, or was taken for dead, of the ambiguous flows
+// that it may get packets of: those of the own zone, and while its zone was vacant those of any.
+func (s *syncer) welcome(now time.Time, m *member.Member) {
+	if m.Incarnation == s.daemon.incarnation {
+		return
+	}
+	if m.Zone == s.daemon.options.Zone || s.vacancies.vacantWithin(now, m.Zone, ambiguityLifetime) {
 		s.sendAmbiguous([]netip.AddrPort{m.Relay}, s.ambiguous.known())
 	}
 }
--- a/filbertflow/internal/daemon/openings_test.go
+++ b/filbertflow/internal/daemon/openings_test.go
@@ -30,43 +30,90 @@
 	require.Len(t, a.known(), maxAmbiguousFlows)
 }
 
-// TestNewBalancersAreWelcomed checks that only balancers of the own zone are told.
+// TestNewBalancersAreWelcomed guards against resets of flows that come to a balancer which has just
+// started, and which does not know that a host has got their first packet in vain. Balancers of
+// another zone are told only if the flows of their zone may have been here.
 func TestNewBalancersAreWelcomed(t *testing.T) {
 	for _, test := range []struct {
 		name string
 		zone string
-		told bool
+		// staffed reports whether the zone has another balancer, and vacantFor is how long ago it
+		// had none.
+		staffed   bool
+		vacantFor time.Duration
+		told      bool
 	}{
 		{
-			name: "of the zone",
-			zone: "a",
-			told: true,
+			name:    "of the zone",
+			zone:    "a",
+			staffed: true,
+			told:    true,
+		},
+		{
+			name:    "of another zone",
+			zone:    "b",
+			staffed: true,
 		},
 		{
-			name: "of another zone",
+			name: "of another zone that has no other balancer",
 			zone: "b",
+			told: true,
+		},
+		{
+			name:      "of another zone that had no balancer lately",
+			zone:      "b",
+			staffed:   true,
+			vacantFor: ambiguityLifetime,
+			told:      true,
+		},
+		{
+			name:      "of another zone that had no balancer long ago",
+			zone:      "b",
+			staffed:   true,
+			vacantFor: ambiguityLifetime + time.Second,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d, peer := newDaemon(t), newEndpoint(t)
-			d.syncer.ambiguous.add([]flow.Opening{{
-				Flow: flow.ID{
-					Client:  netip.MustParseAddrPort("100.64.0.7:40001"),
-					Service: serviceAddress,
-				},
-				Ticket: 7,
-			}})
-			d.syncer.shareAmbiguous(time.Now())
-			d.syncer.welcome(&member.Member{
+			now := time.Now()
+			if test.vacantFor > 0 {
+				addMember(t, d, peer, &member.Record{
+					Zone:        test.zone,
+					Incarnation: 7,
+					State:       member.Leaving,
+				})
+				d.syncer.updateVacancies(now.Add(-test.vacantFor))
+			}
+			if test.staffed {
+				addPeer(t, d, newEndpoint(t), test.zone, 8)
+			}
+			d.syncer.updateVacancies(now)
+			d.syncer.logMembers(now, d.syncer.tracker.Table())
+			d.syncer.ambiguous.add(openingsOf(40001))
+			d.syncer.ambiguous.take(now)
+			addMember(t, d, peer, &member.Record{
 				Zone:        test.zone,
-				Incarnation: d.incarnation + 1,
-				Relay:       peer.address(),
+				Incarnation: 9,
+				Joining:     true,
 			})
+			d.syncer.updateVacancies(now)
+			d.syncer.logMembers(now, d.syncer.tracker.Table())
 			require.Equal(t, test.told, peer.receive(200*time.Millisecond) > 0)
 		})
 	}
 }
 
+// openingsOf returns what is known of one flow, of a client's port.
+func openingsOf(port uint16) []flow.Opening {
+	return []flow.Opening{{
+		Flow: flow.ID{
+			Client:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port),
+			Service: serviceAddress,
+		},
+		Ticket: 7,
+	}}
+}
+
 // TestInvalidLookupsAreIgnored checks that a datagram with flows between invalid addresses
 // reaches no forwarder.
 func TestInvalidLookupsAreIgnored(t *testing.T) {
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -390,8 +390,8 @@
 	for _, m := range next.Members() {
 		states[m.State]++
 		state, ok := known[m.Incarnation]
-		if !ok {
-			s.welcome(&m)
+		if !ok || state == member.Dead && m.State != member.Dead {
+			s.welcome(now, &m)
 		}
 		if !ok || state != m.State {
 			s.daemon.log.Info(now, "peer: "+m.State.String(), logs.F("peer", m.Name), logs.F("peer_zone", m.Zone), logs.F("incarnation", m.Incarnation))
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -225,3 +225,26 @@
 		})
 	}
 }
+
+// TestAmbiguousFlowsReachTheZonesThatGetThem guards against resets of flows that move to another
+// zone when the last balancer of their own leaves: it is the only one that knows their hosts.
+func TestAmbiguousFlowsReachTheZonesThatGetThem(t *testing.T) {
+	d, peer := newDaemon(t), newEndpoint(t)
+	addPeer(t, d, peer, "b", 9)
+	now := time.Now()
+	d.syncer.tracker.Tick(now.Add(member.JoinDelay))
+	d.syncer.updateVacancies(now)
+	add := func(port uint16) {
+		d.syncer.ambiguous.add(openingsOf(port))
+		d.syncer.shareAmbiguous(now)
+	}
+	add(1)
+	require.Nil(t, peer.receiveHealth(), "no flows move")
+	d.syncer.tracker.Leave()
+	d.syncer.updateVacancies(now)
+	require.Len(t, peer.receiveHealth().GetAmbiguous(), 1, "what is known so far")
+	add(2)
+	require.Len(t, peer.receiveHealth().GetAmbiguous(), 1, "what is found out later")
+	d.syncer.updateVacancies(now)
+	require.Nil(t, peer.receiveHealth(), "told once")
+}
--- a/filbertflow/internal/daemon/witness_test.go
+++ b/filbertflow/internal/daemon/witness_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -39,18 +40,19 @@
 // addPeer makes a daemon know a peer at an endpoint.
 func addPeer(t *testing.T, d *Daemon, e *endpoint, zone string, incarnation uint64) {
 	t.Helper()
-	known := d.syncer.tracker.HandleHeartbeat(time.Now(), e.address(), &member.Heartbeat{
-		Sender: member.Record{
-			Name:        zone + "-peer",
-			Zone:        zone,
-			Incarnation: incarnation,
-			Sequence:    1,
-			State:       member.Alive,
-			Relay:       e.address(),
-			Control:     e.address(),
-			Admin:       e.address(),
-		},
+	addMember(t, d, e, &member.Record{
+		Zone:        zone,
+		Incarnation: incarnation,
 	})
+}
+
+// addMember makes a daemon know a member at an endpoint, or a change of one.
+func addMember(t *testing.T, d *Daemon, e *endpoint, r *member.Record) {
+	t.Helper()
+	r.Name = fmt.Sprintf("%s-%d", r.Zone, r.Incarnation)
+	r.Sequence++
+	r.Relay, r.Control, r.Admin = e.address(), e.address(), e.address()
+	known := d.syncer.tracker.HandleHeartbeat(time.Now(), e.address(), &member.Heartbeat{Sender: *r})
 	require.True(t, known.Known)
 }
 
