fix: keep what is known of an open flow when a guess arrives

Callers would see a reset of an open flow by a second host.

Cause: a balancer through which a flow had opened was told by another one that the flow's first packet might be at a second host, and took that over: the next packet decided by its echo, which names the host that spoke last. And an answer to a lookup that came after the timeout was dropped, although it names the host at which the flow has opened.

Change: a balancer that knows where the flow has opened keeps to that and tells the others, which follow it. A late answer that says so corrects the balancer that placed the copy, and through it the others.

--- a/flow/opening.go
+++ b/flow/opening.go
@@ -105,6 +105,15 @@
 	usedAt time.Time
 }
 
+func newAmbiguousFlow(now time.Time, o Opening) *ambiguousFlow {
+	return &ambiguousFlow{
+		sequence: o.Flow.Sequence,
+		ticket:   o.Ticket,
+		open:     o.Open,
+		usedAt:   now,
+	}
+}
+
 func newOpenings() openings {
 	return openings{
 		held:      make(map[key]*heldPacket),
@@ -164,31 +173,47 @@
 }
 
 // AddOpening applies another balancer's answer to a lookup: the held packet goes to the
-// upstream that has got the first one, or where a further copy goes after that.
+// upstream that has got the first one, or where a further copy goes after that. An answer that
+// comes after the packet was placed elsewhere still tells where the flow has opened.
 func (f *Forwarder) AddOpening(now time.Time, v *directory.View, o Opening) {
 	k := o.Flow.key()
-	h, u := f.openings.heldOf(k, o.Flow.Sequence), v.ByTicket(o.Ticket)
-	if h == nil || u == nil {
+	u := v.ByTicket(o.Ticket)
+	if u == nil {
 		return
 	}
-	delete(f.openings.held, k)
-	f.release(h, f.openAt(now, v, &h.packet, k, u, o.Open))
+	if h := f.openings.heldOf(k, o.Flow.Sequence); h != nil {
+		delete(f.openings.held, k)
+		f.release(h, f.openAt(now, v, &h.packet, k, u, o.Open))
+		return
+	}
+	s := f.flows.find(k)
+	if o.Open && s != nil && s.opening && s.firstSequence == o.Flow.Sequence && s.upstream.Ticket() != o.Ticket {
+		f.recordOpen(now, o)
+	}
 }
 
 // AddAmbiguous records what another balancer knows of a flow whose first packet may have
-// reached several upstreams.
+// reached several upstreams. If that one does not know where the flow has opened and this one does,
+// the others learn of it by AmbiguousFlows.
 func (f *Forwarder) AddAmbiguous(now time.Time, o Opening) {
 	k := o.Flow.key()
 	f.withdraw(k, o.Flow.Sequence, ReasonDelayed)
 	if a := f.openings.ambiguous[k]; a != nil && a.sequence == o.Flow.Sequence && a.open {
 		return
 	}
-	f.openings.ambiguous[k] = &ambiguousFlow{
-		sequence: o.Flow.Sequence,
-		ticket:   o.Ticket,
-		open:     o.Open,
-		usedAt:   now,
+	if s := f.flows.find(k); !o.Open && s != nil && !s.opening && !s.closed && s.openedBy(&Packet{Sequence: o.Flow.Sequence}) {
+		o.Ticket = s.upstream.Ticket()
+		f.recordOpen(now, o)
+		return
 	}
+	f.openings.ambiguous[k] = newAmbiguousFlow(now, o)
+}
+
+// recordOpen records where an ambiguous flow has opened, for this balancer and the others.
+func (f *Forwarder) recordOpen(now time.Time, o Opening) {
+	o.Open = true
+	f.openings.ambiguous[o.Flow.key()] = newAmbiguousFlow(now, o)
+	f.openings.changed = append(f.openings.changed, o)
 }
 
 // openElsewhere decides on a copy of a first packet that this balancer has not seen: another
@@ -335,13 +360,12 @@
 // markAmbiguous records that a flow's first packet was sent to the upstream with a ticket, and
 // may have been sent to others.
 func (f *Forwarder) markAmbiguous(now time.Time, p *Packet, k key, t directory.Ticket) {
-	a := &ambiguousFlow{
-		sequence: p.Sequence,
-		ticket:   t,
-		usedAt:   now,
+	o := Opening{
+		Flow:   p.flow(),
+		Ticket: t,
 	}
-	f.openings.ambiguous[k] = a
-	f.openings.changed = append(f.openings.changed, a.opening(p.flow()))
+	f.openings.ambiguous[k] = newAmbiguousFlow(now, o)
+	f.openings.changed = append(f.openings.changed, o)
 }
 
 // openedAt returns the upstream at which an ambiguous flow has opened, or nil. The client's next
--- a/flow/opening_test.go
+++ b/flow/opening_test.go
@@ -274,24 +274,24 @@
 	for _, test := range []struct {
 		name string
 		// meanwhile is what happens while the copy waits.
-		meanwhile func(z *zone, c *client)
+		meanwhile func(z *zone, c *client, id ID)
 		want      Reason
 		// placed reports whether this balancer places the flow.
 		placed bool
 	}{
 		{
 			name:      "the client acknowledges the answer of the first host",
-			meanwhile: func(_ *zone, c *client) { c.acknowledge() },
+			meanwhile: func(_ *zone, c *client, _ ID) { c.acknowledge() },
 			want:      ReasonOvertaken,
 		},
 		{
 			name:      "the client's acknowledgment was lost, and its request comes",
-			meanwhile: func(_ *zone, c *client) { c.request() },
+			meanwhile: func(_ *zone, c *client, _ ID) { c.request() },
 			want:      ReasonOvertaken,
 		},
 		{
 			name: "the client gives up",
-			meanwhile: func(z *zone, c *client) {
+			meanwhile: func(z *zone, c *client, _ ID) {
 				p := c.packet()
 				p.Flags |= FlagReset
 				z.send(p)
@@ -300,7 +300,7 @@
 		},
 		{
 			name: "the client opens another flow from its port",
-			meanwhile: func(_ *zone, c *client) {
+			meanwhile: func(_ *zone, c *client, _ ID) {
 				c.seq += 1 << 30
 				c.establish()
 			},
@@ -308,9 +308,9 @@
 		},
 		{
 			name: "the zone is told that the flow has opened",
-			meanwhile: func(z *zone, c *client) {
+			meanwhile: func(z *zone, c *client, id ID) {
 				z.forwarder.AddAmbiguous(z.now, Opening{
-					Flow:   z.id(c),
+					Flow:   id,
 					Ticket: c.host.Ticket(),
 					Open:   true,
 				})
@@ -319,7 +319,7 @@
 		},
 		{
 			name: "the first packet comes late",
-			meanwhile: func(z *zone, c *client) {
+			meanwhile: func(z *zone, c *client, _ ID) {
 				c.seq--
 				require.Equal(z.t, Hold, c.copy(0).Action)
 				c.seq++
@@ -333,11 +333,11 @@
 			z.by(1)
 			c := z.client(boardAddress)
 			require.Equal(t, Hold, c.copy(1).Action)
-			first := z.upstream("a0")
-			c.host, c.ack = first, 5000
+			id := c.flow()
+			c.host, c.ack = z.upstream("a0"), 5000
 			c.seq++
 			z.advance(time.Millisecond)
-			test.meanwhile(z, c)
+			test.meanwhile(z, c, id)
 			z.advance(lookupTimeout)
 			z.forwarder.Advance(z.now, z.view())
 			require.Equal(t, test.want, z.released(1).Reason)
@@ -352,11 +352,63 @@
 	}
 }
 
-// id returns the ID of a client's flow that has sent no content.
-func (z *zone) id(c *client) ID {
+// TestKnownUpstreamOutweighsGuess guards against resets by a second host: a balancer that had seen
+// a flow open took over from another one, which had seen less, that the flow might be at that host.
+func TestKnownUpstreamOutweighsGuess(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// learn gives the balancers 0, which has seen the flow open, and 1, which has placed a copy
+		// of its first packet, the other's knowledge.
+		learn func(z *zone, id ID)
+	}{
+		{
+			name:  "the guess is told",
+			learn: func(z *zone, _ ID) { z.share() },
+		},
+		{
+			name: "the answer to a lookup comes too late",
+			learn: func(z *zone, id ID) {
+				z.balancers[1].AmbiguousFlows()
+				o, ok := z.balancers[0].Opening(id)
+				require.True(z.t, ok)
+				z.balancers[1].AddOpening(z.now, z.view(), o)
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			z := newZone(t, 3)
+			c := z.client(boardAddress)
+			z.by(0)
+			c.establish()
+			host := c.host
+			late := &client{
+				f:       z.fixture,
+				addr:    c.addr,
+				service: c.service,
+				seq:     c.seq,
+			}
+			z.by(1)
+			require.Equal(t, Hold, late.copy(1).Action)
+			z.advance(lookupTimeout)
+			z.forwarder.Advance(z.now, z.view())
+			second := z.released(1).Upstream
+			require.NotEqual(t, host, second)
+			test.learn(z, late.flow())
+			z.share()
+			c.host = second
+			for i := range z.balancers {
+				z.by(i)
+				require.Equal(t, host, c.request().Upstream, "balancer %d", i)
+			}
+		})
+	}
+}
+
+// flow returns the ID of the flow that a client is opening.
+func (c *client) flow() ID {
 	return ID{
 		Client:   c.addr,
 		Service:  c.service,
-		Sequence: c.seq - 1,
+		Sequence: c.seq,
 	}
 }
