fix: remember ambiguous flows for as long as a wrong ticket may come

Callers would see a reset of an open flow that was idle, by its second host.

Cause: a host that has got a first packet in vain repeats its answer for 9.4 s, and the client's next packet carries its ticket, up to 15 s of idleness later. Ambiguous flows were told to balancers that start for 15 s, and forgotten after 20 s without a packet at the balancer.

Change: both last for 30 s after the last news (10 s, and the idle time after which flows are forgotten).

Measured: TestAmbiguousFlowOutlivesTheOtherHost and TestAmbiguousFlowsAreKeptForNewBalancers, with 24.4 s, fail on the code before and pass now. Memory: at most 1,024 flows are kept for balancers that start, as before.

--- a/filbertflow/internal/daemon/openings.go
+++ b/filbertflow/internal/daemon/openings.go
@@ -15,11 +15,8 @@
 	// openingsPerDatagram is the greatest number of flows in a datagram.
 	openingsPerDatagram = 30
 	// maxAmbiguousFlows is the number of ambiguous flows that are kept for balancers that
-	// start later.
+	// start later, for flow.AmbiguityLifetime.
 	maxAmbiguousFlows = 1024
-	// ambiguityLifetime is how long they are kept: longer than a host repeats its answer
-	// to a first packet.
-	ambiguityLifetime = 15 * time.Second
 )
 
 // ambiguousFlows holds the flows whose first packet may have reached several upstreams, until
@@ -42,7 +39,7 @@
 
 // take returns the flows to send to all balancers, and keeps them for those that start later.
 func (a *ambiguousFlows) take(now time.Time) []flow.Opening {
-	a.sent = slices.DeleteFunc(a.sent, func(s sentOpening) bool { return now.Sub(s.at) >= ambiguityLifetime })
+	a.sent = slices.DeleteFunc(a.sent, func(s sentOpening) bool { return now.Sub(s.at) >= flow.AmbiguityLifetime })
 	unsent := a.unsent
 	a.unsent = nil
 	for _, o := range unsent {
@@ -55,7 +52,7 @@
 	return unsent
 }
 
-// known returns the flows that were sent within ambiguityLifetime.
+// known returns the flows that were sent and are still kept.
 func (a *ambiguousFlows) known() []flow.Opening {
 	known := make([]flow.Opening, 0, len(a.sent))
 	for _, s := range a.sent {
@@ -146,7 +143,7 @@
 	if m.Incarnation == s.daemon.incarnation {
 		return
 	}
-	if m.Zone == s.daemon.options.Zone || s.vacancies.vacantWithin(now, m.Zone, ambiguityLifetime) {
+	if m.Zone == s.daemon.options.Zone || s.vacancies.vacantWithin(now, m.Zone, flow.AmbiguityLifetime) {
 		s.sendAmbiguous([]netip.AddrPort{m.Relay}, s.ambiguous.known())
 	}
 }
--- a/filbertflow/internal/daemon/openings_test.go
+++ b/filbertflow/internal/daemon/openings_test.go
@@ -12,8 +12,9 @@
 	"filbertworks.example/filbertworks/wire"
 )
 
-// TestAmbiguousFlowsAreKeptForNewBalancers checks that a balancer which starts learns of the
-// ambiguous flows of the last ambiguityLifetime: it knows none of their hosts.
+// TestAmbiguousFlowsAreKeptForNewBalancers guards against the reset of a flow by a balancer that has
+// just started. It knows none of the hosts of ambiguous flows, and a client may send the ticket of the
+// wrong one as long as that repeats its answer (9.4 s) and the flow is idle after that (15 s).
 func TestAmbiguousFlowsAreKeptForNewBalancers(t *testing.T) {
 	now := time.Now()
 	var a ambiguousFlows
@@ -23,7 +24,9 @@
 	require.Equal(t, []flow.Opening{opening}, a.take(now))
 	require.Empty(t, a.take(now))
 	require.Equal(t, []flow.Opening{opening}, a.known())
-	a.take(now.Add(ambiguityLifetime))
+	a.take(now.Add(9400*time.Millisecond + 15*time.Second))
+	require.Equal(t, []flow.Opening{opening}, a.known())
+	a.take(now.Add(flow.AmbiguityLifetime))
 	require.Empty(t, a.known())
 	a.add(make([]flow.Opening, 2*maxAmbiguousFlows))
 	a.take(now)
@@ -63,14 +66,14 @@
 			name:      "of another zone that had no balancer lately",
 			zone:      "b",
 			staffed:   true,
-			vacantFor: ambiguityLifetime,
+			vacantFor: flow.AmbiguityLifetime,
 			told:      true,
 		},
 		{
 			name:      "of another zone that had no balancer long ago",
 			zone:      "b",
 			staffed:   true,
-			vacantFor: ambiguityLifetime + time.Second,
+			vacantFor: flow.AmbiguityLifetime + time.Second,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -526,7 +526,7 @@
 		f.closeFlow(now, s)
 	}
 	f.sharing.forgetServices(v)
-	f.openings.expire(now, f.idleTimeout)
+	f.openings.expire(now)
 	for t, a := range f.asked {
 		if now.Sub(a.askedAt) >= maxInquiryAge {
 			delete(f.asked, t)
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -17,6 +17,10 @@
 	// remoteLookupTimeout is how long it waits while the balancer that knows the flow may be
 	// one of another zone, some tens of milliseconds away.
 	remoteLookupTimeout = 100 * time.Millisecond
+	// AmbiguityLifetime is how long an ambiguous flow is remembered after the last news of it.
+	// A host repeats its answer to a first packet for less than 10 s, and the flow may be idle
+	// after that: until then the client's next packet may carry the ticket of either host.
+	AmbiguityLifetime = 10*time.Second + defaultIdleTimeout
 	// maxLookups is the maximum number of first packets that wait.
 	maxLookups = 1024
 	// initialRetransmitInterval is the time until a client first retransmits a packet. The
@@ -422,9 +426,9 @@
 	return h
 }
 
-// expire forgets ambiguous flows that have been idle for longer than idleTimeout.
-func (o *openings) expire(now time.Time, idleTimeout time.Duration) {
-	maps.DeleteFunc(o.ambiguous, func(_ key, a *ambiguousFlow) bool { return now.Sub(a.usedAt) >= idleTimeout })
+// expire forgets ambiguous flows that have been idle for AmbiguityLifetime.
+func (o *openings) expire(now time.Time) {
+	maps.DeleteFunc(o.ambiguous, func(_ key, a *ambiguousFlow) bool { return now.Sub(a.usedAt) >= AmbiguityLifetime })
 }
 
 // opening returns what is known of the flow.
--- a/flow/opening_test.go
+++ b/flow/opening_test.go
@@ -236,6 +236,32 @@
 	}
 }
 
+// lastOtherTicket is how long after a first packet the client of an open flow may still send the
+// ticket of a host at which the flow has not opened: the host repeats its answer for 9.4 s, and the
+// flow is idle for 15 s after that.
+const lastOtherTicket = 9400*time.Millisecond + 15*time.Second
+
+// TestAmbiguousFlowOutlivesTheOtherHost guards against the reset of a flow that was idle: the balancer
+// had forgotten that its packets may carry the ticket of another host.
+func TestAmbiguousFlowOutlivesTheOtherHost(t *testing.T) {
+	z := newZone(t, 2)
+	c := z.client(boardAddress)
+	z.by(0)
+	first := c.open().Upstream
+	z.advance(600 * time.Millisecond)
+	second := c.copy(2).Upstream
+	require.NotEqual(t, first, second)
+	c.host, c.ack = first, 5000
+	c.acknowledge()
+	z.share()
+	z.advance(lastOtherTicket)
+	c.host = second
+	for i := range z.balancers {
+		z.by(i)
+		require.Equal(t, first, c.request().Upstream, "balancer %d", i)
+	}
+}
+
 // TestHeldPacketsAfterAPause checks that a first packet that waits while the process does not
 // run is not placed: the client may have opened the flow by another balancer.
 func TestHeldPacketsAfterAPause(t *testing.T) {
