fix: ask all zones for flows after a return to rotation

Cause: a balancer that stood still or was cut off for one to three seconds is taken out of rotation and put back, before the membership declares anybody dead. If that happens to a whole zone, its flows were in other zones meanwhile, and copies of first packets that come back were looked up in the own zone only.

Change: the balancer notes the time between the readiness probes that reach it.

Measured: TestReturnToRotation (new interface, so it does not compile on the code before): one late probe changes nothing, two failed ones do.

--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -37,6 +37,9 @@
 	// firstViewTimeout is how long packets wait for the first view. They wait in
 	// the socket's buffer.
 	firstViewTimeout = time.Second
+	// rotationTimeout is the time without a readiness probe after which the routers have
+	// taken this balancer out of rotation: they probe each 500 ms, and two probes failed.
+	rotationTimeout = 1250 * time.Millisecond
 )
 
 // A Codec parses and writes clients' packets.
@@ -137,6 +140,9 @@
 	leaving   atomic.Bool
 	// flowsMove tells that flows may move between zones while they are opened.
 	flowsMove atomic.Bool
+	// probedAt is when a readiness probe was last answered positively, in nanoseconds since
+	// the daemon's start; zero if none was.
+	probedAt atomic.Int64
 	// leads tells that this balancer is the reader that the other zones rely on.
 	leads atomic.Bool
 	// leaveDone is closed when a leaving daemon may stop.
@@ -273,6 +279,19 @@
 	return v != nil && v.Plan != nil && !d.leaving.Load()
 }
 
+// answerReadiness answers a readiness probe, and notes if the routers had taken this balancer out of
+// rotation since no probe had reached it.
+func (d *Daemon) answerReadiness(now time.Time) bool {
+	if !d.ready() {
+		return false
+	}
+	at := d.sinceStart(now)
+	if last := d.probedAt.Swap(at); last != 0 && time.Duration(at-last) >= rotationTimeout {
+		d.post(func(now time.Time) { d.syncer.handleReturn(now) })
+	}
+	return true
+}
+
 // storeAge returns the time since the store last answered any balancer whose
 // answer this one has learned of.
 func (d *Daemon) storeAge() time.Duration {
@@ -280,7 +299,7 @@
 }
 
 func (d *Daemon) serveReadiness(ctx context.Context) {
-	d.serveHTTP(ctx, d.options.Readiness, d.options.NewReadinessHandler(d.ready))
+	d.serveHTTP(ctx, d.options.Readiness, d.options.NewReadinessHandler(func() bool { return d.answerReadiness(time.Now()) }))
 }
 
 // serveHTTP serves HTTP at an address until ctx ends.
--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -35,11 +35,16 @@
 	}
 	for zone, ok := range staffed {
 		if !ok {
-			v.lastVacant[zone] = now
+			v.note(now, zone)
 		}
 	}
 }
 
+// note records that a zone was vacant until now.
+func (v *vacancies) note(now time.Time, zone string) {
+	v.lastVacant[zone] = now
+}
+
 // vacantWithin reports whether a zone was vacant within a period until now.
 func (v *vacancies) vacantWithin(now time.Time, zone string, period time.Duration) bool {
 	at, ok := v.lastVacant[zone]
@@ -71,6 +76,14 @@
 	}
 }
 
+// handleReturn handles that routers use this balancer again after they did not for a while, since it
+// stood still or was cut off. All of its zone may have been: its flows were in other zones then.
+func (s *syncer) handleReturn(now time.Time) {
+	s.daemon.log.Info(now, "daemon: returned to rotation")
+	s.vacancies.note(now, s.daemon.options.Zone)
+	s.updateVacancies(now)
+}
+
 // openingPeers returns the balancers that may know of flows which are opened here: those of the own
 // zone, and those of all zones while flows may have moved.
 func (s *syncer) openingPeers() []member.Member {
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -248,3 +248,48 @@
 	d.syncer.updateVacancies(now)
 	require.Nil(t, peer.receiveHealth(), "told once")
 }
+
+// TestReturnToRotation guards against a second host for flows that were opened in other zones while
+// this balancer stood still or was cut off. It has no news of that, other than missing probes.
+func TestReturnToRotation(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// gap is the time between two probes.
+		gap   time.Duration
+		moves bool
+	}{
+		{
+			name: "a probe was late",
+			gap:  time.Second,
+		},
+		{
+			name:  "two probes failed",
+			gap:   1500 * time.Millisecond,
+			moves: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDaemonWith(t)
+			_, err := d.syncer.dir.Apply(time.Now(), &directory.Delta{
+				Revision: 1,
+				Items: []directory.Item{{
+					Key:      directory.Key{Kind: directory.KindPlan},
+					Revision: 1,
+					Plan:     &directory.Plan{Version: 1},
+				}},
+			})
+			require.NoError(t, err)
+			d.syncer.publish(time.Now())
+			now := time.Now().Add(member.JoinDelay)
+			d.syncer.tracker.Tick(now)
+			require.True(t, d.answerReadiness(now))
+			require.True(t, d.answerReadiness(now.Add(test.gap)))
+			select {
+			case f := <-d.events.C():
+				f(now.Add(test.gap))
+			default:
+			}
+			require.Equal(t, test.moves, d.FlowsMove())
+		})
+	}
+}
