fix: drop first packets that waited while the VM was suspended

Callers would see a reset of an open flow by a second host.

Cause: the monotonic clock stops while a VM is suspended. Only the syncer compared it with the boot-time clock, and told the membership and the load exchange.

Change: the packet handler reads the boot-time clock, too, before packets that would open flows, and drops what has waited.

Measured: TestFirstPacketsAfterASuspension fails with the packet handler's check taken out (the clock is injected, so that it does not compile on the code before). No run with a suspended VM was made. All tests of the daemon pass with the race detector.

--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -137,7 +137,11 @@
 	// start.
 	ranAt     atomic.Int64
 	resumedAt atomic.Int64
-	leaving   atomic.Bool
+	// clock detects suspensions, and suspendedFor is the time of those, in nanoseconds, that
+	// the syncer has not handled yet.
+	clock        *suspensionClock
+	suspendedFor atomic.Int64
+	leaving      atomic.Bool
 	// flowsMove tells that flows may move between zones while they are opened.
 	flowsMove atomic.Bool
 	// probedAt is when a readiness probe was last answered positively, in nanoseconds since
@@ -185,6 +189,7 @@
 			d.log.Warn(time.Now(), "directory: invalid entry", logs.F("key", key), logs.F("error", err.Error()))
 		},
 	})
+	d.clock = newSuspensionClock(time.Now(), bootTime)
 	d.syncer = newSyncer(time.Now(), d)
 	return d
 }
--- a/filbertflow/internal/daemon/pause.go
+++ b/filbertflow/internal/daemon/pause.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -10,14 +11,19 @@
 const minSuspension = 300 * time.Millisecond
 
 // A suspensionClock detects suspensions of the VM: the monotonic clock stops
-// meanwhile, and the boot-time clock does not.
+// meanwhile, and the boot-time clock does not. It is safe for concurrent use.
 type suspensionClock struct {
+	// bootTime returns the time on the boot-time clock.
+	bootTime func() time.Duration
+
+	mu        sync.Mutex
 	monotonic time.Time
 	boot      time.Duration
 }
 
-func newSuspensionClock(now time.Time) *suspensionClock {
+func newSuspensionClock(now time.Time, bootTime func() time.Duration) *suspensionClock {
 	return &suspensionClock{
+		bootTime:  bootTime,
 		monotonic: now,
 		boot:      bootTime(),
 	}
@@ -25,7 +31,9 @@
 
 // SuspendedFor returns for how long the VM was suspended since the last call.
 func (c *suspensionClock) SuspendedFor(now time.Time) time.Duration {
-	boot := bootTime()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	boot := c.bootTime()
 	pause := boot - c.boot - now.Sub(c.monotonic)
 	c.monotonic, c.boot = now, boot
 	if pause < minSuspension {
@@ -44,6 +52,14 @@
 	return time.Duration(t.Nano())
 }
 
+// checkSuspension records that the VM was suspended before now, if it was.
+func (d *Daemon) checkSuspension(now time.Time) {
+	if pause := d.clock.SuspendedFor(now); pause > 0 {
+		d.suspendedFor.Add(int64(pause))
+		d.resumedAt.Store(d.sinceStart(now))
+	}
+}
+
 // minStall is the shortest time without periodic work that counts as a stall of
 // the process: CPU quota may keep it from running for a tenth of a second.
 const minStall = 300 * time.Millisecond
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -99,7 +99,6 @@
 	mergePeer  netip.AddrPort
 	// merging is whether the pull in progress is one of them.
 	merging bool
-	clock   *suspensionClock
 	loads   *loadExchange
 }
 
@@ -119,7 +118,6 @@
 		}, rand.New(rand.NewPCG(d.incarnation, uint64(now.UnixNano())))),
 		isReader:  true,
 		vacancies: newVacancies(),
-		clock:     newSuspensionClock(now),
 	}
 	s.loads = newLoadExchange(s)
 	s.tracker.AcceptUnlisted()
@@ -309,10 +307,14 @@
 		s.detector.HandleResume(now)
 		s.loads.handleResume(now)
 	}
-	if pause := s.clock.SuspendedFor(now); pause > 0 {
+	s.daemon.checkSuspension(now)
+	if pause := time.Duration(s.daemon.suspendedFor.Swap(0)); pause > 0 {
 		s.daemon.log.Warn(now, "daemon: VM was suspended", logs.F("for_ms", pause.Milliseconds()))
 		s.tracker.HandleResume(now, now.Add(-pause))
 		s.loads.handleResume(now)
+		if pause >= rotationTimeout {
+			s.handleReturn(now)
+		}
 	}
 	for _, m := range s.tracker.Tick(now) {
 		s.daemon.sendPeer(m.To, wire.AppendHeartbeat(nil, &m.Heartbeat))
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -233,10 +233,15 @@
 	t.wakeAt = next
 }
 
-// checkResumed tells the forwarder if the process has been stalled.
+// checkResumed tells the forwarder if the process has been stalled or suspended: clients may have
+// opened flows by other balancers meanwhile. The boot-time clock takes a system call, so it is read
+// only for packets that would open flows.
 func (t *packetHandler) checkResumed(now time.Time) {
 	d := t.daemon
 	d.checkStall(now, false)
+	if len(t.held) > 0 || t.packet.Flags.Has(flow.FlagOpen) {
+		d.checkSuspension(now)
+	}
 	if resumedAt := d.resumedAt.Load(); resumedAt != t.resumedAt {
 		t.resumedAt = resumedAt
 		t.forwarder.HandleResume(now)
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -405,3 +405,44 @@
 	h.handleNext()
 	require.Equal(t, uint64(1), d.counters.decisions[flow.ReasonDelayed].Load())
 }
+
+// TestFirstPacketsAfterASuspension guards against a second host for a flow whose first packet waited
+// while the VM was suspended. The monotonic clock stops meanwhile, so that the packet looked recent.
+func TestFirstPacketsAfterASuspension(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		suspended time.Duration
+		dropped   bool
+	}{
+		{name: "no suspension"},
+		{
+			name:      "a suspension",
+			suspended: 2 * time.Second,
+			dropped:   true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDaemon(t)
+			boot := time.Hour
+			d.clock = newSuspensionClock(time.Now(), func() time.Duration { return boot })
+			h, err := newPacketHandler(d)
+			require.NoError(t, err)
+			first := &flow.Packet{
+				Client:   netip.MustParseAddrPort("100.64.0.7:40001"),
+				Service:  serviceAddress,
+				Flags:    flow.FlagOpen,
+				Sequence: 1000,
+				Copy:     1,
+			}
+			view := &directory.View{Plan: &directory.Plan{}}
+			now := time.Now()
+			require.Equal(t, flow.Hold, h.forwarder.Forward(now, view, first).Action)
+			h.held[flow.ID{Client: first.Client}] = nil
+			boot += test.suspended
+			h.checkResumed(now)
+			require.Equal(t, test.dropped, len(h.forwarder.Released()) > 0)
+			require.Equal(t, test.dropped, h.reader.Delayed(), "packets in the socket have waited, too")
+			require.InDelta(t, test.suspended, d.suspendedFor.Load(), float64(time.Second), "the syncer is told")
+		})
+	}
+}
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -254,9 +254,11 @@
 func TestReturnToRotation(t *testing.T) {
 	for _, test := range []struct {
 		name string
-		// gap is the time between two probes.
-		gap   time.Duration
-		moves bool
+		// gap is the time between two probes on the monotonic clock, which stops while the VM
+		// is suspended.
+		gap       time.Duration
+		suspended time.Duration
+		moves     bool
 	}{
 		{
 			name: "a probe was late",
@@ -267,6 +269,12 @@
 			gap:   1500 * time.Millisecond,
 			moves: true,
 		},
+		{
+			name:      "the VM was suspended",
+			gap:       500 * time.Millisecond,
+			suspended: 2 * time.Second,
+			moves:     true,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDaemonWith(t)
@@ -289,6 +297,8 @@
 				f(now.Add(test.gap))
 			default:
 			}
+			d.suspendedFor.Store(int64(test.suspended))
+			d.syncer.tick(t.Context(), now.Add(test.gap))
 			require.Equal(t, test.moves, d.FlowsMove())
 		})
 	}
