fix: don't reset a flow that is opening when no host takes new flows

Callers would see a reset of an open flow by a balancer.

Cause: a copy whose host drains or is in a zone that was taken out is placed anew. With no host left the placement was rejected, and the reset reached a client whose flow had opened meanwhile, as the host's answer and the copy had crossed.

New flows are rejected at once as before.

Measured: the cases of all zones taken out and of all hosts draining of TestCopyOfLastHostsFlowIsNotReset fail on the code before (the copy is rejected), and pass now.

--- a/flow/copy_test.go
+++ b/flow/copy_test.go
@@ -389,3 +389,60 @@
 		})
 	}
 }
+
+// TestCopyOfLastHostsFlowIsNotReset guards against the reset of a flow that has just opened: the copy
+// of its first packet and the host's answer to the first one crossed, and no host may take new flows
+// any more.
+func TestCopyOfLastHostsFlowIsNotReset(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// leave takes all hosts out.
+		leave func(f *fixture)
+		want  Action
+	}{
+		{
+			name: "all zones are taken out",
+			leave: func(f *fixture) {
+				for _, zone := range []string{"a", "b"} {
+					f.set(directory.Item{Key: directory.Key{
+						Kind: directory.KindZoneOut,
+						Name: zone,
+					}})
+				}
+			},
+			want: Forward,
+		},
+		{
+			name: "all hosts drain",
+			leave: func(f *fixture) {
+				for _, id := range []string{"a0", "b0"} {
+					f.host(id, id[:1], "board", func(u *directory.Upstream) { u.Draining = true })
+				}
+			},
+			want: Forward,
+		},
+		{
+			name: "all hosts are gone",
+			leave: func(f *fixture) {
+				for _, id := range []string{"a0", "b0"} {
+					f.remove(id)
+				}
+			},
+			want: Reject,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			c := f.client(boardAddress)
+			host := c.open().Upstream
+			test.leave(f)
+			f.advance(200 * time.Millisecond)
+			d := c.copy(1)
+			require.Equal(t, test.want, d.Action)
+			if test.want == Forward {
+				require.Equal(t, host, d.Upstream)
+			}
+			require.Equal(t, Reject, f.client(boardAddress).open().Action, "a new flow")
+		})
+	}
+}
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -191,6 +191,10 @@
 		return f.forwardCopy(s)
 	}
 	d := f.place(now, v, p, k, u)
+	if d.Reason == ReasonNoUpstream && present(v, u) && !h.dead(now) {
+		// The upstream may have answered: the reset would reach an open flow.
+		return f.forwardCopy(s)
+	}
 	if d.Action != Forward {
 		return d
 	}
@@ -225,8 +229,13 @@
 
 // placeable reports whether new flows may go to u.
 func placeable(v *directory.View, u *directory.Upstream) bool {
+	return present(v, u) && !v.ByTicket(u.Ticket()).Draining && !v.ZoneOut(u.Zone)
+}
+
+// present reports whether u has not left.
+func present(v *directory.View, u *directory.Upstream) bool {
 	current := v.ByTicket(u.Ticket())
-	return current != nil && current.DepartedAt.IsZero() && !current.Draining && !v.ZoneOut(current.Zone)
+	return current != nil && current.DepartedAt.IsZero()
 }
 
 // follow decides on a packet of an open flow.
