fix: don't wait for other zones where there are none

Cause: a copy of a first packet waits 100 ms instead of 30 ms while flows may move between zones. A balancer that starts in a fleet of one zone, or whose other zones are all dead, waited for nobody.

Change: flows move only if another zone has a balancer that is not dead.

Measured: go test -race of the daemon passes.

--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -61,18 +61,20 @@
 	return false
 }
 
-// updateVacancies notes which zones are vacant. When the own one has just become so, the balancers of
-// other zones, which get its flows, are told of the ambiguous ones.
+// updateVacancies notes which zones are vacant, and so whether flows may move between this zone and
+// others that have balancers. When the own one has just become vacant, the balancers of other zones,
+// which get its flows, are told of the ambiguous ones.
 func (s *syncer) updateVacancies(now time.Time) {
 	own := s.daemon.options.Zone
 	before := s.vacancies.vacantWithin(now, own, handOverPeriod)
 	s.vacancies.update(now, s.tracker.Table())
-	moving := s.vacancies.anyWithin(now, handOverPeriod)
+	remote := s.remotePeers()
+	moving := len(remote) > 0 && s.vacancies.anyWithin(now, handOverPeriod)
 	if moving != s.daemon.flowsMove.Swap(moving) {
 		s.daemon.log.Info(now, "zones: flows may move between zones", logs.F("moving", moving))
 	}
 	if !before && s.vacancies.vacantWithin(now, own, 0) {
-		s.sendAmbiguous(relays(s.remotePeers()), s.ambiguous.known())
+		s.sendAmbiguous(relays(remote), s.ambiguous.known())
 	}
 }
 
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -278,6 +278,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDaemonWith(t)
+			addPeer(t, d, newEndpoint(t), "b", 9)
 			_, err := d.syncer.dir.Apply(time.Now(), &directory.Delta{
 				Revision: 1,
 				Items: []directory.Item{{
