fix: read the store once a zone has lost all candidates for that

Cause: the first four balancers of a zone's order replace a reader that is silent for 1.25 s, as they send each other heartbeats. A balancer behind them waited until enough of them were declared dead.

Change: a balancer that observes the silence of a member for 1.25 s probes the candidates each 0.5 s, and reads the store itself if none has answered for 0.5 s, until one is heard. Each member is observed by its successors in the zone's ring, so that after any loss one of the living notices.

The tests of member, rollout and the daemon pass.

--- a/filbertflow/internal/daemon/candidate_test.go
+++ b/filbertflow/internal/daemon/candidate_test.go
@@ -74,9 +74,9 @@
 			s.updateRoles(now)
 			require.False(t, s.isReader)
 			if test.reads {
-				require.Len(t, s.otherCandidates(), test.before, "these send heartbeats to one another")
+				require.Len(t, s.contacts(), test.before, "these send heartbeats to one another")
 			} else {
-				require.Empty(t, s.otherCandidates())
+				require.Empty(t, s.contacts())
 			}
 			s.updateRoles(now.Add(candidateSilence - 1))
 			require.False(t, s.isReader)
--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -43,9 +43,9 @@
 
 // readerPolicy determines how many balancers of a zone read the store. The candidates for
 // that send each other heartbeats, and replace a reader that is silent for candidateSilence. If
-// the zone loses all of them, the readers of other zones replace it: its peers learn of new
-// revisions from heartbeats. A zone without contact to others adds further
-// readers once the store's last answer is older than a watch, its timeout and a
+// the zone loses all of them, those of the rest that notice a loss replace it (lastReader), and
+// peers learn of new revisions from the heartbeats of other zones. A zone without contact to others
+// adds further readers once the store's last answer is older than a watch, its timeout and a
 // heartbeat take together.
 var readerPolicy = rollout.ReaderPolicy{
 	Readers:      1,
@@ -67,8 +67,9 @@
 	detector *flow.Detector
 	isReader bool
 	// ambiguous are the flows to tell the zone of.
-	ambiguous ambiguousFlows
-	vacancies vacancies
+	ambiguous  ambiguousFlows
+	lastReader lastReader
+	vacancies  vacancies
 	// outage is set while the store has not answered for longer than
 	// outageThreshold; outageStart is when it last answered before the latest
 	// outage. Upstreams whose entries lapsed since then stay eligible until
@@ -347,7 +348,7 @@
 		s.logMembers(now, t)
 		s.table = t
 		s.daemon.owners.Store(member.NewTable(t.Members()))
-		s.tracker.SetContacts(s.otherCandidates())
+		s.tracker.SetContacts(s.contacts())
 	}
 	o := &s.daemon.options
 	if leads := rollout.Leads(s.table, o.Name); leads != s.daemon.leads.Load() {
@@ -358,6 +359,7 @@
 		readerPolicy.Replaces(s.table, o.Name, o.Zone, func(m *member.Member) bool {
 			return s.tracker.SilentFor(now, m.Incarnation) >= candidateSilence
 		})
+	reads = s.lastReader.update(now, s) || reads
 	if reads == s.isReader {
 		return
 	}
@@ -370,15 +372,24 @@
 	s.daemon.reads <- reads
 }
 
-// otherCandidates returns the addresses of the other balancers of the zone that may read the
-// store, if this one may.
-func (s *syncer) otherCandidates() []netip.AddrPort {
+// otherCandidates returns the other balancers of the zone that may read the store, and reports
+// whether this one may.
+func (s *syncer) otherCandidates() (others []member.Member, candidate bool) {
 	candidates := readerPolicy.Candidates(s.table, s.daemon.options.Zone)
 	isSelf := func(m member.Member) bool { return m.Incarnation == s.daemon.incarnation }
-	if !slices.ContainsFunc(candidates, isSelf) {
-		return nil
+	if i := slices.IndexFunc(candidates, isSelf); i >= 0 {
+		return slices.Delete(candidates, i, i+1), true
 	}
-	return relays(slices.DeleteFunc(candidates, isSelf))
+	return candidates, false
+}
+
+// contacts returns the addresses that heartbeats go to since this balancer may read the store: those
+// of the others that may.
+func (s *syncer) contacts() []netip.AddrPort {
+	if others, candidate := s.otherCandidates(); candidate {
+		return relays(others)
+	}
+	return nil
 }
 
 func (s *syncer) logMembers(now time.Time, next *member.Table) {
--- a/filbertflow/internal/daemon/traffic_test.go
+++ b/filbertflow/internal/daemon/traffic_test.go
@@ -71,6 +71,26 @@
 
 var serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
 
+// boardPlan returns the item of a plan with one route.
+func boardPlan() directory.Item {
+	return directory.Item{
+		Key:      directory.Key{Kind: directory.KindPlan},
+		Revision: 1,
+		Plan: &directory.Plan{
+			Version:  1,
+			Services: []directory.Service{{Name: "board"}},
+			Routes: []directory.Route{{
+				Name:    "board",
+				Address: serviceAddress,
+				Targets: []directory.Target{{
+					Service: "board",
+					Weight:  1,
+				}},
+			}},
+		},
+	}
+}
+
 func newIdleFlow(t *testing.T) *idleFlow {
 	t.Helper()
 	d := newDaemon(t)
@@ -87,22 +107,7 @@
 	_, err := d.syncer.dir.Apply(now, &directory.Delta{
 		Revision: 2,
 		Items: []directory.Item{
-			{
-				Key:      directory.Key{Kind: directory.KindPlan},
-				Revision: 1,
-				Plan: &directory.Plan{
-					Version:  1,
-					Services: []directory.Service{{Name: "board"}},
-					Routes: []directory.Route{{
-						Name:    "board",
-						Address: serviceAddress,
-						Targets: []directory.Target{{
-							Service: "board",
-							Weight:  1,
-						}},
-					}},
-				},
-			},
+			boardPlan(),
 			{
 				Key: directory.Key{
 					Kind: directory.KindUpstream,
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -31,23 +31,7 @@
 		hosts:     make(map[string]*endpoint),
 		client:    newEndpoint(t),
 	}
-	plan := directory.Item{
-		Key:      directory.Key{Kind: directory.KindPlan},
-		Revision: 1,
-		Plan: &directory.Plan{
-			Version:  1,
-			Services: []directory.Service{{Name: "board"}},
-			Routes: []directory.Route{{
-				Name:    "board",
-				Address: serviceAddress,
-				Targets: []directory.Target{{
-					Service: "board",
-					Weight:  1,
-				}},
-			}},
-		},
-	}
-	items := []directory.Item{plan}
+	items := []directory.Item{boardPlan()}
 	for _, zone := range []string{"a", "b"} {
 		z.hosts[zone] = newEndpoint(t)
 		items = append(items, directory.Item{
@@ -281,11 +265,7 @@
 			addPeer(t, d, newEndpoint(t), "b", 9)
 			_, err := d.syncer.dir.Apply(time.Now(), &directory.Delta{
 				Revision: 1,
-				Items: []directory.Item{{
-					Key:      directory.Key{Kind: directory.KindPlan},
-					Revision: 1,
-					Plan:     &directory.Plan{Version: 1},
-				}},
+				Items:    []directory.Item{boardPlan()},
 			})
 			require.NoError(t, err)
 			d.syncer.publish(time.Now())
--- a/member/tick.go
+++ b/member/tick.go
@@ -19,6 +19,12 @@
 		out = append(out, m)
 	}
 	t.replies = t.replies[:0]
+	for _, a := range t.probes {
+		m := t.message(now, a)
+		m.Heartbeat.Probe = t.probeNumber
+		out = append(out, m)
+	}
+	t.probes = t.probes[:0]
 	switch {
 	case !now.Before(t.nextHeartbeat):
 		t.nextHeartbeat = now.Add(HeartbeatInterval)
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -111,6 +111,8 @@
 	observers   []netip.AddrPort
 	// contacts are further relay addresses that heartbeats go to.
 	contacts []netip.AddrPort
+	// probes are relay addresses that a probe goes to at the next tick.
+	probes []netip.AddrPort
 }
 
 // peerState holds what is known about one incarnation.
@@ -318,6 +320,30 @@
 	return now.Sub(p.lastHeard)
 }
 
+// Probe sends a probe to each of some relay addresses at the next tick. HeardSince tells whether
+// their processes have answered.
+func (t *Tracker) Probe(relays []netip.AddrPort) {
+	t.probes = append(t.probes, relays...)
+}
+
+// HeardSince reports whether a heartbeat has come from a member itself at or after a time.
+func (t *Tracker) HeardSince(at time.Time, incarnation uint64) bool {
+	p := t.members[incarnation]
+	return p != nil && !p.lastHeard.IsZero() && !p.lastHeard.Before(at)
+}
+
+// ObservesSilence reports whether an alive member of the own zone that this process observes has sent
+// no heartbeat for a period.
+func (t *Tracker) ObservesSilence(now time.Time, period time.Duration) bool {
+	for _, id := range t.currentIndex().timed {
+		p := t.members[id]
+		if p.record.Zone == t.self.Zone && p.record.State == Alive && !p.waitingSince.IsZero() && now.Sub(p.waitingSince) >= period {
+			return true
+		}
+	}
+	return false
+}
+
 // SetGateways lets only the first n members of each zone exchange messages with
 // other zones, to save traffic between zones where it is expensive. The other
 // members learn about those zones from them.
--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -235,3 +235,28 @@
 	}
 	require.Equal(t, time.Second, to.SilentFor(now.Add(time.Second), sender.Incarnation))
 }
+
+// TestProbesAreAnswered checks that a process can ask others whether they run, and that it notices the
+// silence of a member that it observes.
+func TestProbesAreAnswered(t *testing.T) {
+	f := newFleet(1, 1, 5)
+	require.Less(t, f.runUntil(convergeTarget, f.converged), convergeTarget)
+	asking, asked := f.processes[0], f.processes[1]
+	const silence = SuspectAfter
+	require.False(t, asking.tracker.ObservesSilence(f.now, silence))
+	for _, down := range []bool{false, true} {
+		asked.down = down
+		if down {
+			for _, p := range f.processes[2:] {
+				p.down = true
+			}
+			f.run(silence + HeartbeatInterval)
+		}
+		at := f.now
+		asking.tracker.Probe([]netip.AddrPort{asked.self.Relay})
+		f.run(2*step + 10*linkDelay)
+		require.Equal(t, !down, asking.tracker.HeardSince(at, asked.self.Incarnation))
+		require.Equal(t, down, asking.tracker.ObservesSilence(f.now, silence))
+	}
+	require.False(t, asking.tracker.HeardSince(epoch, 12345), "unknown")
+}
