perf: work out vacant zones once for each change of the membership

Cause: each tick of 100 ms walked over all members for the vacant zones and copied those of other zones, and ranked the zone's members for the last reader, also while nothing had changed.

Change: vacant zones are kept for a membership table. Members of other zones are listed only while flows may move, and candidates ranked only while a silence is observed. The test of the last reader also checks that probes end once a candidate is back and the lost ones are dead.

Processor time was not compared.

--- a/filbertflow/internal/daemon/lastreader.go
+++ b/filbertflow/internal/daemon/lastreader.go
@@ -31,12 +31,16 @@
 // update probes the candidates if that is due, and reports whether this balancer must read the
 // store.
 func (r *lastReader) update(now time.Time, s *syncer) bool {
+	silence := s.tracker.ObservesSilence(now, candidateSilence)
+	if r.askedSince.IsZero() && !silence {
+		return false
+	}
 	candidates, _ := s.otherCandidates()
 	heard := func(m member.Member) bool { return s.tracker.HeardSince(r.askedSince, m.Incarnation) }
 	if !r.askedSince.IsZero() && (len(candidates) == 0 || slices.ContainsFunc(candidates, heard)) {
 		r.askedSince = time.Time{}
 	}
-	if r.askedSince.IsZero() && (len(candidates) == 0 || !s.tracker.ObservesSilence(now, candidateSilence)) {
+	if len(candidates) == 0 || r.askedSince.IsZero() && !silence {
 		return false
 	}
 	if now.Sub(r.probedAt) >= candidateProbeInterval {
--- a/filbertflow/internal/daemon/lastreader_test.go
+++ b/filbertflow/internal/daemon/lastreader_test.go
@@ -65,9 +65,18 @@
 			require.LessOrEqual(t, since, candidateSilence+candidateProbeTimeout+2*tick)
 			if test.reads {
 				back := order[0]
-				s.tracker.HandleHeartbeat(now.Add(3*time.Second), back.Relay, aliveHeartbeat(&back))
-				s.updateRoles(now.Add(3 * time.Second))
-				require.False(t, s.isReader, "a candidate is back")
+				heartbeat := aliveHeartbeat(&back)
+				heartbeat.Sender.Sequence++
+				for at := 3 * time.Second; at < 8*time.Second; at += tick {
+					s.tracker.HandleHeartbeat(now.Add(at), back.Relay, heartbeat)
+					s.tracker.PlatformAnswered(now.Add(at))
+					s.tick(t.Context(), now.Add(at))
+					require.False(t, s.isReader, "a candidate is back")
+				}
+				others[back.Incarnation].probed()
+				s.tick(t.Context(), now.Add(8*time.Second))
+				s.tick(t.Context(), now.Add(8*time.Second+candidateProbeInterval))
+				require.False(t, others[back.Incarnation].probed(), "the lost ones are dead")
 			}
 		})
 	}
--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -16,6 +16,10 @@
 // a zone to balancers of other zones, and back once it has balancers again. Only the syncer's
 // goroutine uses it.
 type vacancies struct {
+	// table is the membership that was looked at last, and vacant the zones that are vacant
+	// by it.
+	table  *member.Table
+	vacant []string
 	// lastVacant is when a zone was last seen vacant, by zone.
 	lastVacant map[string]time.Time
 }
@@ -29,15 +33,26 @@
 // update records the zones that have no balancer in rotation now. One that leaves, is suspected or
 // has just started may be out of rotation.
 func (v *vacancies) update(now time.Time, t *member.Table) {
+	if t != v.table {
+		v.table, v.vacant = t, vacantZones(t)
+	}
+	for _, zone := range v.vacant {
+		v.note(now, zone)
+	}
+}
+
+func vacantZones(t *member.Table) []string {
 	staffed := make(map[string]bool)
 	for _, m := range t.Members() {
 		staffed[m.Zone] = staffed[m.Zone] || m.State == member.Alive && !m.Suspected && !m.Joining
 	}
+	var vacant []string
 	for zone, ok := range staffed {
 		if !ok {
-			v.note(now, zone)
+			vacant = append(vacant, zone)
 		}
 	}
+	return vacant
 }
 
 // note records that a zone was vacant until now.
@@ -68,13 +83,12 @@
 	own := s.daemon.options.Zone
 	before := s.vacancies.vacantWithin(now, own, handOverPeriod)
 	s.vacancies.update(now, s.tracker.Table())
-	remote := s.remotePeers()
-	moving := len(remote) > 0 && s.vacancies.anyWithin(now, handOverPeriod)
+	moving := s.vacancies.anyWithin(now, handOverPeriod) && len(s.remotePeers()) > 0
 	if moving != s.daemon.flowsMove.Swap(moving) {
 		s.daemon.log.Info(now, "zones: flows may move between zones", logs.F("moving", moving))
 	}
 	if !before && s.vacancies.vacantWithin(now, own, 0) {
-		s.sendAmbiguous(relays(remote), s.ambiguous.known())
+		s.sendAmbiguous(relays(s.remotePeers()), s.ambiguous.known())
 	}
 }
 
