refactor: split the lookups of first packets from what is known of flows

flow/opening.go had grown to 460 lines with two jobs. lookup.go holds the packets that wait for an answer, opening.go what is known of flows that others have seen opening. No change of behaviour: go test -race ./flow passes.

--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -41,6 +41,7 @@
 	}
 }
 
+// vacantZones returns the zones without a balancer in rotation.
 func vacantZones(t *member.Table) []string {
 	staffed := make(map[string]bool)
 	for _, m := range t.Members() {
--- a/flow/opening.go
+++ b/flow/opening.go
@@ -4,25 +4,16 @@
 	"encoding/binary"
 	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/directory"
 )
 
 const (
-	// lookupTimeout is how long a retransmitted first packet of an unknown flow waits for
-	// the balancer of the zone that knows the flow.
-	lookupTimeout = 30 * time.Millisecond
-	// remoteLookupTimeout is how long it waits while the balancer that knows the flow may be
-	// one of another zone, some tens of milliseconds away.
-	remoteLookupTimeout = 100 * time.Millisecond
 	// AmbiguityLifetime is how long an ambiguous flow is remembered after the last news of it.
 	// A host repeats its answer to a first packet for less than 10 s, and the flow may be idle
 	// after that: until then the client's next packet may carry the ticket of either host.
 	AmbiguityLifetime = 10*time.Second + defaultIdleTimeout
-	// maxLookups is the maximum number of first packets that wait.
-	maxLookups = 1024
 	// initialRetransmitInterval is the time until a client first retransmits a packet. The
 	// interval doubles with each retransmission.
 	initialRetransmitInterval = 200 * time.Millisecond
@@ -53,20 +44,6 @@
 	Open bool
 }
 
-// A Release is a first packet that was held, and the decision on it.
-type Release struct {
-	Flow     ID
-	Packet   Packet
-	Decision Decision
-}
-
-// Zones tells whether flows move between the zones of balancers.
-type Zones interface {
-	// FlowsMove reports whether flows may move here from another zone, or back there, while
-	// their clients open them.
-	FlowsMove() bool
-}
-
 // openings holds what a forwarder knows of flows that other balancers have seen opening.
 type openings struct {
 	// zones is nil unless other balancers are asked for the flows of retransmitted first
@@ -84,18 +61,6 @@
 	changed  []Opening
 }
 
-// heldPacket is a first packet that waits.
-type heldPacket struct {
-	packet Packet
-	// deadline is that of the entry in waiting.
-	deadline time.Time
-}
-
-type lookupDeadline struct {
-	key      key
-	deadline time.Time
-}
-
 // An ambiguousFlow is a flow whose first packet may have reached several upstreams. All of
 // them answer it again and again, and the client's packets carry the ticket of the one that
 // it last heard of, which is not always the one at which the flow has opened.
@@ -125,29 +90,6 @@
 	}
 }
 
-// WithLookups has the forwarder hold a retransmitted first packet of an unknown flow until
-// another balancer has told where the flow's first packet went, for lookupTimeout at most, or for
-// remoteLookupTimeout while flows move between zones.
-func WithLookups(z Zones) Option {
-	return func(f *Forwarder) {
-		f.openings.zones = z
-	}
-}
-
-// Lookups returns the flows to ask other balancers for since the last call.
-func (f *Forwarder) Lookups() []ID {
-	l := f.openings.lookups
-	f.openings.lookups = nil
-	return l
-}
-
-// Released returns the held packets that were decided on since the last call.
-func (f *Forwarder) Released() []Release {
-	r := f.openings.released
-	f.openings.released = nil
-	return r
-}
-
 // AmbiguousFlows returns what this balancer has found out since the last call about flows whose
 // first packet may have reached several upstreams. The other balancers that may get their packets
 // must learn of it by AddAmbiguous.
@@ -220,32 +162,6 @@
 	f.openings.changed = append(f.openings.changed, o)
 }
 
-// openElsewhere decides on a copy of a first packet that this balancer has not seen: another
-// one has, unless the first packet was lost on its way.
-func (f *Forwarder) openElsewhere(now time.Time, v *directory.View, p *Packet, k key) Decision {
-	if d, ok := f.openAmbiguous(now, v, p, k); ok {
-		return d
-	}
-	if f.openings.zones == nil || p.Delayed || len(f.openings.held) >= maxLookups {
-		return f.openUnseen(now, v, p, k)
-	}
-	timeout := lookupTimeout
-	if f.openings.zones.FlowsMove() {
-		timeout = remoteLookupTimeout
-	}
-	h := &heldPacket{
-		packet:   *p,
-		deadline: now.Add(timeout),
-	}
-	f.openings.held[k] = h
-	f.openings.await(k, h.deadline)
-	f.openings.lookups = append(f.openings.lookups, p.flow())
-	return Decision{
-		Action: Hold,
-		Reason: ReasonLookup,
-	}
-}
-
 // openAmbiguous decides on a copy of the first packet of an ambiguous flow. It returns false if
 // the flow is not known as one.
 func (f *Forwarder) openAmbiguous(now time.Time, v *directory.View, p *Packet, k key) (Decision, bool) {
@@ -260,42 +176,6 @@
 	return f.openAt(now, v, p, k, u, a.open), true
 }
 
-// holdWithCopy keeps a first packet, or a copy of it, in place of the copy that waits for the
-// answer to a lookup. It returns false if none waits. The copy of another flow of the same
-// addresses and ports waits no longer.
-func (f *Forwarder) holdWithCopy(p *Packet, k key) bool {
-	h := f.openings.held[k]
-	if h == nil || p.Delayed {
-		return false
-	}
-	if h.packet.Sequence != p.Sequence {
-		f.dropHeldCopy(k, h)
-		return false
-	}
-	h.packet = *p
-	return true
-}
-
-// dropOvertaken drops the first packet that waits here for a lookup or for admission if p, a later
-// packet of its flow, has come: the client has had an answer by another way, or has given up.
-func (f *Forwarder) dropOvertaken(p *Packet, k key) {
-	if h := f.openings.held[k]; h != nil && p.Sequence-h.packet.Sequence <= maxFlowLength {
-		f.dropHeldCopy(k, h)
-	}
-	if f.sharing == nil {
-		return
-	}
-	if w := f.sharing.waiting[k]; w != nil && p.Sequence-w.packet.Sequence <= maxFlowLength {
-		f.withdraw(k, w.packet.Sequence, ReasonOvertaken)
-	}
-}
-
-// dropHeldCopy drops a copy that waits for the answer to a lookup.
-func (f *Forwarder) dropHeldCopy(k key, h *heldPacket) {
-	delete(f.openings.held, k)
-	f.release(h, Decision{Reason: ReasonOvertaken})
-}
-
 // openAt decides on a copy of a first packet that another balancer has sent to u. The
 // argument open reports whether the flow has opened there.
 func (f *Forwarder) openAt(now time.Time, v *directory.View, p *Packet, k key, u *directory.Upstream, open bool) Decision {
@@ -324,43 +204,6 @@
 	return d
 }
 
-// checkLookups places the flows of first packets that have waited for lookupTimeout.
-func (f *Forwarder) checkLookups(now time.Time, v *directory.View) {
-	for len(f.openings.waiting) > 0 && !now.Before(f.openings.waiting[0].deadline) {
-		w := f.openings.waiting[0]
-		f.openings.waiting = f.openings.waiting[1:]
-		h := f.openings.held[w.key]
-		if h == nil || !h.deadline.Equal(w.deadline) {
-			continue
-		}
-		delete(f.openings.held, w.key)
-		d, ok := f.openAmbiguous(now, v, &h.packet, w.key)
-		if !ok {
-			d = f.openUnseen(now, v, &h.packet, w.key)
-		}
-		f.release(h, d)
-	}
-}
-
-// dropHeld drops the first packets that wait: their clients may have opened the flows by other
-// balancers.
-func (f *Forwarder) dropHeld() {
-	for _, h := range f.openings.held {
-		f.release(h, Decision{Reason: ReasonDelayed})
-	}
-	clear(f.openings.held)
-	f.openings.waiting = nil
-	f.forgetLoad()
-}
-
-func (f *Forwarder) release(h *heldPacket, d Decision) {
-	f.openings.released = append(f.openings.released, Release{
-		Flow:     h.packet.flow(),
-		Packet:   h.packet,
-		Decision: d,
-	})
-}
-
 // markAmbiguous records that a flow's first packet was sent to the upstream with a ticket, and
 // may have been sent to others.
 func (f *Forwarder) markAmbiguous(now time.Time, p *Packet, k key, t directory.Ticket) {
@@ -405,27 +248,6 @@
 	return a
 }
 
-// await adds a deadline to those of the copies that wait.
-func (o *openings) await(k key, deadline time.Time) {
-	i := len(o.waiting)
-	for i > 0 && o.waiting[i-1].deadline.After(deadline) {
-		i--
-	}
-	o.waiting = slices.Insert(o.waiting, i, lookupDeadline{
-		key:      k,
-		deadline: deadline,
-	})
-}
-
-// heldOf returns the copy of a flow's first packet that waits, or nil.
-func (o *openings) heldOf(k key, sequence uint32) *heldPacket {
-	h := o.held[k]
-	if h == nil || h.packet.Sequence != sequence {
-		return nil
-	}
-	return h
-}
-
 // expire forgets ambiguous flows that have been idle for AmbiguityLifetime.
 func (o *openings) expire(now time.Time) {
 	maps.DeleteFunc(o.ambiguous, func(_ key, a *ambiguousFlow) bool { return now.Sub(a.usedAt) >= AmbiguityLifetime })
