test: show that the loss of a large zone is not noticed

Cause: other zones hear only the three gateways of a zone, and the rest of a lost zone counts as alive until its balancers are back; a balancer that starts takes the records of its peers from before the loss for living ones.

Also joins the comment on the counters of openings.

--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -19,9 +19,9 @@
 	stateChanges [flow.NumStates]atomic.Uint64
 	busy         atomic.Uint64
 	// ambiguous counts the flows whose first packet may have reached several upstreams,
-	// and lookupsAnswered the lookups of peers that this balancer has answered.
-	ambiguous atomic.Uint64
-	// openingBytes counts the bytes that were sent for both.
+	// lookupsAnswered the lookups of peers that this balancer has answered, and openingBytes
+	// the bytes that were sent for both.
+	ambiguous       atomic.Uint64
 	lookupsAnswered atomic.Uint64
 	openingBytes    atomic.Uint64
 	inquiries       [inquiryEventCount]atomic.Uint64
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"filbertworks.example/filbertworks/directory"
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/platform"
+	"filbertworks.example/filbertworks/rendezvous"
 )
 
 // twoZones is a balancer in each of two zones, with a host in each zone that leaves all packets
@@ -284,3 +288,52 @@
 		})
 	}
 }
+
+// TestLossOfALargeZoneIsNoticed guards against a second host for flows that were opened in other zones
+// while all balancers of a large zone were without power. Only its gateways are heard in other zones,
+// and a balancer that comes back knows its peers from records of before the loss.
+func TestLossOfALargeZoneIsNoticed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// zone is the lost one, of which the balancer knows records of living members.
+		zone string
+		// suspected is the number of members that are suspected, gateways first.
+		suspected int
+	}{
+		{
+			name: "at a balancer that comes back",
+			zone: "a",
+		},
+		{
+			name:      "in another zone",
+			zone:      "b",
+			suspected: gatewaysPerZone,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, now := newDaemon(t), time.Now()
+			if test.zone == "a" {
+				addPeer(t, d, newEndpoint(t), "b", 1)
+			} else {
+				d.syncer.tracker.Tick(now.Add(member.JoinDelay))
+			}
+			incarnations := []uint64{100, 101, 102, 103, 104, 105}
+			slices.SortFunc(incarnations, func(x, y uint64) int { return cmp.Compare(rendezvous.Mix(x), rendezvous.Mix(y)) })
+			for i, incarnation := range incarnations {
+				address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400)
+				d.syncer.tracker.Merge(now, &member.Record{
+					Name:        fmt.Sprintf("lost-%d", i),
+					Zone:        test.zone,
+					Incarnation: incarnation,
+					Sequence:    1,
+					Suspected:   i < test.suspected,
+					Relay:       address,
+					Control:     address,
+					Admin:       address,
+				})
+			}
+			d.syncer.updateVacancies(now)
+			require.True(t, d.FlowsMove())
+		})
+	}
+}
