--- a/filbertflow/internal/daemon/openings_test.go
+++ b/filbertflow/internal/daemon/openings_test.go
@@ -40,22 +40,22 @@
 	for _, test := range []struct {
 		name string
 		zone string
-		// staffed reports whether the zone has another balancer, and vacantFor is how long ago it
+		// inRotation reports whether the zone has another balancer, and vacantFor is how long ago it
 		// had none.
-		staffed   bool
-		vacantFor time.Duration
-		told      bool
+		inRotation bool
+		vacantFor  time.Duration
+		told       bool
 	}{
 		{
-			name:    "of the zone",
-			zone:    "a",
-			staffed: true,
-			told:    true,
+			name:       "of the zone",
+			zone:       "a",
+			inRotation: true,
+			told:       true,
 		},
 		{
-			name:    "of another zone",
-			zone:    "b",
-			staffed: true,
+			name:       "of another zone",
+			zone:       "b",
+			inRotation: true,
 		},
 		{
 			name: "of another zone that has no other balancer",
@@ -63,17 +63,17 @@
 			told: true,
 		},
 		{
-			name:      "of another zone that had no balancer lately",
-			zone:      "b",
-			staffed:   true,
-			vacantFor: flow.AmbiguityLifetime,
-			told:      true,
+			name:       "of another zone that had no balancer lately",
+			zone:       "b",
+			inRotation: true,
+			vacantFor:  flow.AmbiguityLifetime,
+			told:       true,
 		},
 		{
-			name:      "of another zone that had no balancer long ago",
-			zone:      "b",
-			staffed:   true,
-			vacantFor: flow.AmbiguityLifetime + time.Second,
+			name:       "of another zone that had no balancer long ago",
+			zone:       "b",
+			inRotation: true,
+			vacantFor:  flow.AmbiguityLifetime + time.Second,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -87,7 +87,7 @@
 				})
 				d.syncer.updateVacancies(now.Add(-test.vacantFor))
 			}
-			if test.staffed {
+			if test.inRotation {
 				addPeer(t, d, newEndpoint(t), test.zone, 8)
 			}
 			d.syncer.updateVacancies(now)
--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -43,12 +43,12 @@
 
 // vacantZones returns the zones without a balancer in rotation.
 func vacantZones(t *member.Table) []string {
-	staffed := make(map[string]bool)
+	inRotation := make(map[string]bool)
 	for _, m := range t.Members() {
-		staffed[m.Zone] = staffed[m.Zone] || m.State == member.Alive && !m.Suspected && !m.Joining
+		inRotation[m.Zone] = inRotation[m.Zone] || m.State == member.Alive && !m.Suspected && !m.Joining
 	}
 	var vacant []string
-	for zone, ok := range staffed {
+	for zone, ok := range inRotation {
 		if !ok {
 			vacant = append(vacant, zone)
 		}
