test: show that large odd entries keep restarted machines out for good

A page of the store's listing must be read within 1 s. One entry of another writer, as large as a value may be, makes a page of 1.4 MB, which takes 1.12 s on the 10 Mbit/s links of the grown deployments. The listing fails and is begun again, so that a machine without a peer that has the directory never starts.

--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -55,19 +55,21 @@
 
 // A fleet is a deployment on loopback.
 type fleet struct {
-	net      byte
-	program  string
-	dir      string
-	record   *record
-	store    *store
-	zones    []string
-	routers  map[string]*router
-	daemons  []*daemon
-	hosts    []*host
-	clients  []*client
-	work     time.Duration
-	body     int
-	version  int
+	net     byte
+	program string
+	dir     string
+	record  *record
+	store   *store
+	zones   []string
+	routers map[string]*router
+	daemons []*daemon
+	hosts   []*host
+	clients []*client
+	work    time.Duration
+	body    int
+	version int
+	// mbps is the bandwidth of each machine's link; no limit if it is zero.
+	mbps     float64
 	answered atomic.Int64
 	ended    atomic.Bool
 }
@@ -173,10 +175,17 @@
 			fleet: f, restartAfter: 500 * time.Millisecond,
 		}
 		d.settings = filepath.Join(f.dir, d.name+".toml")
+		store := f.port(1, 1, storePort)
+		if f.mbps > 0 {
+			if _, err := newLink(f.port(20, i, storePort), store, f.mbps); err != nil {
+				return err
+			}
+			store = f.port(20, i, storePort)
+		}
 		text := fmt.Sprintf("name = %q\nzone = %q\n[packets]\nlisten = %q\n[readiness]\nlisten = %q\n[peers]\nlisten = %q\nseeds = [%q, %q, %q]\n"+
 			"[metrics]\nlisten = %q\n[store]\naddress = %q\n[leave]\ngrace = \"6s\"\n",
 			d.name, zone, d.packets, d.ready, f.port(10, i, peerPort), f.port(10, 1, 8166), f.port(10, 2, 8166), f.port(10, 3, 8166),
-			f.port(10, i, metricsPort), f.port(1, 1, storePort))
+			f.port(10, i, metricsPort), store)
 		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -29,5 +29,7 @@
 
 // cases holds the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(program, dir, record string, trouble bool) (bool, error){
-	"stale-reset": staleReset,
+	"late-listing": lateListing,
+	"late-start":   lateStart,
+	"stale-reset":  staleReset,
 }
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -27,8 +27,12 @@
 	revision uint64
 	items    map[string]item
 	events   []item
-	changed  chan struct{}
-	server   *http.Server
+	// compacted is the last revision whose event is forgotten.
+	compacted uint64
+	// quiet makes watches hear nothing.
+	quiet   bool
+	changed chan struct{}
+	server  *http.Server
 }
 
 const answerTime = 4 * time.Millisecond
@@ -49,6 +53,10 @@
 
 func (s *store) put(key string, value any) {
 	data, _ := json.Marshal(value)
+	s.putBytes(key, data)
+}
+
+func (s *store) putBytes(key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, known := s.items[key]
@@ -78,6 +86,20 @@
 	s.changed = make(chan struct{})
 }
 
+// forget forgets the history, as the platform's store may: watches hear nothing for a second, and
+// are cut then.
+func (s *store) forget() {
+	s.mu.Lock()
+	s.quiet = true
+	s.mu.Unlock()
+	time.Sleep(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quiet, s.compacted, s.events = false, s.revision, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(answerTime)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -91,10 +113,13 @@
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	truncated := len(items) > 500
-	if truncated {
-		items = items[:500]
+	n, size := 0, 0
+	for n < len(items) && n < 500 && size < 1_000_000 {
+		size += len(items[n].Value)
+		n++
 	}
+	truncated := n < len(items)
+	items = items[:n]
 	answer(w, map[string]any{"items": items, "truncated": truncated, "as-of": revision})
 }
 
@@ -105,13 +130,22 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			time.Sleep(answerTime)
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		for _, e := range s.events {
-			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			if !s.quiet && e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 				events = append(events, e)
 			}
 		}
 		revision, changed := s.revision, s.changed
+		if s.quiet {
+			revision = after
+		}
 		s.mu.Unlock()
 		if len(events) > 0 {
 			time.Sleep(answerTime)
