--- a/review/standins-3/host.go
+++ b/review/standins-3/host.go
@@ -34,10 +34,9 @@
 	socket            *net.UDPConn
 	health            *http.Server
 
-	mu       sync.Mutex
-	gone     bool
-	sequence int
-	flows    map[flowID]*hostFlow
+	mu    sync.Mutex
+	gone  bool
+	flows map[flowID]*hostFlow
 }
 
 type hostFlow struct {
@@ -70,32 +69,16 @@
 	h.health = &http.Server{Handler: mux}
 	go func() { _ = h.health.Serve(l) }()
 	go h.receive()
-	go h.register()
+	h.register()
 	return h, nil
 }
 
-// register writes the host's entry at each heartbeat.
+// register writes the host's entry. Its heartbeats change nothing but seq, which is no change of
+// the entry.
 func (h *host) register() {
-	for {
-		h.mu.Lock()
-		gone := h.gone
-		h.sequence++
-		sequence := h.sequence
-		h.mu.Unlock()
-		if gone {
-			return
-		}
-		h.write(sequence)
-		time.Sleep(heartbeat)
-	}
-}
-
-const heartbeat = 770 * time.Millisecond
-
-func (h *host) write(sequence int) {
 	h.store.put("servers/"+h.id, map[string]any{
 		"service": h.service, "address": h.address.String(), "zone": h.zone, "version": "v1", "slots": 4, "state": "ready",
-		"warmup-left-ms": 0, "seq": sequence, "born": h.bornAt.UnixMilli(),
+		"warmup-left-ms": 0, "seq": 1, "born": h.bornAt.UnixMilli(),
 	})
 }
 
--- a/review/standins-3/listing.go
+++ b/review/standins-3/listing.go
@@ -195,7 +195,12 @@
 	time.Sleep(6 * time.Second)
 	if trouble {
 		f.record.say("the store forgets its history")
-		f.store.forget()
+		f.store.forget(func() {
+			_, err = f.addHost("huvo11a", "tx-central-a")
+		})
+		if err != nil {
+			return false, err
+		}
 	}
 	time.Sleep(stableWindow + 2*time.Second)
 	f.record.say("the configuration changes")
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -86,13 +86,15 @@
 	s.changed = make(chan struct{})
 }
 
-// forget forgets the history, as the platform's store may: watches hear nothing for a second, and
-// are cut then.
-func (s *store) forget() {
+// forget forgets the history, as the platform's store may: watches hear nothing for a second, while
+// change is made, and are cut then.
+func (s *store) forget(change func()) {
 	s.mu.Lock()
 	s.quiet = true
 	s.mu.Unlock()
-	time.Sleep(time.Second)
+	time.Sleep(time.Second / 2)
+	change()
+	time.Sleep(time.Second / 2)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.quiet, s.compacted, s.events = false, s.revision, nil
