--- a/review/standins-3/main.go
+++ b/review/third/platform/main.go
@@ -1,4 +1,4 @@
-// Command standins-3 runs one case of the third review: real processes of the system on loopback
+// Command platform runs one case of the third review: real processes of the system on loopback
 // against stand-ins of its store, hosts, clients and routers.
 package main
 
@@ -9,7 +9,7 @@
 
 func main() {
 	if len(os.Args) != 5 {
-		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE PROGRAM FOLDER RECORD")
+		fmt.Fprintln(os.Stderr, "usage: platform CASE PROGRAM FOLDER RECORD")
 		os.Exit(2)
 	}
 	run, ok := cases[os.Args[1]]
