--- a/review/third/platform/stale_reset.go
+++ b/review/third/platform/stale_reset.go
@@ -10,7 +10,7 @@
 
 // staleReset is about the sequence numbers of resets. Clients keep flows with many requests open.
 // A machine of each zone is restarted as planned work, in turn, so that flows move to other
-// machines and back. Later one host crashes. Until a client's flow is closed, a reset that it gets
+// machines and back. Later one host of each zone crashes. Until a client's flow is closed, a reset that it gets
 // must have a sequence number within 76,800 of the client's last ack.
 func staleReset(program, dir, recordPath string, trouble bool) (bool, error) {
 	zones := []string{"tx-central-a", "tx-central-b", "tx-central-c"}
@@ -21,11 +21,11 @@
 	defer f.end()
 	route := netip.MustParseAddrPort("198.18.0.1:8443")
 	f.configure(map[string]netip.AddrPort{"huvo11a": route})
-	hosts, machines, flows := []int{5, 5, 4}, []int{3, 2, 2}, []int{60, 12, 12}
-	first := make([]*daemon, len(zones))
+	hosts, machines, flows := []int{5, 5, 4}, []int{3, 2, 2}, []int{40, 24, 24}
+	first, lost := make([]*daemon, len(zones)), make([]*host, len(zones))
 	for i, zone := range zones {
 		for range hosts[i] {
-			if _, err := f.addHost("huvo11a", zone); err != nil {
+			if lost[i], err = f.addHost("huvo11a", zone); err != nil {
 				return false, err
 			}
 		}
@@ -59,8 +59,10 @@
 			time.Sleep(1300 * time.Millisecond)
 		}
 		time.Sleep(16 * time.Second)
-		f.record.say("host %s crashes", f.hosts[0].id)
-		f.hosts[0].crash()
+		for _, h := range lost {
+			f.record.say("host %s crashes", h.id)
+			h.crash()
+		}
 	}
 	workers.Wait()
 	strange := 0
