--- a/review/third/platform/fleet.go
+++ b/review/third/platform/fleet.go
@@ -172,7 +172,7 @@
 		i := byte(len(f.daemons) + 1)
 		d := &daemon{
 			name: fmt.Sprintf("frontend-%s-%d", zone, i), packets: f.port(10, i, packetPort), ready: f.port(10, i, readyPort).String(),
-			fleet: f, restartAfter: 500 * time.Millisecond,
+			fleet: f, restartAfter: 800 * time.Millisecond,
 		}
 		d.settings = filepath.Join(f.dir, d.name+".toml")
 		store := f.port(1, 1, storePort)
--- a/review/third/platform/listing.go
+++ b/review/third/platform/listing.go
@@ -18,11 +18,11 @@
 	valueBytes   = 1 << 20
 )
 
-// Routes of the cases about listings.
+// Routes of the cases about listings. Nothing listens at these addresses.
 var (
-	keptRoute    = netip.MustParseAddrPort("198.18.0.1:8443")
-	droppedRoute = netip.MustParseAddrPort("198.18.0.2:8443")
-	addedRoute   = netip.MustParseAddrPort("198.18.0.3:8443")
+	keptRoute    = netip.MustParseAddrPort("127.254.30.1:8443")
+	droppedRoute = netip.MustParseAddrPort("127.254.30.2:8443")
+	addedRoute   = netip.MustParseAddrPort("127.254.30.3:8443")
 )
 
 // newListingFleet starts a deployment whose machines have links of linkMbps.
@@ -100,6 +100,7 @@
 		return false, false
 	}
 	defer c.finish(fl)
+	f.record.add("client %v: sends request %s to %v", fl.id.client, name, route)
 	if err := c.request(fl, name); err != nil {
 		f.record.add("client %v: request %s: %v", fl.id.client, name, err)
 		return true, false
@@ -147,7 +148,7 @@
 	backAt = killedAt.Add(time.Second)
 	mu.Unlock()
 	if trouble {
-		f.record.say("all processes are killed; each one is started again after 0.5 s")
+		f.record.say("all processes are killed; each one is started again after 0.8 s")
 		for _, d := range f.daemons {
 			d.signal(syscall.SIGKILL)
 		}
--- a/review/third/platform/stale_reset.go
+++ b/review/third/platform/stale_reset.go
@@ -19,7 +19,7 @@
 		return false, err
 	}
 	defer f.end()
-	route := netip.MustParseAddrPort("198.18.0.1:8443")
+	route := netip.MustParseAddrPort("127.254.30.1:8443")
 	f.configure(map[string]netip.AddrPort{"huvo11a": route})
 	hosts, machines, flows := []int{5, 5, 4}, []int{3, 2, 2}, []int{40, 24, 24}
 	first, lost := make([]*daemon, len(zones)), make([]*host, len(zones))
