--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -295,10 +295,11 @@
 	resets := t.forwarder.Resets()
 	for i := range resets {
 		p := &resets[i]
-		t.recordSendError(t.sendReset(p))
+		t.recordSendError(t.sendReset(&p.Packet))
 		t.daemon.counters.abandoned.Add(1)
 		t.daemon.log.Info(now, "flow: abandoned", logs.F("flow", p.Client.String()),
-			logs.F("service_address", p.Service.String()), logs.F("ticket", uint32(p.Ticket)))
+			logs.F("service_address", p.Service.String()), logs.F("ticket", uint32(p.Ticket)),
+			logs.F("quiet_ms", p.Quiet.Milliseconds()))
 	}
 }
 
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -33,7 +33,7 @@
 	// sharing is nil unless new flows are placed by the load that other balancers see, too.
 	sharing      *sharing
 	stateChanges []StateChange
-	resets       []Packet
+	resets       []Reset
 	reports      []Report
 	// asked holds the inquiries that may still be confirmed, and confirmedDeaths the
 	// upstreams whose flows are to be reset.
@@ -119,9 +119,16 @@
 	return f.flows.len()
 }
 
-// Resets returns the flows to reset since the last call, whose upstreams have been
-// found dead. Each is given as the client's packet that the reset answers.
-func (f *Forwarder) Resets() []Packet {
+// A Reset is the reset of an open flow whose upstream has been found dead, given as the
+// client's packet that it answers.
+type Reset struct {
+	Packet
+	// Quiet is the time since the client's last packet came to this balancer.
+	Quiet time.Duration
+}
+
+// Resets returns the flows to reset since the last call.
+func (f *Forwarder) Resets() []Reset {
 	r := f.resets
 	f.resets = nil
 	return r
@@ -325,6 +332,7 @@
 
 // observe updates a known flow and its upstream's health from a packet.
 func (f *Forwarder) observe(now time.Time, s *flowState, p *Packet) {
+	s.seenAt = now
 	h := f.healthOf(s.upstream)
 	if p.Flags.Has(FlagReset) {
 		f.closeFlow(now, s)
@@ -426,11 +434,14 @@
 		s := f.flows.find(k)
 		f.closeFlow(now, s)
 		s.abandoned = true
-		f.resets = append(f.resets, Packet{
-			Client:       k.client(),
-			Service:      k.service(),
-			Ticket:       t,
-			Acknowledged: s.acknowledged,
+		f.resets = append(f.resets, Reset{
+			Packet: Packet{
+				Client:       k.client(),
+				Service:      k.service(),
+				Ticket:       t,
+				Acknowledged: s.acknowledged,
+			},
+			Quiet: now.Sub(s.seenAt),
 		})
 	}
 }
@@ -473,6 +484,7 @@
 		upstream:      u,
 		opening:       true,
 		firstSentAt:   now,
+		seenAt:        now,
 		firstSequence: p.Sequence,
 		nextSequence:  p.Sequence,
 		acknowledged:  p.Acknowledged,
@@ -487,6 +499,7 @@
 func (f *Forwarder) adopt(now time.Time, k key, u *directory.Upstream, p *Packet) *flowState {
 	s := &flowState{
 		upstream:     u,
+		seenAt:       now,
 		nextSequence: p.Sequence + uint32(p.Length),
 		acknowledged: p.Acknowledged,
 	}
--- a/flow/table.go
+++ b/flow/table.go
@@ -29,6 +29,8 @@
 	requestEntryAt time.Time
 	// startsRequest is set while a packet that starts a request is decided on.
 	startsRequest bool
+	// seenAt is when the client's last packet came here.
+	seenAt time.Time
 	// answered is set once the client has acknowledged content of the upstream.
 	answered bool
 	// firstSequence is the sequence number of the flow's first packet, if this
