fix: list the store at once when its changes are too large again

What callers would see: changes in force later than allowed, while another writer rewrites a large value again and again.

Cause: a reader that had listed all entries since the changes were too large for a response, and whose next watch failed alike, took this for a store without a history: it waited, and made the same watch once more before it listed again. At 10 Mbit/s each of these watches takes 2.4 s until it is known to be too large.

Measured: TestRewrittenValuesDelayNoChange, with these times, fails on the code before and passes now; the tests of the reader that bound its calls pass. No run of processes was made.

--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -78,12 +78,13 @@
 	if v := d.view.Load(); v != nil {
 		r.advance(v.Position)
 	}
+	began := time.Now()
 	delta, err := r.fetch(ctx)
 	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		r.handleError(ctx, err)
+		r.handleError(ctx, err, time.Since(began))
 		return
 	}
 	listed := delta.Base == 0
@@ -142,9 +143,11 @@
 	return r.daemon.source.List(ctx, r.stale)
 }
 
-// handleError handles the error of a watch, and of a listing at the start.
-func (r *reader) handleError(ctx context.Context, err error) {
-	if errors.Is(err, directory.ErrCompacted) && !r.relisted {
+// handleError handles the error of a watch, and of a listing at the start, which took some time. The
+// changes since a listing may be too large for a response again, while another writer writes large
+// values: reading that response took longer than a delay would.
+func (r *reader) handleError(ctx context.Context, err error, took time.Duration) {
+	if errors.Is(err, directory.ErrCompacted) && (!r.relisted || took >= maxRetryDelay) {
 		r.daemon.log.Info(time.Now(), "store: change history was compacted, listing all entries", logs.F("revision", r.position.Revision), logs.F("error", err.Error()))
 		r.relist(ctx)
 		return
--- a/filbertflow/internal/daemon/reader_test.go
+++ b/filbertflow/internal/daemon/reader_test.go
@@ -270,6 +270,54 @@
 	}
 }
 
+// A rewrittenStore is a store with one value that another writer writes again and again: the changes
+// are always too large for a response, which shows after watchTime, and a listing takes listTime.
+type rewrittenStore struct {
+	fakeStore
+	watchTime time.Duration
+	listTime  time.Duration
+}
+
+func (s *rewrittenStore) List(ctx context.Context, stale bool) (*directory.Delta, error) {
+	delta, err := s.fakeStore.List(ctx, stale)
+	sleep(ctx, s.listTime)
+	return delta, err
+}
+
+func (s *rewrittenStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (*directory.Delta, error) {
+	s.call(0)
+	sleep(ctx, s.watchTime)
+	return nil, directory.ErrCompacted
+}
+
+// TestRewrittenValuesDelayNoChange guards against a writer of large values that keeps the other
+// entries back: a reader that had listed all entries made the watch that had just failed twice before
+// it listed them again. The times are those of 3 MB and of 1.5 MB at 10 Mbit/s, and the bound is that of the
+// deployments with such links.
+func TestRewrittenValuesDelayNoChange(t *testing.T) {
+	const bound = 5 * time.Second
+	for _, offset := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDaemon(t)
+			s := &rewrittenStore{
+				watchTime: 2400 * time.Millisecond,
+				listTime:  1200 * time.Millisecond,
+			}
+			s.set(contentOf(1, 20, 9))
+			d.source = s
+			ctx, cancel := context.WithCancel(t.Context())
+			d.tasks.Go(func() { d.syncer.run(ctx) })
+			d.tasks.Go(func() { d.followStore(ctx) })
+			t.Cleanup(d.tasks.Wait)
+			t.Cleanup(cancel)
+			sleep(t.Context(), 20*time.Second+offset)
+			s.set(contentOf(1, 21, 10))
+			sleep(t.Context(), bound)
+			requireInForce(t, d, 1, 21, 10)
+		})
+	}
+}
+
 // TestReaderThatIsAlwaysCompacted checks that the reader makes few calls if the store has no
 // history at all: a watch after the revision of a listing fails at once, too.
 func TestReaderThatIsAlwaysCompacted(t *testing.T) {
