fix: read slow responses of peers to their end

What callers would see: a balancer that starts, or is behind, stays out of rotation or goes on by what it knew, while others ask the same peer.

Cause: two seconds bounded a call to a peer as a whole. The response grows with the deployment, and the peer's link is shared by all who ask at once, as after a loss of power of all. The call was then made again from the start.

Change: two seconds bound the time until 8 KiB of the response have come, and the time of each further 8 KiB.

Measured: TestSlowPeersAreReadToTheEnd (600 hosts and 600 members at 10 kB/s) fails with a bound on the whole, and passes now; TestStoppedPeersAreNoticed passes with both. On the code before the tests don't compile, as they set how a peer is dialed. No run of processes was made.

--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -167,7 +167,9 @@
 	// peers' datagrams.
 	packets       *net.UDPConn
 	peerDatagrams *net.UDPConn
-	tasks         sync.WaitGroup
+	// dialPeer connects to a peer.
+	dialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	tasks    sync.WaitGroup
 }
 
 // New returns the daemon that o configures.
@@ -182,6 +184,7 @@
 		events:      ring.New[func(time.Time)](eventQueueSize),
 		probeQueue:  ring.New[*directory.Upstream](probeQueueSize),
 		reads:       make(chan bool, 1),
+		dialPeer:    (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
 	}
 	d.source = o.NewSource(SourceObserver{
 		OnCall: d.counters.countStoreCall,
--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -16,6 +16,7 @@
 
 	"filbertworks.example/filbertworks/directory"
 	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/internal/progress"
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/rollout"
 	"filbertworks.example/filbertworks/wire"
@@ -28,8 +29,13 @@
 	// itemsPerMessage is the number of items in one message of a stream of
 	// changes.
 	itemsPerMessage = 200
-	// pullTimeout bounds a call to a peer.
+	// pullTimeout bounds the time until a peer's response begins, and the time that each
+	// minPullProgress bytes of it take.
 	pullTimeout = 2 * time.Second
+	// minPullProgress is the number of bytes of a response that must come within pullTimeout
+	// unless the response ends. Many balancers may share the link of the one that they ask, such
+	// as after a loss of power of all.
+	minPullProgress = 8 << 10
 )
 
 // directoryServer answers peers that request changes.
@@ -167,70 +173,81 @@
 	return peers
 }
 
-// dial connects to a peer.
-func (d *Daemon) dial(ctx context.Context, peer netip.AddrPort, timeout time.Duration) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: keepAlive,
-	}
-	c, err := dialer.DialContext(ctx, "tcp4", peer.String())
+// errPeerStopped is the cause of a call that was canceled as the peer's response did not begin in
+// time, or stopped.
+var errPeerStopped = eris.New("peer's response is late or has stopped")
+
+// callPeer connects to a peer within a timeout and makes a call, which is canceled if the response
+// makes too little progress.
+func (d *Daemon) callPeer(ctx context.Context, peer netip.AddrPort, timeout time.Duration, call func(context.Context, *drpcconn.Conn) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	guard := progress.NewGuard(pullTimeout, pullTimeout, minPullProgress, func() { cancel(errPeerStopped) })
+	defer guard.Stop()
+	dialing, dialed := context.WithTimeout(ctx, timeout)
+	defer dialed()
+	c, err := d.dialPeer(dialing, "tcp4", peer.String())
 	if err != nil {
-		return nil, eris.Wrap(err, "dial peer")
+		return eris.Wrap(err, "dial peer")
+	}
+	conn := drpcconn.New(guard.Conn(c))
+	defer func() { _ = conn.Close() }()
+	if err := call(ctx, conn); err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			return eris.Wrap(cause, err.Error())
+		}
+		return err
 	}
-	return drpcconn.New(c), nil
+	return nil
 }
 
 // fetchChanges returns the changes from a position to the one known at a peer.
 // The time to connect to the peer is bounded by dial.
 func (d *Daemon) fetchChanges(ctx context.Context, peer netip.AddrPort, since directory.Position, dial time.Duration) (*directory.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	conn, err := d.dial(ctx, peer, dial)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = conn.Close() }()
-	stream, err := wire.NewDRPCDirectoryClient(conn).Changes(ctx, &wire.ChangesRequest{
-		Since: since.Revision,
-		Era:   since.Era,
-	})
-	if err != nil {
-		return nil, eris.Wrap(err, "call peer")
-	}
 	whole := &directory.Delta{}
-	for {
-		m, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return whole, nil
-		}
+	err := d.callPeer(ctx, peer, dial, func(ctx context.Context, conn *drpcconn.Conn) error {
+		stream, err := wire.NewDRPCDirectoryClient(conn).Changes(ctx, &wire.ChangesRequest{
+			Since: since.Revision,
+			Era:   since.Era,
+		})
 		if err != nil {
-			return nil, eris.Wrap(err, "receive changes")
+			return eris.Wrap(err, "call peer")
 		}
-		part, err := m.Decode(time.Now())
-		if err != nil {
-			return nil, err
+		for {
+			m, err := stream.Recv()
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			if err != nil {
+				return eris.Wrap(err, "receive changes")
+			}
+			part, err := m.Decode(time.Now())
+			if err != nil {
+				return err
+			}
+			whole.Era, whole.Base, whole.Revision = part.Era, part.Base, part.Revision
+			whole.Items = append(whole.Items, part.Items...)
+			whole.Retained = append(whole.Retained, part.Retained...)
 		}
-		whole.Era, whole.Base, whole.Revision = part.Era, part.Base, part.Revision
-		whole.Items = append(whole.Items, part.Items...)
-		whole.Retained = append(whole.Retained, part.Retained...)
+	})
+	if err != nil {
+		return nil, err
 	}
+	return whole, nil
 }
 
 // fetchMembers returns the records of all processes that a peer knows.
 func (d *Daemon) fetchMembers(ctx context.Context, peer netip.AddrPort) ([]member.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	conn, err := d.dial(ctx, peer, pullTimeout)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = conn.Close() }()
-	reply, err := wire.NewDRPCPeerClient(conn).Members(ctx, &wire.MembersRequest{})
-	if err != nil {
-		return nil, eris.Wrap(err, "call peer")
-	}
-	records, err := wire.ParseRecords(reply.GetRecords())
-	return records, eris.Wrap(err, "parse peer's records")
+	var records []member.Record
+	err := d.callPeer(ctx, peer, pullTimeout, func(ctx context.Context, conn *drpcconn.Conn) error {
+		reply, err := wire.NewDRPCPeerClient(conn).Members(ctx, &wire.MembersRequest{})
+		if err != nil {
+			return eris.Wrap(err, "call peer")
+		}
+		records, err = wire.ParseRecords(reply.GetRecords())
+		return eris.Wrap(err, "parse peer's records")
+	})
+	return records, err
 }
 
 // relayChanges sends the changes since a position, which the balancer origin has read
