fix: verify flows that may have moved before they are reset

Cause: when a host is found dead, each balancer reset all flows of it in its flow table. An entry stays there for 20 to 40 s, also after the routers' rotation has changed and the flow's packets go to another balancer; the reset had the sequence number of the last packet that was seen here.

Change: a balancer notes that flows have moved: by a packet of an open flow that it does not know, by an acknowledgment of more than a host has in flight, and by the state of the zone's balancers. An entry without a packet since then is verified before its flow is reset: the other balancers tell whether they have seen later packets of it. If one has, or does not answer, or if what a lost balancer knew might be missing, the flow is left to the balancer that gets its packets; its next packet here is rejected with the right number. A flow that waits for a slow answer is still reset at once if nothing moved, and after a round trip otherwise.

Older balancers don't answer verifications; the flows are left to their next packets then.

--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -67,9 +67,11 @@
 	detector *flow.Detector
 	isReader bool
 	// ambiguous are the flows to tell the zone of.
-	ambiguous  ambiguousFlows
-	lastReader lastReader
-	vacancies  vacancies
+	ambiguous ambiguousFlows
+	// verifications are this balancer's verifications that wait for answers.
+	verifications map[uint32]*openVerification
+	lastReader    lastReader
+	vacancies     vacancies
 	// outage is set while the store has not answered for longer than
 	// outageThreshold; outageStart is when it last answered before the latest
 	// outage. Upstreams whose entries lapsed since then stay eligible until
@@ -117,8 +119,9 @@
 			Control:     o.Peers,
 			Admin:       o.Readiness,
 		}, rand.New(rand.NewPCG(d.incarnation, uint64(now.UnixNano())))),
-		isReader:  true,
-		vacancies: newVacancies(),
+		isReader:      true,
+		vacancies:     newVacancies(),
+		verifications: make(map[uint32]*openVerification),
 	}
 	s.loads = newLoadExchange(s)
 	s.tracker.AcceptUnlisted()
@@ -323,6 +326,7 @@
 	s.checkInquiries(now)
 	s.updateVacancies(now)
 	s.shareAmbiguous(now)
+	s.expireVerifications(now)
 	s.loads.tick(now)
 	s.updateOutage(now)
 	s.updateRoles(now)
@@ -346,6 +350,7 @@
 func (s *syncer) updateRoles(now time.Time) {
 	if t := s.tracker.Table(); t != s.table {
 		s.logMembers(now, t)
+		s.noteRotation(s.table, t)
 		s.table = t
 		s.daemon.owners.Store(member.NewTable(t.Members()))
 		s.tracker.SetContacts(s.contacts())
@@ -425,6 +430,12 @@
 	case wire.IsHealth(data):
 		s.handleHealth(now, from, data)
 		return
+	case wire.IsVerification(data):
+		s.handleVerification(from, data)
+		return
+	case wire.IsVerificationAnswer(data):
+		s.handleVerificationAnswer(from, data)
+		return
 	case wire.IsLoadReport(data) || wire.IsLoadDigest(data):
 		s.loads.handleDatagram(now, data)
 		return
--- a/filbertflow/internal/daemon/traffic.go
+++ b/filbertflow/internal/daemon/traffic.go
@@ -88,7 +88,7 @@
 
 func newPacketHandler(d *Daemon) (*packetHandler, error) {
 	reader, err := newPacketReader(d.packets)
-	options := []flow.Option{flow.WithInquiries(), flow.WithLookups(d)}
+	options := []flow.Option{flow.WithInquiries(), flow.WithLookups(d), flow.WithVerification()}
 	if d.options.Load.Share {
 		sharing := d.options.Load.Sharing
 		sharing.Seed = rand.Uint64()
@@ -194,6 +194,7 @@
 // itself: resets, reports, probes and state changes.
 func (t *packetHandler) applyOutcomes(now time.Time, view *directory.View) {
 	t.sendResets(now)
+	t.sendVerifications()
 	t.sendReports()
 	t.queueProbes(now)
 	t.logStateChanges(now, view)
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -53,6 +53,8 @@
 	activeRequests  []pendingAnswer
 	toProbe         []*directory.Upstream
 	requestProbedAt time.Time
+	// verifications hold what is known of flows that may have moved to other balancers.
+	verifications verifications
 	// ignoreUntil is until when packets are ignored as evidence of silence.
 	ignoreUntil time.Time
 	// lastAnswered is when the latest packet that any upstream has answered was sent:
@@ -259,6 +261,10 @@
 		}
 	}
 	if s == nil || s.upstream.Ticket() != u.Ticket() {
+		if s == nil {
+			// The flow's earlier packets went to another balancer.
+			f.noteMove(now)
+		}
 		s = f.adopt(now, k, u, p)
 	} else {
 		f.observe(now, s, p)
@@ -334,6 +340,11 @@
 func (f *Forwarder) observe(now time.Time, s *flowState, p *Packet) {
 	s.seenAt = now
 	h := f.healthOf(s.upstream)
+	if !s.opening && p.Flags.Has(FlagAcknowledge) && int32(p.Acknowledged-s.acknowledged) > maxInFlight {
+		// The client has acknowledged more than an upstream has in flight: packets of it
+		// went to another balancer.
+		f.noteMove(now)
+	}
 	if p.Flags.Has(FlagReset) {
 		f.closeFlow(now, s)
 		return
@@ -421,7 +432,8 @@
 }
 
 // abandon resets the open flows of a dead upstream that have at least a number of
-// retransmissions, ordered by key.
+// retransmissions, ordered by key. Those whose packets may go to another balancer now are verified
+// first.
 func (f *Forwarder) abandon(now time.Time, t directory.Ticket, retransmissions int) {
 	var lost []key
 	f.flows.forEach(func(k key, s *flowState) {
@@ -430,20 +442,40 @@
 		}
 	})
 	slices.SortFunc(lost, func(a, b key) int { return bytes.Compare(a[:], b[:]) })
+	var doubtful []key
 	for _, k := range lost {
 		s := f.flows.find(k)
+		moved := f.moved(s)
+		if moved && retransmissions > 0 {
+			if now.Sub(s.seenAt) >= maxRetransmitInterval {
+				// The client does not retransmit here any more.
+				continue
+			}
+			moved = false
+		}
 		f.closeFlow(now, s)
-		s.abandoned = true
-		f.resets = append(f.resets, Reset{
-			Packet: Packet{
-				Client:       k.client(),
-				Service:      k.service(),
-				Ticket:       t,
-				Acknowledged: s.acknowledged,
-			},
-			Quiet: now.Sub(s.seenAt),
-		})
+		s.abandoned, s.abandonedAt = true, now
+		switch {
+		case !moved:
+			f.reset(now, k, s)
+		case f.verifiable(s):
+			doubtful = append(doubtful, k)
+		}
 	}
+	f.verify(now, doubtful)
+}
+
+// reset resets an open flow.
+func (f *Forwarder) reset(now time.Time, k key, s *flowState) {
+	f.resets = append(f.resets, Reset{
+		Packet: Packet{
+			Client:       k.client(),
+			Service:      k.service(),
+			Ticket:       s.upstream.Ticket(),
+			Acknowledged: s.acknowledged,
+		},
+		Quiet: now.Sub(s.seenAt),
+	})
 }
 
 // recordStateChange adds the current state of u to the state changes.
--- /dev/null
+++ b/flow/moved.go
@@ -0,0 +1,176 @@
+package flow
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"filbertworks.example/filbertworks/directory"
+)
+
+const (
+	// MaxVerified is the maximum number of flows of a verification.
+	MaxVerified = 48
+	// maxVerifications is the maximum number of verifications that wait for their results.
+	maxVerifications = 8
+	// verificationLifetime is how long a verification waits for its result: the other balancers
+	// answer after a round trip.
+	verificationLifetime = 500 * time.Millisecond
+	// rotationLag is how long after the news of a balancer's state the routers may still change
+	// their rotation: two readiness probes of 500 ms, and some time for a response.
+	rotationLag = 1500 * time.Millisecond
+)
+
+// WithVerification has the forwarder ask the other balancers before it resets a flow whose packets
+// may go to one of them since the routers' rotation has changed: the sequence number of the reset would
+// be of long ago.
+func WithVerification() Option {
+	return func(f *Forwarder) {
+		f.verifications.enabled = true
+	}
+}
+
+// A Position is how far a flow has got, as seen by one balancer.
+type Position struct {
+	Client  netip.AddrPort
+	Service netip.AddrPort
+	Ticket  directory.Ticket
+	// Acknowledged is the sequence number that the client expects next.
+	Acknowledged uint32
+}
+
+// A Verification asks the other balancers whether they have seen later packets of flows than the
+// one that is about to reset them.
+type Verification struct {
+	// ID identifies the verification among those of its balancer.
+	ID uint32
+	// Flows are MaxVerified flows at most.
+	Flows []Position
+}
+
+// A Later tells which flows of a verification another balancer has seen later packets of: bit n is
+// that of the flow with index n.
+type Later uint64
+
+// verifications holds what a forwarder knows of flows that may have moved to another balancer.
+type verifications struct {
+	enabled bool
+	// movedAt is when flows last moved between balancers, by what is known here. Entries of the
+	// flow table without a packet since then may be outdated.
+	movedAt time.Time
+	// lostAt is when the zone last lost a balancer. What it knew of flows is lost, so that the
+	// others can't tell whether an entry from before that is outdated.
+	lostAt time.Time
+	lastID uint32
+	// pending are the verifications that wait for their results, in order, and unsent those
+	// that are to be sent.
+	pending []pendingVerification
+	unsent  []Verification
+}
+
+type pendingVerification struct {
+	Verification
+	startedAt time.Time
+}
+
+// Verifications returns the verifications to send to the other balancers since the last call.
+func (f *Forwarder) Verifications() []Verification {
+	v := f.verifications.unsent
+	f.verifications.unsent = nil
+	return v
+}
+
+// HandleRotation tells the forwarder that the state of a balancer of the zone has changed, so that the
+// routers may send flows to other balancers than before, from now on or soon. The argument lost reports
+// whether a balancer is gone with what it knew.
+func (f *Forwarder) HandleRotation(now time.Time, lost bool) {
+	f.noteMove(now.Add(rotationLag))
+	if lost {
+		f.verifications.lostAt = latest(f.verifications.lostAt, now)
+	}
+}
+
+// Later answers a verification of another balancer. A flow of the same addresses and ports at
+// another upstream is another one.
+func (f *Forwarder) Later(v *Verification) Later {
+	var later Later
+	for i := range v.Flows {
+		p := &v.Flows[i]
+		s := f.flows.peek(newKey(p.Client, p.Service))
+		if s != nil && (s.upstream.Ticket() != p.Ticket || int32(s.acknowledged-p.Acknowledged) > 0) {
+			later |= 1 << i
+		}
+	}
+	return later
+}
+
+// Verified applies the answers of all other balancers to a verification: the flows that none has seen
+// later packets of are reset. The others are left to the balancers that get their packets.
+func (f *Forwarder) Verified(now time.Time, id uint32, later Later) {
+	f.expireVerifications(now)
+	i := slices.IndexFunc(f.verifications.pending, func(p pendingVerification) bool { return p.ID == id })
+	if i < 0 {
+		return
+	}
+	flows := f.verifications.pending[i].Flows
+	f.verifications.pending = slices.Delete(f.verifications.pending, i, i+1)
+	for n := range flows {
+		k := newKey(flows[n].Client, flows[n].Service)
+		s := f.flows.peek(k)
+		// A packet that has come meanwhile was rejected.
+		if s == nil || !s.abandoned || s.seenAt.After(s.abandonedAt) || later&(1<<n) != 0 || !f.healthOf(s.upstream).dead(now) {
+			continue
+		}
+		f.reset(now, k, s)
+	}
+}
+
+// verify starts the verification of abandoned flows, as far as others are not pending. The rest are
+// rejected when their next packets come.
+func (f *Forwarder) verify(now time.Time, abandoned []key) {
+	v := &f.verifications
+	f.expireVerifications(now)
+	for chunk := range slices.Chunk(abandoned, MaxVerified) {
+		if len(v.pending) >= maxVerifications {
+			return
+		}
+		v.lastID++
+		next := Verification{ID: v.lastID}
+		for _, k := range chunk {
+			s := f.flows.peek(k)
+			next.Flows = append(next.Flows, Position{
+				Client:       k.client(),
+				Service:      k.service(),
+				Ticket:       s.upstream.Ticket(),
+				Acknowledged: s.acknowledged,
+			})
+		}
+		v.pending = append(v.pending, pendingVerification{
+			Verification: next,
+			startedAt:    now,
+		})
+		v.unsent = append(v.unsent, next)
+	}
+}
+
+func (f *Forwarder) expireVerifications(now time.Time) {
+	f.verifications.pending = slices.DeleteFunc(f.verifications.pending, func(p pendingVerification) bool {
+		return now.Sub(p.startedAt) >= verificationLifetime
+	})
+}
+
+// noteMove records that flows have moved between balancers at a time.
+func (f *Forwarder) noteMove(at time.Time) {
+	f.verifications.movedAt = latest(f.verifications.movedAt, at)
+}
+
+// moved reports whether a flow's packets may go to another balancer now.
+func (f *Forwarder) moved(s *flowState) bool {
+	return f.verifications.enabled && s.seenAt.Before(f.verifications.movedAt)
+}
+
+// verifiable reports whether the other balancers know where the packets of a flow went since the last
+// one came here.
+func (f *Forwarder) verifiable(s *flowState) bool {
+	return s.seenAt.After(f.verifications.lostAt)
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -46,8 +46,10 @@
 	// it or its last retransmission did; zero if no packet is unanswered.
 	unansweredSince time.Time
 	lastSent        time.Time
-	// abandoned is set once the flow was reset because its upstream is dead.
-	abandoned bool
+	// abandoned is set once the flow was given up because its upstream is dead, at abandonedAt: it
+	// was reset, or is to be rejected at its next packet.
+	abandoned   bool
+	abandonedAt time.Time
 	// retransmissions is the number of retransmissions of the first packet, or of later
 	// unanswered ones.
 	retransmissions int
@@ -118,6 +120,14 @@
 	return s
 }
 
+// peek returns the state of a flow, or nil.
+func (t *flowTable) peek(k key) *flowState {
+	if s := t.current[k]; s != nil {
+		return s
+	}
+	return t.previous[k]
+}
+
 // forEach calls f for each flow in the table.
 func (t *flowTable) forEach(f func(key, *flowState)) {
 	for _, generation := range []map[key]*flowState{t.current, t.previous} {
