fix: let the rest of a zone try when its readers get no answer from the store

What callers would see: a zone that learns of no change for as long as its first four balancers can't read the store, while others of it can: the store may reject some machines, and links differ.

Cause: only the first four balancers of a zone's order read the store, whether they succeed or not. The others replace them when they are silent, not when they fail.

Change: once all four have read for 3 s without an answer that any balancer knows of, the others of the zone read in turns of 3 s, four at a time. A zone of 60 has tried all after 42 s more; seven or eight balancers read at once.

Measured: TestSubstitutesTryInTurns (zones of 1 to 60; the field is new, so it does not compile on the code before). No run of processes was made.

--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -46,11 +46,12 @@
 // the zone loses all of them, those of the rest that notice a loss replace it (lastReader), and
 // peers learn of new revisions from the heartbeats of other zones. A zone without contact to others
 // adds further readers once the store's last answer is older than a watch, its timeout and a
-// heartbeat take together.
+// heartbeat take together. While none of MaxReaders gets an answer, the others of the zone try in turns.
 var readerPolicy = rollout.ReaderPolicy{
 	Readers:      1,
 	MaxReaders:   4,
 	StandbyAfter: 3 * watchWait,
+	Substitutes:  4,
 }
 
 // candidateSilence is how long a candidate for reading the store may be silent before the next one
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"filbertworks.example/filbertworks/member"
@@ -31,6 +32,9 @@
 	// StandbyAfter is the age of the platform's last answer at which one more
 	// member starts to read it; each further one starts that much later.
 	StandbyAfter time.Duration
+	// Substitutes is the number of further members that read the platform at a time, in turns
+	// of StandbyAfter, while all MaxReaders get no answer: others may have a better path to it.
+	Substitutes int
 }
 
 // Candidates returns the members of a zone that may read the platform, those that read it
@@ -66,7 +70,23 @@
 	if !ok || !configured || rank < p.Readers {
 		return true
 	}
-	return rank < p.MaxReaders && age >= p.StandbyAfter*time.Duration(rank-p.Readers+1)
+	if rank >= p.MaxReaders {
+		return p.substitutes(t, zone, rank, age)
+	}
+	return age >= p.StandbyAfter*time.Duration(rank-p.Readers+1)
+}
+
+// substitutes reports whether it is the turn of the member with a rank in its zone to read the platform
+// beside the first MaxReaders.
+func (p ReaderPolicy) substitutes(t *member.Table, zone string, rank int, age time.Duration) bool {
+	turnsBegin := p.StandbyAfter * time.Duration(p.MaxReaders-p.Readers+1)
+	if p.Substitutes == 0 || age < turnsBegin {
+		return false
+	}
+	members := len(t.Ranked(readerKey, zone, math.MaxInt))
+	turns := (members - p.MaxReaders + p.Substitutes - 1) / p.Substitutes
+	turn := int((age - turnsBegin) / p.StandbyAfter)
+	return (rank-p.MaxReaders)/p.Substitutes == turn%max(turns, 1)
 }
 
 // Leads reports whether a member is the reader of the platform whose answers the other
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -155,6 +155,52 @@
 	require.True(t, Reads(table, "lb-0", "zone-0", 0, false), "no configuration")
 }
 
+// TestSubstitutesTryInTurns guards against a zone that learns of nothing since the members which read the
+// platform have no path to it, while others have: all must try, and only a few at a time.
+func TestSubstitutesTryInTurns(t *testing.T) {
+	policy := ReaderPolicy{
+		Readers:      1,
+		MaxReaders:   4,
+		StandbyAfter: 3 * time.Second,
+		Substitutes:  3,
+	}
+	for _, size := range []int{1, 3, 4, 5, 7, 8, 60} {
+		var members []member.Member
+		for i := range size {
+			members = append(members, member.Member{
+				Name:  fmt.Sprintf("lb-%d", i),
+				Zone:  "zone-0",
+				Relay: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400),
+			})
+		}
+		table := member.NewTable(members)
+		readers := func(age time.Duration) []string {
+			var names []string
+			for _, m := range members {
+				if policy.Reads(table, m.Name, m.Zone, age, true) {
+					names = append(names, m.Name)
+				}
+			}
+			return names
+		}
+		require.Len(t, readers(0), policy.Readers)
+		turnsBegin := 4 * policy.StandbyAfter
+		require.Len(t, readers(turnsBegin-1), min(size, policy.MaxReaders))
+		turns := (size - policy.MaxReaders + policy.Substitutes - 1) / policy.Substitutes
+		for _, from := range []time.Duration{turnsBegin, turnsBegin + 10*time.Minute} {
+			tried := make(map[string]bool)
+			for turn := range max(turns, 1) {
+				now := readers(from + time.Duration(turn)*policy.StandbyAfter)
+				require.LessOrEqual(t, len(now), policy.MaxReaders+policy.Substitutes)
+				for _, name := range now {
+					tried[name] = true
+				}
+			}
+			require.Len(t, tried, size, "all have tried")
+		}
+	}
+}
+
 // TestLeads checks that one reader of all zones leads, that another one replaces it when it
 // has failed, and that a zone which sees no other one has a leader.
 func TestLeads(t *testing.T) {
