feat: show what the store sends and what verifications end with

Cause: an operator could not tell a balancer that reads a long response from one that gets none, nor why flows of a dead host were not reset.

Change: metrics store.received (bytes) and verifications by event (started, answered, unanswered); log lines "store: slow response", with call, bytes and time, from one second on, and "flow: verification not answered by all".

--- a/filbertflow/internal/cmd/controller.go
+++ b/filbertflow/internal/cmd/controller.go
@@ -73,6 +73,7 @@
 		NewSource: func(o daemon.SourceObserver) daemon.Source {
 			return platform.NewStore(s.Store.Address,
 				platform.WithCallObserver(o.OnCall),
+				platform.WithResponseObserver(func(r platform.Response) { o.OnResponse(r.Call, r.Size, r.Took) }),
 				platform.WithRejectionObserver(func(r platform.Rejection) { o.OnRejectedEntry(r.Key, r.Err) }))
 		},
 		NewReadinessHandler: platform.NewReadinessHandler,
--- a/filbertflow/internal/daemon/counters.go
+++ b/filbertflow/internal/daemon/counters.go
@@ -30,6 +30,8 @@
 	malformed       atomic.Uint64
 	socketErrors    atomic.Uint64
 	storeErrors     atomic.Uint64
+	storeBytes      atomic.Uint64
+	verifications   [verificationEventCount]atomic.Uint64
 	lists           atomic.Uint64
 	watches         atomic.Uint64
 	peerBytes       atomic.Uint64
@@ -93,6 +95,37 @@
 	return samples
 }
 
+// A verificationEvent is something that happens to a verification of flows that may have moved.
+type verificationEvent uint8
+
+// Events of verifications, counted at the balancer that verifies.
+const (
+	verificationStarted verificationEvent = iota
+	verificationAnswered
+	// verificationUnanswered means that some balancer has not answered in time.
+	verificationUnanswered
+)
+
+// verificationEventCount is the number of events of verifications.
+const verificationEventCount = int(verificationUnanswered) + 1
+
+// String returns the name of e.
+func (e verificationEvent) String() string {
+	return [...]string{"started", "answered", "unanswered"}[e]
+}
+
+// byVerificationEvent returns the number of verifications by event.
+func (c *counters) byVerificationEvent() []sample {
+	samples := make([]sample, 0, verificationEventCount)
+	for i := range c.verifications {
+		samples = append(samples, sample{
+			value: int64(c.verifications[i].Load()),
+			label: verificationEvent(i).String(),
+		})
+	}
+	return samples
+}
+
 // newCounters returns counters of a daemon that starts at now.
 func newCounters(now time.Time) *counters {
 	c := &counters{}
--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -73,6 +73,9 @@
 type SourceObserver struct {
 	// OnCall is called for each call to the source, with the call's name.
 	OnCall func(call string)
+	// OnResponse is called for each response that was read to its end, with the call's name, the
+	// size in bytes, and the time that the response took from its header to its end.
+	OnResponse func(call string, size int, took time.Duration)
 	// OnRejectedEntry is called for each invalid entry.
 	OnRejectedEntry func(key string, err error)
 }
@@ -187,7 +190,8 @@
 		dialPeer:    (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
 	}
 	d.source = o.NewSource(SourceObserver{
-		OnCall: d.counters.countStoreCall,
+		OnCall:     d.counters.countStoreCall,
+		OnResponse: d.recordResponse,
 		OnRejectedEntry: func(key string, err error) {
 			d.log.Warn(time.Now(), "directory: invalid entry", logs.F("key", key), logs.F("error", err.Error()))
 		},
--- a/filbertflow/internal/daemon/metrics.go
+++ b/filbertflow/internal/daemon/metrics.go
@@ -242,6 +242,18 @@
 			description: "Calls of the platform's store that failed.",
 			samples:     singleSample(func() int64 { return int64(c.storeErrors.Load()) }),
 		},
+		{
+			name:        "filbertflow.store.received",
+			description: "Size of the responses of the platform's store that were read to their end.",
+			unit:        "By",
+			samples:     singleSample(func() int64 { return int64(c.storeBytes.Load()) }),
+		},
+		{
+			name:        "filbertflow.verifications",
+			description: "Questions to other balancers whether they have seen later packets of flows of a dead upstream.",
+			attribute:   "event",
+			samples:     c.byVerificationEvent,
+		},
 		{
 			name:        "filbertflow.store.age",
 			description: "Time since the store last answered this balancer or one that told it.",
--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -188,6 +188,18 @@
 	r.relisted = true
 }
 
+// slowResponse is the time that a response of the store takes if its size or the link is worth a line
+// in the log.
+const slowResponse = time.Second
+
+// recordResponse records a response of the store.
+func (d *Daemon) recordResponse(call string, size int, took time.Duration) {
+	d.counters.storeBytes.Add(uint64(size))
+	if took >= slowResponse {
+		d.log.Warn(time.Now(), "store: slow response", logs.F("call", call), logs.F("bytes", size), logs.F("took_ms", took.Milliseconds()))
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/filbertflow/internal/daemon/verifications.go
+++ b/filbertflow/internal/daemon/verifications.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"filbertworks.example/filbertworks/filbertflow/internal/logs"
 	"filbertworks.example/filbertworks/flow"
 	"filbertworks.example/filbertworks/member"
 	"filbertworks.example/filbertworks/wire"
@@ -44,6 +45,7 @@
 		missing: make(map[netip.AddrPort]struct{}, len(peers)),
 	}
 	s.verifications[v.ID] = open
+	s.daemon.counters.verifications[verificationStarted].Add(1)
 	data := wire.AppendVerification(nil, v)
 	for _, a := range relays(peers) {
 		open.missing[a] = struct{}{}
@@ -58,6 +60,7 @@
 		return
 	}
 	delete(s.verifications, id)
+	s.daemon.counters.verifications[verificationAnswered].Add(1)
 	later := open.later
 	s.daemon.queueNotice(func(t *packetHandler) { t.forwarder.Verified(time.Now(), id, later) })
 }
@@ -98,6 +101,8 @@
 	for id, open := range s.verifications {
 		if now.Sub(open.sentAt) >= openVerificationLifetime {
 			delete(s.verifications, id)
+			s.daemon.counters.verifications[verificationUnanswered].Add(1)
+			s.daemon.log.Info(now, "flow: verification not answered by all", logs.F("missing", len(open.missing)))
 		}
 	}
 }
