fix: reset slow flows that can't be verified, and note arrivals only

Cause: of the entries of dead hosts' flows with a request in progress, 228 were reset at once and 422 were doubtful; 154 of these had been seen last before the zone lost a balancer, and 202 of the verifications were not answered by a machine that was cut off or had just been killed. Nothing was reset then. Any news of the zone's members made all entries doubtful for the next 1.5 s.

Change: an entry that can't be verified is reset all the same if the client can't have acknowledged more than the 76,800 bytes that the reset of an open flow allows since its last packet: by twice the most that any client of the same address has acknowledged in a second lately, times the time since and another second. Only the arrival of a balancer makes entries doubtful for 1.5 s, since its flows leave no sign here; a balancer that was suspected counts as lost from when it was last heard.

--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -351,7 +351,7 @@
 func (s *syncer) updateRoles(now time.Time) {
 	if t := s.tracker.Table(); t != s.table {
 		s.logMembers(now, t)
-		s.noteRotation(s.table, t)
+		s.noteRotation(now, s.table, t)
 		s.table = t
 		s.daemon.owners.Store(member.NewTable(t.Members()))
 		s.tracker.SetContacts(s.contacts())
--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filbertworks.example/filbertworks/filbertflow/internal/logs"
+	"filbertworks.example/filbertworks/flow"
 	"filbertworks.example/filbertworks/member"
 )
 
@@ -86,7 +87,7 @@
 	s.vacancies.update(now, s.tracker.Table())
 	moving := s.vacancies.anyWithin(now, handOverPeriod) && len(s.remotePeers()) > 0
 	if moving != s.daemon.flowsMove.Swap(moving) {
-		s.daemon.queueRotation(false)
+		s.daemon.queueRotation(flow.RotationChange{Arrived: true})
 		s.daemon.log.Info(now, "zones: flows may move between zones", logs.F("moving", moving))
 	}
 	if !before && s.vacancies.vacantWithin(now, own, 0) {
@@ -98,7 +99,7 @@
 // stood still or was cut off. All of its zone may have been: its flows were in other zones then.
 func (s *syncer) handleReturn(now time.Time) {
 	s.daemon.log.Info(now, "daemon: returned to rotation")
-	s.daemon.queueRotation(false)
+	s.daemon.queueRotation(flow.RotationChange{Arrived: true})
 	s.vacancies.note(now, s.daemon.options.Zone)
 	s.updateVacancies(now)
 }
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -53,6 +53,8 @@
 	activeRequests  []pendingAnswer
 	toProbe         []*directory.Upstream
 	requestProbedAt time.Time
+	// progress is how fast flows get on.
+	progress progress
 	// verifications hold what is known of flows that may have moved to other balancers.
 	verifications verifications
 	// ignoreUntil is until when packets are ignored as evidence of silence.
@@ -91,6 +93,7 @@
 		asked:       make(map[directory.Ticket]askedDeath),
 		attempts:    newAttempts(),
 		openings:    newOpenings(),
+		progress:    newProgress(),
 	}
 	for _, o := range options {
 		o(f)
@@ -354,7 +357,9 @@
 		if s.opening {
 			h.lateFlows = 0
 			f.attempts.remove(p, s.upstream.Ticket())
+			s.beginProgress(now, p)
 		}
+		f.progress.observe(now, s, p)
 		f.recordProgress(now, h, s, p)
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -456,7 +461,7 @@
 		f.closeFlow(now, s)
 		s.abandoned, s.abandonedAt = true, now
 		switch {
-		case !moved:
+		case !moved, !f.verifiable(s) && f.progress.within(now, k.service(), s, maxSequenceGap):
 			f.reset(now, k, s)
 		case f.verifiable(s):
 			doubtful = append(doubtful, k)
@@ -535,6 +540,7 @@
 		nextSequence: p.Sequence + uint32(p.Length),
 		acknowledged: p.Acknowledged,
 	}
+	s.beginProgress(now, p)
 	f.putFlow(now, k, s)
 	if p.Length > 0 {
 		s.expectAnswer(now, p)
@@ -579,6 +585,7 @@
 	for _, s := range forgotten {
 		f.closeFlow(now, s)
 	}
+	f.progress.rotate()
 	f.sharing.forgetServices(v)
 	f.openings.expire(now)
 	for t, a := range f.asked {
--- a/flow/moved.go
+++ b/flow/moved.go
@@ -16,9 +16,9 @@
 	// verificationLifetime is how long a verification waits for its result: the other balancers
 	// answer after a round trip.
 	verificationLifetime = 500 * time.Millisecond
-	// rotationLag is how long after the news of a balancer's state the routers may still change
-	// their rotation: two readiness probes of 500 ms, and some time for a response.
-	rotationLag = 1500 * time.Millisecond
+	// arrivalLag is how long after the news of another balancer the routers may begin to send flows
+	// to it: it gets ready, and they probe it each 500 ms.
+	arrivalLag = 1500 * time.Millisecond
 )
 
 // WithVerification has the forwarder ask the other balancers before it resets a flow whose packets
@@ -80,14 +80,22 @@
 	return v
 }
 
-// HandleRotation tells the forwarder that the state of a balancer of the zone has changed, so that the
-// routers may send flows to other balancers than before, from now on or soon. The argument lost reports
-// whether a balancer is gone with what it knew.
-func (f *Forwarder) HandleRotation(now time.Time, lost bool) {
-	f.noteMove(now.Add(rotationLag))
-	if lost {
-		f.verifications.lostAt = latest(f.verifications.lostAt, now)
+// A RotationChange is a change of the balancers that the routers send flows to.
+type RotationChange struct {
+	// Arrived tells that a balancer has come, or come back. The routers may send flows to it from now
+	// on or soon, and no packet here shows when they do.
+	Arrived bool
+	// LostAt is when a balancer was last alive that is gone with what it knew; zero if none is.
+	LostAt time.Time
+}
+
+// HandleRotation tells the forwarder that the routers may send flows to other balancers than before.
+func (f *Forwarder) HandleRotation(now time.Time, c RotationChange) {
+	f.noteMove(now)
+	if c.Arrived {
+		f.noteMove(now.Add(arrivalLag))
 	}
+	f.verifications.lostAt = latest(f.verifications.lostAt, c.LostAt)
 }
 
 // Later answers a verification of another balancer. A flow of the same addresses and ports at
@@ -104,11 +112,21 @@
 	return later
 }
 
-// Verified applies the answers of all other balancers to a verification: the flows that none has seen
-// later packets of are reset. The others are left to the balancers that get their packets.
-func (f *Forwarder) Verified(now time.Time, id uint32, later Later) {
+// A Result holds the answers to a verification.
+type Result struct {
+	ID uint32
+	// Later is the union of the answers.
+	Later Later
+	// Complete reports whether all other balancers have answered.
+	Complete bool
+}
+
+// Verified applies the result of a verification: the flows that no other balancer has seen later packets
+// of are reset, unless one has not answered that they may have got on with by more than the reset of an
+// open flow allows. The rest are left to the balancers that get their packets.
+func (f *Forwarder) Verified(now time.Time, r Result) {
 	f.expireVerifications(now)
-	i := slices.IndexFunc(f.verifications.pending, func(p pendingVerification) bool { return p.ID == id })
+	i := slices.IndexFunc(f.verifications.pending, func(p pendingVerification) bool { return p.ID == r.ID })
 	if i < 0 {
 		return
 	}
@@ -118,10 +136,12 @@
 		k := newKey(flows[n].Client, flows[n].Service)
 		s := f.flows.peek(k)
 		// A packet that has come meanwhile was rejected.
-		if s == nil || !s.abandoned || s.seenAt.After(s.abandonedAt) || later&(1<<n) != 0 || !f.healthOf(s.upstream).dead(now) {
+		if s == nil || !s.abandoned || s.seenAt.After(s.abandonedAt) || r.Later&(1<<n) != 0 || !f.healthOf(s.upstream).dead(now) {
 			continue
 		}
-		f.reset(now, k, s)
+		if r.Complete || f.progress.within(now, k.service(), s, maxSequenceGap) {
+			f.reset(now, k, s)
+		}
 	}
 }
 
