fix: don't take requests for late that may have gone on by another balancer

What callers would see: new flows avoid hosts that are no slower than others, after each change of the rotation.

Cause: a request that was not answered here within 300 ms counted as late. After the flow has moved, the client acknowledges the answer through another balancer. Two such requests make the zone take the host for busy for a second.

Change: no report if flows have moved since the flow's last packet, by what is seen here. The host is still probed.

Measured: TestMovedRequestIsNotLate fails on the code before.

--- a/flow/moved.go
+++ b/flow/moved.go
@@ -55,9 +55,11 @@
 // verifications holds what a forwarder knows of flows that may have moved to another balancer.
 type verifications struct {
 	enabled bool
-	// movedAt is when flows last moved between balancers, by what is known here. Entries of the
-	// flow table without a packet since then may be outdated.
-	movedAt time.Time
+	// movedAt is when flows last moved between balancers, by what is known here, and arrivalUntil
+	// until when they may move to a balancer that has come. Entries of the flow table without a
+	// packet since then may be outdated.
+	movedAt      time.Time
+	arrivalUntil time.Time
 	// lostAt is when the zone last lost a balancer. What it knew of flows is lost, so that the
 	// others can't tell whether an entry from before that is outdated.
 	lostAt time.Time
@@ -93,7 +95,7 @@
 func (f *Forwarder) HandleRotation(now time.Time, c RotationChange) {
 	f.noteMove(now)
 	if c.Arrived {
-		f.noteMove(now.Add(arrivalLag))
+		f.verifications.arrivalUntil = now.Add(arrivalLag)
 	}
 	f.verifications.lostAt = latest(f.verifications.lostAt, c.LostAt)
 }
@@ -179,14 +181,15 @@
 	})
 }
 
-// noteMove records that flows have moved between balancers at a time.
-func (f *Forwarder) noteMove(at time.Time) {
-	f.verifications.movedAt = latest(f.verifications.movedAt, at)
+// noteMove records that flows have moved between balancers.
+func (f *Forwarder) noteMove(now time.Time) {
+	f.verifications.movedAt = now
 }
 
 // moved reports whether a flow's packets may go to another balancer now.
 func (f *Forwarder) moved(s *flowState) bool {
-	return f.verifications.enabled && s.seenAt.Before(f.verifications.movedAt)
+	v := &f.verifications
+	return v.enabled && s.seenAt.Before(latest(v.movedAt, v.arrivalUntil))
 }
 
 // verifiable reports whether the other balancers know where the packets of a flow went since the last
--- a/flow/moved_test.go
+++ b/flow/moved_test.go
@@ -170,6 +170,44 @@
 	}
 }
 
+// TestMovedRequestIsNotLate guards against new flows that avoid all hosts after each change of the rotation:
+// requests whose answers were acknowledged through other balancers counted as late.
+func TestMovedRequestIsNotLate(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		moved bool
+		late  int
+	}{
+		{
+			name: "no change of the rotation",
+			late: 1,
+		},
+		{
+			name:  "a change of the rotation",
+			moved: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newMovedFixture(t)
+			c, other := f.client(boardAddress).establish(), f.client(boardAddress).establish()
+			other.ack++
+			other.acknowledge()
+			c.request()
+			f.advance(lateRequestAfter / 2)
+			if test.moved {
+				f.flowOf(c.host).acknowledge()
+			}
+			f.advance(lateRequestAfter)
+			f.first.Advance(f.now, f.view())
+			late := 0
+			for _, r := range f.first.Reports() {
+				late += r.LateRequests
+			}
+			require.Equal(t, test.late, late)
+		})
+	}
+}
+
 // TestVerificationThatIsOver checks that an answer which comes late, or after the host has shown that it
 // lives, or after a packet of the flow, leads to no reset.
 func TestVerificationThatIsOver(t *testing.T) {
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -114,9 +114,9 @@
 	if e.flow.closed || !e.flow.unansweredSince.Equal(e.sentAt) {
 		return
 	}
-	if e.flow.retransmissions == 0 {
+	if e.flow.retransmissions == 0 && !e.flow.seenAt.Before(f.verifications.movedAt) {
 		// The host has acknowledged the request, since the client has not
-		// retransmitted it.
+		// retransmitted it, nor sent its acknowledgment of the answer to another balancer.
 		f.reports = append(f.reports, Report{
 			Ticket:       e.flow.upstream.Ticket(),
 			LateRequests: 1,
