fix: verify flows from another balancer that have been quiet for a second

Found by reading.

Cause: a balancer that stands still for a moment is taken out of rotation and comes back without any news of its state. Where the routers move only its flows, the balancers that had them meanwhile see no sign that the flows have gone back. The same goes for a balancer that gets ready more than 1.5 s after it was first heard.

Change: a flow that another balancer opened is verified before its reset once it has been quiet here for a second. A balancer that has finished joining counts as arrived once more.

Measured: the new case of TestMovedFlowIsLeftToItsBalancer and that of TestRotationChange fail without the change.

--- a/filbertflow/internal/daemon/verifications.go
+++ b/filbertflow/internal/daemon/verifications.go
@@ -132,7 +132,8 @@
 	for incarnation, m := range next {
 		if previous, known := old[incarnation]; !known || previous != m {
 			ok = true
-			c.Arrived = c.Arrived || m.inRotation() && (!known || !previous.inRotation())
+			// One that has just started may still have been getting ready.
+			c.Arrived = c.Arrived || m.inRotation() && (!known || !previous.inRotation() || previous.joining)
 		}
 	}
 	for incarnation, m := range old {
--- a/filbertflow/internal/daemon/verifications_test.go
+++ b/filbertflow/internal/daemon/verifications_test.go
@@ -40,6 +40,12 @@
 				Incarnation: 4,
 				Suspected:   true,
 			},
+			{
+				Name:        "lb-6",
+				Zone:        "a",
+				Incarnation: 6,
+				Joining:     true,
+			},
 		}
 	}
 	for _, test := range []struct {
@@ -95,6 +101,14 @@
 			},
 			want: flow.RotationChange{Arrived: true},
 		},
+		{
+			name: "a balancer has started long enough ago",
+			change: func(m []member.Member) []member.Member {
+				m[4].Joining = false
+				return m
+			},
+			want: flow.RotationChange{Arrived: true},
+		},
 		{
 			name: "a suspected balancer is dead",
 			change: func(m []member.Member) []member.Member {
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -450,7 +450,7 @@
 	var doubtful []key
 	for _, k := range lost {
 		s := f.flows.find(k)
-		moved := f.moved(s)
+		moved := f.moved(now, s)
 		if moved && retransmissions > 0 {
 			if now.Sub(s.seenAt) >= maxRetransmitInterval {
 				// The client does not retransmit here any more.
@@ -536,6 +536,7 @@
 func (f *Forwarder) adopt(now time.Time, k key, u *directory.Upstream, p *Packet) *flowState {
 	s := &flowState{
 		upstream:     u,
+		adopted:      true,
 		seenAt:       now,
 		nextSequence: p.Sequence + uint32(p.Length),
 		acknowledged: p.Acknowledged,
--- a/flow/moved.go
+++ b/flow/moved.go
@@ -19,6 +19,9 @@
 	// arrivalLag is how long after the news of another balancer the routers may begin to send flows
 	// to it: it gets ready, and they probe it each 500 ms.
 	arrivalLag = 1500 * time.Millisecond
+	// maxAdoptedQuiet is how long a flow that came from another balancer may be quiet until it may
+	// have gone back to that one: a balancer that stood still for a moment returns without a sign.
+	maxAdoptedQuiet = time.Second
 )
 
 // WithVerification has the forwarder ask the other balancers before it resets a flow whose packets
@@ -187,9 +190,10 @@
 }
 
 // moved reports whether a flow's packets may go to another balancer now.
-func (f *Forwarder) moved(s *flowState) bool {
+func (f *Forwarder) moved(now time.Time, s *flowState) bool {
 	v := &f.verifications
-	return v.enabled && s.seenAt.Before(latest(v.movedAt, v.arrivalUntil))
+	left := s.adopted && now.Sub(s.seenAt) >= maxAdoptedQuiet
+	return v.enabled && (left || s.seenAt.Before(latest(v.movedAt, v.arrivalUntil)))
 }
 
 // verifiable reports whether the other balancers know where the packets of a flow went since the last
--- a/flow/moved_test.go
+++ b/flow/moved_test.go
@@ -68,6 +68,8 @@
 		// notice is how the first balancer learns that flows move. The client other has sent
 		// its packets to it until then.
 		notice func(f *movedFixture, other *client)
+		// adopted is whether the flow was opened at the second balancer.
+		adopted bool
 	}{
 		{
 			name: "a flow of another balancer comes",
@@ -82,6 +84,13 @@
 				other.acknowledge()
 			},
 		},
+		{
+			name: "the flow has come from the second balancer, and nothing shows that it goes back",
+			notice: func(f *movedFixture, _ *client) {
+				f.advance(maxAdoptedQuiet)
+			},
+			adopted: true,
+		},
 		{
 			name: "a balancer comes",
 			notice: func(f *movedFixture, _ *client) {
@@ -91,7 +100,14 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newMovedFixture(t)
-			moved, other := f.client(boardAddress).establish(), f.client(boardAddress).establish()
+			moved := f.client(boardAddress)
+			if test.adopted {
+				f.forwarder = f.second
+			}
+			moved.establish()
+			f.forwarder = f.first
+			moved.acknowledgeAnswer()
+			other := f.client(boardAddress).establish()
 			f.download(f.second, moved, 190_000)
 			test.notice(f, other)
 			f.advance(arrivalLag)
--- a/flow/table.go
+++ b/flow/table.go
@@ -31,6 +31,8 @@
 	startsRequest bool
 	// seenAt is when the client's last packet came here.
 	seenAt time.Time
+	// adopted is set if another balancer opened the flow.
+	adopted bool
 	// answered is set once the client has acknowledged content of the upstream.
 	answered bool
 	// firstSequence is the sequence number of the flow's first packet, if this
