perf: verify the flows of hosts that die together in one datagram

Cause: each death of a host led to a datagram to all balancers of the zone, from each balancer with doubtful flows of it: some 3,500 in a zone of 60, where 120 hosts may be replaced within seconds.

Change: verifications start at most each 100 ms, for all hosts that died meanwhile. The first one starts at once.

Measured: TestVerificationsOfSeveralHosts; all tests of flow pass with the race detector.

--- a/flow/death.go
+++ b/flow/death.go
@@ -107,7 +107,7 @@
 	f.ignoreUntil = now.Add(resumeGracePeriod)
 	clear(f.asked)
 	f.confirmedDeaths = nil
-	f.verifications.pending, f.verifications.unsent = nil, nil
+	f.verifications.pending, f.verifications.unsent, f.verifications.doubtful = nil, nil, nil
 	f.pendingOpenings, f.lateOpenings, f.pendingRequests = nil, nil, nil
 	f.dropHeld()
 	for _, h := range f.health {
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -106,6 +106,7 @@
 // those that were held.
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
 	f.applyDeaths(now, v)
+	f.verify(now)
 	f.checkPending(now)
 	f.expireRequests(now)
 	f.checkLookups(now, v)
@@ -447,7 +448,6 @@
 		}
 	})
 	slices.SortFunc(lost, func(a, b key) int { return bytes.Compare(a[:], b[:]) })
-	var doubtful []key
 	for _, k := range lost {
 		s := f.flows.find(k)
 		moved := f.moved(now, s)
@@ -464,10 +464,9 @@
 		case !moved, !f.verifiable(s) && f.progress.within(now, k.service(), s, maxSequenceGap):
 			f.reset(now, k, s)
 		case f.verifiable(s):
-			doubtful = append(doubtful, k)
+			f.verifications.doubtful = append(f.verifications.doubtful, k)
 		}
 	}
-	f.verify(now, doubtful)
 }
 
 // reset resets an open flow.
--- a/flow/moved.go
+++ b/flow/moved.go
@@ -16,6 +16,9 @@
 	// verificationLifetime is how long a verification waits for its result: the other balancers
 	// answer after a round trip.
 	verificationLifetime = 500 * time.Millisecond
+	// verificationInterval is the minimum time between two starts of verifications: many hosts
+	// may die together.
+	verificationInterval = 100 * time.Millisecond
 	// arrivalLag is how long after the news of another balancer the routers may begin to send flows
 	// to it: it gets ready, and they probe it each 500 ms.
 	arrivalLag = 1500 * time.Millisecond
@@ -67,6 +70,10 @@
 	// others can't tell whether an entry from before that is outdated.
 	lostAt time.Time
 	lastID uint32
+	// doubtful are the abandoned flows to verify, and startedAt is when verifications were last
+	// started.
+	doubtful  []key
+	startedAt time.Time
 	// pending are the verifications that wait for their results, in order, and unsent those
 	// that are to be sent.
 	pending []pendingVerification
@@ -150,12 +157,17 @@
 	}
 }
 
-// verify starts the verification of abandoned flows, as far as others are not pending. The rest are
-// rejected when their next packets come.
-func (f *Forwarder) verify(now time.Time, abandoned []key) {
+// verify starts the verification of the doubtful flows, if that is due and as far as others are not
+// pending. The rest are rejected when their next packets come.
+func (f *Forwarder) verify(now time.Time) {
 	v := &f.verifications
+	if len(v.doubtful) == 0 || now.Before(f.nextVerification()) {
+		return
+	}
+	doubtful := v.doubtful
+	v.doubtful, v.startedAt = nil, now
 	f.expireVerifications(now)
-	for chunk := range slices.Chunk(abandoned, MaxVerified) {
+	for chunk := range slices.Chunk(doubtful, MaxVerified) {
 		if len(v.pending) >= maxVerifications {
 			return
 		}
@@ -163,6 +175,9 @@
 		next := Verification{ID: v.lastID}
 		for _, k := range chunk {
 			s := f.flows.peek(k)
+			if s == nil {
+				continue
+			}
 			next.Flows = append(next.Flows, Position{
 				Client:       k.client(),
 				Service:      k.service(),
@@ -170,6 +185,9 @@
 				Acknowledged: s.acknowledged,
 			})
 		}
+		if len(next.Flows) == 0 {
+			continue
+		}
 		v.pending = append(v.pending, pendingVerification{
 			Verification: next,
 			startedAt:    now,
@@ -178,6 +196,14 @@
 	}
 }
 
+// nextVerification returns when the verification of the doubtful flows is due; zero if there are none.
+func (f *Forwarder) nextVerification() time.Time {
+	if len(f.verifications.doubtful) == 0 {
+		return time.Time{}
+	}
+	return f.verifications.startedAt.Add(verificationInterval)
+}
+
 func (f *Forwarder) expireVerifications(now time.Time) {
 	f.verifications.pending = slices.DeleteFunc(f.verifications.pending, func(p pendingVerification) bool {
 		return now.Sub(p.startedAt) >= verificationLifetime
--- a/flow/moved_test.go
+++ b/flow/moved_test.go
@@ -293,6 +293,35 @@
 	require.Len(t, f.first.Resets(), 1)
 }
 
+// TestVerificationsOfSeveralHosts checks that the flows of hosts that die soon after one another are
+// verified together.
+func TestVerificationsOfSeveralHosts(t *testing.T) {
+	f := newMovedFixture(t)
+	var clients []*client
+	for _, id := range []string{"a0", "b0"} {
+		for range 2 {
+			c := f.flowOf(f.upstream(id))
+			c.request()
+			clients = append(clients, c)
+		}
+	}
+	f.first.HandleRotation(f.now, RotationChange{Arrived: true})
+	f.advance(verificationInterval)
+	f.confirmDeath(f.first, clients[0], ScopeAll)
+	require.Len(t, f.first.Verifications(), 1, "the first at once")
+	for _, c := range clients[1:] {
+		f.advance(verificationInterval / 10)
+		f.confirmDeath(f.first, c, ScopeAll)
+	}
+	require.Empty(t, f.first.Verifications())
+	require.False(t, f.first.NextTimer().After(f.now.Add(verificationInterval)))
+	f.advance(verificationInterval)
+	f.first.Advance(f.now, f.view())
+	v := f.first.Verifications()
+	require.Len(t, v, 1)
+	require.Len(t, v[0].Flows, 2)
+}
+
 // TestVerificationsAreBounded checks the number of verifications after the death of a host with many
 // flows.
 func TestVerificationsAreBounded(t *testing.T) {
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -58,8 +58,8 @@
 	return d
 }
 
-// NextTimer returns the next deadline of a pending answer or a held packet, at which Advance
-// is to be called; zero if there is none.
+// NextTimer returns the next deadline of a pending answer, a held packet or a verification, at
+// which Advance is to be called; zero if there is none.
 func (f *Forwarder) NextTimer() time.Time {
 	var next time.Time
 	for _, waiting := range [][]pendingAnswer{f.pendingOpenings, f.lateOpenings, f.pendingRequests} {
@@ -70,8 +70,10 @@
 	if w := f.openings.waiting; len(w) > 0 && (next.IsZero() || w[0].deadline.Before(next)) {
 		next = w[0].deadline
 	}
-	if a := f.sharing.nextAdmission(); !a.IsZero() && (next.IsZero() || a.Before(next)) {
-		next = a
+	for _, at := range []time.Time{f.sharing.nextAdmission(), f.nextVerification()} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
 	return next
 }
