refactor: name the throughput of flows apart from the progress of transfers

Cause: the type progress of package flow and the package internal/progress have nothing in common.

Change: throughput in package flow; clearer names in the call of a peer; the interface of sources says that a listing may go on.

--- a/filbertflow/internal/daemon/daemon.go
+++ b/filbertflow/internal/daemon/daemon.go
@@ -59,7 +59,8 @@
 
 // A Source provides the changes of the directory, such as the platform's store.
 type Source interface {
-	// List returns all entries; a stale listing may be seconds old.
+	// List returns all entries; a stale listing may be seconds old. A listing that has failed may
+	// go on where it failed at the next call.
 	List(ctx context.Context, stale bool) (*directory.Delta, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
 	// empty delta after wait. If the delta is of another era than the revision, it
--- a/filbertflow/internal/daemon/peers.go
+++ b/filbertflow/internal/daemon/peers.go
@@ -184,9 +184,9 @@
 	defer cancel(nil)
 	guard := progress.NewGuard(pullTimeout, pullTimeout, minPullProgress, func() { cancel(errPeerStopped) })
 	defer guard.Stop()
-	dialing, dialed := context.WithTimeout(ctx, timeout)
-	defer dialed()
-	c, err := d.dialPeer(dialing, "tcp4", peer.String())
+	dialCtx, cancelDial := context.WithTimeout(ctx, timeout)
+	defer cancelDial()
+	c, err := d.dialPeer(dialCtx, "tcp4", peer.String())
 	if err != nil {
 		return eris.Wrap(err, "dial peer")
 	}
--- a/filbertflow/internal/daemon/reader.go
+++ b/filbertflow/internal/daemon/reader.go
@@ -188,8 +188,7 @@
 	r.relisted = true
 }
 
-// slowResponse is the time that a response of the store takes if its size or the link is worth a line
-// in the log.
+// slowResponse is the time from which on a response of the store is logged.
 const slowResponse = time.Second
 
 // recordResponse records a response of the store.
--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -53,8 +53,8 @@
 	activeRequests  []pendingAnswer
 	toProbe         []*directory.Upstream
 	requestProbedAt time.Time
-	// progress is how fast flows get on.
-	progress progress
+	// throughput is how fast flows get on.
+	throughput throughput
 	// verifications hold what is known of flows that may have moved to other balancers.
 	verifications verifications
 	// ignoreUntil is until when packets are ignored as evidence of silence.
@@ -93,7 +93,7 @@
 		asked:       make(map[directory.Ticket]askedDeath),
 		attempts:    newAttempts(),
 		openings:    newOpenings(),
-		progress:    newProgress(),
+		throughput:  newThroughput(),
 	}
 	for _, o := range options {
 		o(f)
@@ -358,9 +358,9 @@
 		if s.opening {
 			h.lateFlows = 0
 			f.attempts.remove(p, s.upstream.Ticket())
-			s.beginProgress(now, p)
+			s.beginMeasurement(now, p)
 		}
-		f.progress.observe(now, s, p)
+		f.throughput.observe(now, s, p)
 		f.recordProgress(now, h, s, p)
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -461,7 +461,7 @@
 		f.closeFlow(now, s)
 		s.abandoned, s.abandonedAt = true, now
 		switch {
-		case !moved, !f.verifiable(s) && f.progress.within(now, k.service(), s, maxSequenceGap):
+		case !moved, !f.verifiable(s) && f.throughput.within(now, k.service(), s, maxSequenceGap):
 			f.reset(now, k, s)
 		case f.verifiable(s):
 			f.verifications.doubtful = append(f.verifications.doubtful, k)
@@ -540,7 +540,7 @@
 		nextSequence: p.Sequence + uint32(p.Length),
 		acknowledged: p.Acknowledged,
 	}
-	s.beginProgress(now, p)
+	s.beginMeasurement(now, p)
 	f.putFlow(now, k, s)
 	if p.Length > 0 {
 		s.expectAnswer(now, p)
@@ -585,7 +585,7 @@
 	for _, s := range forgotten {
 		f.closeFlow(now, s)
 	}
-	f.progress.rotate()
+	f.throughput.rotate()
 	f.sharing.forgetServices(v)
 	f.openings.expire(now)
 	for t, a := range f.asked {
--- a/flow/moved.go
+++ b/flow/moved.go
@@ -151,7 +151,7 @@
 		if s == nil || !s.abandoned || s.seenAt.After(s.abandonedAt) || r.Later&(1<<n) != 0 || !f.healthOf(s.upstream).dead(now) {
 			continue
 		}
-		if r.Complete || f.progress.within(now, k.service(), s, maxSequenceGap) {
+		if r.Complete || f.throughput.within(now, k.service(), s, maxSequenceGap) {
 			f.reset(now, k, s)
 		}
 	}
--- a/flow/table.go
+++ b/flow/table.go
@@ -42,10 +42,10 @@
 	nextSequence uint32
 	// acknowledged is the highest sequence number that the client expects next.
 	acknowledged uint32
-	// progressAt is when the current period of the flow's progress began, and progressFrom what
-	// the client had acknowledged then.
-	progressAt   time.Time
-	progressFrom uint32
+	// measuredAt is when the current period of the measurement of the flow's throughput began, and
+	// measuredFrom what the client had acknowledged then.
+	measuredAt   time.Time
+	measuredFrom uint32
 	// unansweredSequence is the sequence number of the oldest unanswered packet.
 	unansweredSequence uint32
 	// unansweredSince is when the oldest unanswered packet came, and lastSent is when
