fix: take a large zone that is lost at once for vacant

After all balancers of a zone with more than three of them had lost power, copies of first packets that had been opened in other zones meanwhile were looked up in their own zone only, so that a second host could get them.

Cause: a zone counted as vacant only if all of its members were known to be out of rotation. Other zones hear just the zone's gateways, and a balancer that starts gets records of its peers from before the loss, in which they are alive.

In other zones the gateways now stand for their zone, and a balancer that has just started takes its own zone for vacant until it has heard another one of it that is in rotation. One that starts in a zone that was never lost asks all zones for some 5 s too.

TestGatewaysStandForOtherZones and TestStartInAZone fail in one case each without the change; their other cases bound it. newVacancies takes the own zone, which TestVacantZones now gives it; its checks are the same.

--- a/filbertflow/internal/daemon/syncer.go
+++ b/filbertflow/internal/daemon/syncer.go
@@ -121,7 +121,7 @@
 			Admin:       o.Readiness,
 		}, rand.New(rand.NewPCG(d.incarnation, uint64(now.UnixNano())))),
 		isReader:      true,
-		vacancies:     newVacancies(),
+		vacancies:     newVacancies(o.Zone),
 		verifications: make(map[uint32]*openVerification),
 	}
 	s.loads = newLoadExchange(s)
--- a/filbertflow/internal/daemon/vacancy.go
+++ b/filbertflow/internal/daemon/vacancy.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"filbertworks.example/filbertworks/filbertflow/internal/logs"
@@ -17,6 +18,8 @@
 // a zone to balancers of other zones, and back once it has balancers again. Only the syncer's
 // goroutine uses it.
 type vacancies struct {
+	// own is the zone of this balancer.
+	own string
 	// table is the membership that was looked at last, and vacant the zones that are vacant
 	// by it.
 	table  *member.Table
@@ -25,38 +28,50 @@
 	lastVacant map[string]time.Time
 }
 
-func newVacancies() vacancies {
+func newVacancies(own string) vacancies {
 	return vacancies{
+		own:        own,
 		lastVacant: make(map[string]time.Time),
 	}
 }
 
-// update records the zones that have no balancer in rotation now. One that leaves, is suspected or
-// has just started may be out of rotation.
+// update records the zones that have no balancer in rotation now.
 func (v *vacancies) update(now time.Time, t *member.Table) {
 	if t != v.table {
-		v.table, v.vacant = t, vacantZones(t)
+		v.table, v.vacant = t, vacantZones(t, v.own)
 	}
 	for _, zone := range v.vacant {
 		v.note(now, zone)
 	}
 }
 
-// vacantZones returns the zones without a balancer in rotation.
-func vacantZones(t *member.Table) []string {
-	inRotation := make(map[string]bool)
-	for _, m := range t.Members() {
-		inRotation[m.Zone] = inRotation[m.Zone] || m.State == member.Alive && !m.Suspected && !m.Joining
-	}
+// vacantZones returns the zones without a balancer in rotation, as seen from a zone. Other zones are
+// heard by their gateways only: if a large one is lost at once, its other members seem to live.
+func vacantZones(t *member.Table, own string) []string {
 	var vacant []string
-	for zone, ok := range inRotation {
-		if !ok {
-			vacant = append(vacant, zone)
+	known := make(map[string]bool)
+	for _, m := range t.Members() {
+		if known[m.Zone] {
+			continue
+		}
+		known[m.Zone] = true
+		n := gatewaysPerZone
+		if m.Zone == own {
+			n = len(t.Members())
+		}
+		if !slices.ContainsFunc(t.Gateways(m.Zone, n), isInRotation) {
+			vacant = append(vacant, m.Zone)
 		}
 	}
 	return vacant
 }
 
+// isInRotation reports whether routers send flows to a balancer, as far as it is known. One that
+// leaves, is suspected or has just started may be out of rotation.
+func isInRotation(m member.Member) bool {
+	return m.State == member.Alive && !m.Suspected && !m.Joining
+}
+
 // note records that a zone was vacant until now.
 func (v *vacancies) note(now time.Time, zone string) {
 	v.lastVacant[zone] = now
@@ -85,6 +100,9 @@
 	own := s.daemon.options.Zone
 	before := s.vacancies.vacantWithin(now, own, handOverPeriod)
 	s.vacancies.update(now, s.tracker.Table())
+	if s.joins() && !s.hearsZone() {
+		s.vacancies.note(now, own)
+	}
 	moving := s.vacancies.anyWithin(now, handOverPeriod) && len(s.remotePeers()) > 0
 	if moving != s.daemon.flowsMove.Swap(moving) {
 		s.daemon.queueRotation(flow.RotationChange{Arrived: true})
@@ -95,6 +113,18 @@
 	}
 }
 
+// joins reports whether this balancer has just started.
+func (s *syncer) joins() bool {
+	self, ok := s.tracker.Table().ByIncarnation(s.daemon.incarnation)
+	return ok && self.Joining
+}
+
+// hearsZone reports whether another balancer of the own zone that is in rotation has been heard itself.
+// The records that others have of it may be from before the zone was vacant.
+func (s *syncer) hearsZone() bool {
+	return slices.ContainsFunc(s.zonePeers(), func(m member.Member) bool { return isInRotation(m) && !m.LastHeard.IsZero() })
+}
+
 // handleReturn handles that routers use this balancer again after they did not for a while, since it
 // stood still or was cut off. All of its zone may have been: its flows were in other zones then.
 func (s *syncer) handleReturn(now time.Time) {
--- a/filbertflow/internal/daemon/vacancy_test.go
+++ b/filbertflow/internal/daemon/vacancy_test.go
@@ -202,7 +202,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			v := newVacancies()
+			v := newVacancies("a")
 			v.update(now, member.NewTable([]member.Member{alive, test.member}))
 			require.False(t, v.vacantWithin(now, "a", time.Hour))
 			require.Equal(t, test.vacant, v.vacantWithin(now, "b", 0))
@@ -337,3 +337,102 @@
 		})
 	}
 }
+
+// TestGatewaysStandForOtherZones guards against the loss of a large zone that other zones don't notice,
+// and against lookups in all zones for the loss of a part of one.
+func TestGatewaysStandForOtherZones(t *testing.T) {
+	const size = 6
+	for _, test := range []struct {
+		name string
+		own  string
+		// from and to are the positions of the suspected balancers of zone b on its hash ring.
+		from, to int
+		vacant   bool
+	}{
+		{
+			name: "some gateways of another zone",
+			own:  "a",
+			to:   gatewaysPerZone - 1,
+		},
+		{
+			name:   "all gateways of another zone",
+			own:    "a",
+			to:     gatewaysPerZone,
+			vacant: true,
+		},
+		{
+			name: "all others of another zone",
+			own:  "a",
+			from: gatewaysPerZone,
+			to:   size,
+		},
+		{
+			name: "all gateways of the own zone",
+			own:  "b",
+			to:   gatewaysPerZone,
+		},
+		{
+			name:   "all of the own zone",
+			own:    "b",
+			to:     size,
+			vacant: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			members := make([]member.Member, size)
+			for i := range members {
+				members[i] = member.Member{
+					Name:        fmt.Sprintf("lb-%d", i),
+					Zone:        "b",
+					Incarnation: uint64(i + 1),
+				}
+			}
+			slices.SortFunc(members, func(x, y member.Member) int {
+				return cmp.Compare(rendezvous.Mix(x.Incarnation), rendezvous.Mix(y.Incarnation))
+			})
+			for i := test.from; i < test.to; i++ {
+				members[i].Suspected = true
+			}
+			v, now := newVacancies(test.own), time.Now()
+			v.update(now, member.NewTable(members))
+			require.Equal(t, test.vacant, v.vacantWithin(now, "b", 0))
+		})
+	}
+}
+
+// TestStartInAZone guards against lookups in all zones after each start of a balancer. A balancer that
+// has just started takes its zone for vacant only until it hears one that is in rotation.
+func TestStartInAZone(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// joining is whether the only balancer that was heard has just started, too.
+		joining bool
+		vacant  bool
+	}{
+		{
+			name: "that is in rotation",
+		},
+		{
+			name:    "all of which has started",
+			joining: true,
+			vacant:  true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, now := newDaemon(t), time.Now()
+			own := d.options.Zone
+			d.syncer.tracker.Merge(now, &member.Record{
+				Name:        "lb-2",
+				Zone:        own,
+				Incarnation: 2,
+			})
+			addMember(t, d, newEndpoint(t), &member.Record{
+				Zone:        own,
+				Incarnation: 3,
+				Joining:     test.joining,
+			})
+			d.syncer.updateVacancies(now)
+			require.Equal(t, test.vacant, d.syncer.vacancies.vacantWithin(now, own, 0))
+		})
+	}
+}
--- a/member/gateway_test.go
+++ b/member/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,21 @@
 		})
 	}
 }
+
+// TestTableHasTheGatewaysOfTheTracker guards against members that take others for gateways than those
+// that act as such.
+func TestTableHasTheGatewaysOfTheTracker(t *testing.T) {
+	const gateways = 3
+	f := newFleet(1, 2, 20)
+	for _, p := range f.processes {
+		p.tracker.SetGateways(gateways)
+	}
+	require.Less(t, f.runUntil(convergeTarget, f.converged), convergeTarget)
+	f.processes[0].down = true
+	require.Less(t, f.runUntil(deathTarget+propagationTarget, f.converged), deathTarget+propagationTarget)
+	view := f.processes[1].tracker.Table()
+	for _, p := range f.processes[1:] {
+		isSelf := func(m Member) bool { return m.Incarnation == p.self.Incarnation }
+		require.Equal(t, p.tracker.gateway, slices.ContainsFunc(view.Gateways(p.self.Zone, gateways), isSelf))
+	}
+}
--- a/member/table.go
+++ b/member/table.go
@@ -173,6 +173,19 @@
 	return ranked[:min(n, len(ranked))]
 }
 
+// Gateways returns the first n members of a zone that become gateways, in that order: the living ones
+// by their positions on the zone's hash ring.
+func (t *Table) Gateways(zone string, n int) []Member {
+	var gateways []Member
+	for i := range t.members {
+		if m := &t.members[i]; m.State != Dead && m.Zone == zone {
+			gateways = append(gateways, *m)
+		}
+	}
+	slices.SortFunc(gateways, func(a, b Member) int { return cmp.Compare(ringScore(a.Incarnation), ringScore(b.Incarnation)) })
+	return gateways[:min(n, len(gateways))]
+}
+
 // Replace sets the members of t.
 func (t *Table) Replace(members []Member) {
 	t.members = slices.Clone(members)
@@ -238,6 +251,11 @@
 	return m
 }
 
+// ringScore returns the position of a member on its zone's hash ring.
+func ringScore(incarnation uint64) uint64 {
+	return rendezvous.Mix(incarnation)
+}
+
 func nameHash(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
--- a/member/tick.go
+++ b/member/tick.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"filbertworks.example/filbertworks/rendezvous"
 )
 
 // Tick updates the members' states and returns the messages to be sent at now.
@@ -113,7 +111,7 @@
 	rings := make(map[string][]ringNode)
 	add := func(r *Record) {
 		rings[r.Zone] = append(rings[r.Zone], ringNode{
-			score:       rendezvous.Mix(r.Incarnation),
+			score:       ringScore(r.Incarnation),
 			incarnation: r.Incarnation,
 			relay:       r.Relay,
 		})
@@ -144,7 +142,7 @@
 		case !gateway:
 			continue
 		}
-		from, _ := slices.BinarySearchFunc(ring, rendezvous.Mix(r.Incarnation), func(p ringNode, s uint64) int {
+		from, _ := slices.BinarySearchFunc(ring, ringScore(r.Incarnation), func(p ringNode, s uint64) int {
 			return cmp.Compare(p.score, s)
 		})
 		for i := 0; i < len(ring) && n > 0; i++ {
