fix: count flows that have moved at one balancer only

A host that started within 40 s after a change of the routers' rotation got nearly all new flows of each balancer until it had as many as the others seemed to have.

Hosts that were there before the change have some twice their flows in the count, and later ones don't.

Entries from before a move that have had no packet for 2 s leave the load, and return with their next packet.

TestMovedFlowsAreNoLoad: of 30 new flows after 40 had moved, a new third host got 24 before and gets 10 now.

--- a/flow/forwarder.go
+++ b/flow/forwarder.go
@@ -107,6 +107,7 @@
 func (f *Forwarder) Advance(now time.Time, v *directory.View) {
 	f.applyDeaths(now, v)
 	f.verify(now)
+	f.uncountMoved(now)
 	f.checkPending(now)
 	f.expireRequests(now)
 	f.checkLookups(now, v)
@@ -343,6 +344,7 @@
 // observe updates a known flow and its upstream's health from a packet.
 func (f *Forwarder) observe(now time.Time, s *flowState, p *Packet) {
 	s.seenAt = now
+	f.setAway(now, s, false)
 	h := f.healthOf(s.upstream)
 	if !s.opening && p.Flags.Has(FlagAcknowledge) && int32(p.Acknowledged-s.acknowledged) > maxInFlight {
 		// The client has acknowledged more than an upstream has in flight: packets of it
@@ -568,9 +570,7 @@
 	if s.closed {
 		return
 	}
-	h := f.healthOf(s.upstream)
-	f.setRequestActive(now, h, s, false)
-	h.load.Flows--
+	f.setAway(now, s, true)
 	s.closed = true
 }
 
--- a/flow/moved.go
+++ b/flow/moved.go
@@ -25,6 +25,8 @@
 	// maxAdoptedQuiet is how long a flow that came from another balancer may be quiet until it may
 	// have gone back to that one: a balancer that stood still for a moment returns without a sign.
 	maxAdoptedQuiet = time.Second
+	// uncountInterval is the time between two walks over all flows for those that have moved.
+	uncountInterval = time.Second
 )
 
 // WithVerification has the forwarder ask the other balancers before it resets a flow whose packets
@@ -66,6 +68,8 @@
 	// packet since then may be outdated.
 	movedAt      time.Time
 	arrivalUntil time.Time
+	// uncountedAt is when the flows that have moved were last taken out of the load.
+	uncountedAt time.Time
 	// lostAt is when the zone last lost a balancer. What it knew of flows is lost, so that the
 	// others can't tell whether an entry from before that is outdated.
 	lostAt time.Time
@@ -222,6 +226,38 @@
 	return v.enabled && (left || s.seenAt.Before(latest(v.movedAt, v.arrivalUntil)))
 }
 
+// uncountMoved takes the flows that have probably moved to another balancer out of the load of their
+// upstreams, since they count there. Upstreams that have come since the move have no such flows, and
+// would get more than their share of new ones.
+func (f *Forwarder) uncountMoved(now time.Time) {
+	v := &f.verifications
+	movedAt := latest(v.movedAt, v.arrivalUntil)
+	if !v.enabled || now.Sub(v.uncountedAt) < uncountInterval || v.uncountedAt.Sub(movedAt) >= maxRetransmitInterval {
+		return
+	}
+	v.uncountedAt = now
+	f.flows.forEach(func(_ key, s *flowState) {
+		if s.seenAt.Before(movedAt) && now.Sub(s.seenAt) >= maxRetransmitInterval {
+			f.setAway(now, s, true)
+		}
+	})
+}
+
+// setAway sets whether a flow does not count in its upstream's load.
+func (f *Forwarder) setAway(now time.Time, s *flowState, away bool) {
+	if s.away == away || s.closed {
+		return
+	}
+	h := f.healthOf(s.upstream)
+	if away {
+		f.setRequestActive(now, h, s, false)
+		h.load.Flows--
+	} else {
+		h.load.Flows++
+	}
+	s.away = away
+}
+
 // verifiable reports whether the other balancers know where the packets of a flow went since the last
 // one came here.
 func (f *Forwarder) verifiable(s *flowState) bool {
--- a/flow/moved_test.go
+++ b/flow/moved_test.go
@@ -397,3 +397,44 @@
 		}
 	}
 }
+
+// TestMovedFlowsAreNoLoad guards against overload of a host that starts after flows have moved to another
+// balancer: while these counted here, too, all new flows went to the new host until it had as many.
+func TestMovedFlowsAreNoLoad(t *testing.T) {
+	const flows, added = 40, 30
+	f := newMovedFixture(t)
+	f.host("a1", "a", "board")
+	clients := make([]*client, flows)
+	for i := range clients {
+		clients[i] = f.client(boardAddress).establish()
+	}
+	f.forwarder = f.second
+	for _, c := range clients {
+		c.acknowledgeAnswer()
+	}
+	f.forwarder = f.first
+	f.advance(time.Millisecond)
+	f.flowOf(f.upstream("b0")).request()
+	f.advance(maxRetransmitInterval)
+	f.host("a2", "a", "board")
+	placed := make(map[string]int)
+	for range added {
+		placed[f.client(boardAddress).establish().host.ID]++
+	}
+	require.Equal(t, map[string]int{"a0": added / 3, "a1": added / 3, "a2": added / 3}, placed)
+	for _, c := range clients {
+		c.acknowledgeAnswer()
+	}
+	open := 0
+	for _, h := range f.first.health {
+		open += h.load.Flows
+	}
+	require.Equal(t, flows+added+1, open, "flows that have come back count again")
+	for range 2 {
+		f.advance(defaultIdleTimeout)
+		f.first.expireFlows(f.now, f.view())
+	}
+	for _, h := range f.first.health {
+		require.Zero(t, h.load, "all flows are forgotten")
+	}
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -33,6 +33,9 @@
 	seenAt time.Time
 	// adopted is set if another balancer opened the flow.
 	adopted bool
+	// away is set while the flow does not count in its upstream's load, as its packets seem to go to
+	// another balancer.
+	away bool
 	// answered is set once the client has acknowledged content of the upstream.
 	answered bool
 	// firstSequence is the sequence number of the flow's first packet, if this
