fix: don't measure answers of flows that may have moved meanwhile

A host could be taken for slower than it is, and get fewer new flows, after the routers' rotation had changed twice within a request.

Requests from before a sign that flows have moved are not measured. The new case of TestMeasuredAnswers has one answer before, of 1.01 s, and none now.

--- a/flow/sharing.go
+++ b/flow/sharing.go
@@ -189,14 +189,15 @@
 }
 
 // measureAnswer records the time of an answer. Those to requests that were retransmitted, or
-// that another balancer forwarded, are not measured.
+// that another balancer forwarded, are not measured, nor are those that the client may have acknowledged
+// through another balancer first, since flows have moved meanwhile.
 func (f *Forwarder) measureAnswer(now time.Time, s *flowState, p *Packet) {
 	if !s.requestMeasured {
 		return
 	}
 	elapsed := now.Sub(s.requestAt)
 	s.requestMeasured = false
-	if s.opening || !s.requestActive || s.retransmissions > 0 || now.Before(f.ignoreUntil) {
+	if s.opening || !s.requestActive || s.retransmissions > 0 || now.Before(f.ignoreUntil) || s.requestAt.Before(f.verifications.movedAt) {
 		return
 	}
 	f.sharing.learner.Observe(now, &capacity.Answer{
--- a/flow/sharing_test.go
+++ b/flow/sharing_test.go
@@ -299,7 +299,7 @@
 }
 
 // TestMeasuredAnswers guards against answer times that are not the host's: those of requests that
-// were sent again, that another balancer forwarded, and after a pause.
+// were sent again, that another balancer forwarded, and after a pause or a move of flows.
 func TestMeasuredAnswers(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -347,6 +347,16 @@
 				other.acknowledgeAnswer()
 			},
 		},
+		{
+			name: "a request whose answer the client may have acknowledged through another balancer",
+			play: func(z *sharedZone, c *client) {
+				c.request()
+				z.advance(10 * time.Millisecond)
+				z.flowOf(c.host).acknowledge()
+				z.advance(time.Second)
+				c.acknowledgeAnswer()
+			},
+		},
 		{
 			name: "after a pause",
 			play: func(z *sharedZone, c *client) {
